--- /dev/null
+++ b/cmd/tamarackspool/doc.go
@@ -0,0 +1,2 @@
+// Command tamarackspool runs and operates a global traffic steering system.
+package main
--- /dev/null
+++ b/cmd/tamarackspool/main.go
@@ -0,0 +1,7 @@
+package main
+
+import "os"
+
+func main() {
+	os.Exit(0)
+}
--- /dev/null
+++ b/internal/config/document/doc.go
@@ -0,0 +1,4 @@
+// Package document holds the operators' configuration as immutable domain
+// types. Values are safe for concurrent use because nothing changes them after
+// construction.
+package document
--- /dev/null
+++ b/internal/config/document/document.go
@@ -0,0 +1,139 @@
+package document
+
+import (
+	"slices"
+	"time"
+)
+
+// Fields are the values of a whole configuration.
+type Fields struct {
+	Version  uint64
+	Services []Service
+	Regions  []Region
+	Zones    []Zone
+	Targets  []Target
+	Links    []Link
+	Entries  []Entry
+	Tenants  []Tenant
+	Drains   []Drain
+	Blocks   []Block
+}
+
+// Document is one numbered version of the whole configuration.
+type Document struct {
+	f        Fields
+	services map[string]Service
+	regions  map[string]Region
+	zones    map[string]Zone
+	targets  map[string]Target
+	entries  map[string]Entry
+	tenants  map[string]Tenant
+}
+
+// New returns the document with the given values, which the caller must not change afterwards.
+func New(f Fields) *Document {
+	return &Document{
+		f:        f,
+		services: index(f.Services, Service.Name),
+		regions:  index(f.Regions, Region.Name),
+		zones:    index(f.Zones, Zone.Name),
+		targets:  index(f.Targets, Target.Name),
+		entries:  index(f.Entries, Entry.Name),
+		tenants:  index(f.Tenants, Tenant.Name),
+	}
+}
+
+func index[T any](values []T, name func(T) string) map[string]T {
+	m := make(map[string]T, len(values))
+	for _, v := range values {
+		m[name(v)] = v
+	}
+	return m
+}
+
+// Version returns the number of this version of the configuration.
+func (d *Document) Version() uint64 { return d.f.Version }
+
+// Services returns all services in the order of the document; the slice must not be changed.
+func (d *Document) Services() []Service { return d.f.Services }
+
+// Regions returns all regions in the order of the document; the slice must not be changed.
+func (d *Document) Regions() []Region { return d.f.Regions }
+
+// Zones returns all availability zones in the order of the document; the slice must not be changed.
+func (d *Document) Zones() []Zone { return d.f.Zones }
+
+// Targets returns all targets in the order of the document; the slice must not be changed.
+func (d *Document) Targets() []Target { return d.f.Targets }
+
+// Links returns all links in the order of the document; the slice must not be changed.
+func (d *Document) Links() []Link { return d.f.Links }
+
+// Entries returns all entries in the order of the document; the slice must not be changed.
+func (d *Document) Entries() []Entry { return d.f.Entries }
+
+// Tenants returns all tenants in the order of the document; the slice must not be changed.
+func (d *Document) Tenants() []Tenant { return d.f.Tenants }
+
+// Drains returns all planned drains in the order of the document; the slice must not be changed.
+func (d *Document) Drains() []Drain { return d.f.Drains }
+
+// Blocks returns all client blocks in the order of the document; the slice must not be changed.
+func (d *Document) Blocks() []Block { return d.f.Blocks }
+
+// Service returns the service with the given name and whether it exists.
+func (d *Document) Service(name string) (Service, bool) { return find(d.services, name) }
+
+// Region returns the region with the given name and whether it exists.
+func (d *Document) Region(name string) (Region, bool) { return find(d.regions, name) }
+
+// Zone returns the availability zone with the given name and whether it exists.
+func (d *Document) Zone(name string) (Zone, bool) { return find(d.zones, name) }
+
+// Target returns the target with the given name and whether it exists.
+func (d *Document) Target(name string) (Target, bool) { return find(d.targets, name) }
+
+// Entry returns the entry with the given name and whether it exists.
+func (d *Document) Entry(name string) (Entry, bool) { return find(d.entries, name) }
+
+// Tenant returns the tenant with the given name and whether it exists.
+func (d *Document) Tenant(name string) (Tenant, bool) { return find(d.tenants, name) }
+
+func find[T any](m map[string]T, name string) (T, bool) {
+	v, ok := m[name]
+	return v, ok
+}
+
+// RegionOf returns the region of the availability zone, or an empty string when the zone is unknown.
+func (d *Document) RegionOf(zone string) string { return d.zones[zone].region }
+
+// Link returns the link between two regions, in either order, and whether it exists.
+func (d *Document) Link(a, b string) (Link, bool) {
+	i := slices.IndexFunc(d.f.Links, func(l Link) bool { return l.Joins(a, b) })
+	if i < 0 {
+		return Link{}, false
+	}
+	return d.f.Links[i], true
+}
+
+// Leaving returns the names of the targets that a planned drain empties at the given time, each with the drain's name.
+func (d *Document) Leaving(now time.Time) map[string]string {
+	leaving := make(map[string]string)
+	for _, dr := range d.f.Drains {
+		if !dr.Active(now) {
+			continue
+		}
+		for _, t := range d.f.Targets {
+			if d.drains(dr, t) {
+				leaving[t.Name()] = dr.Name()
+			}
+		}
+	}
+	return leaving
+}
+
+func (d *Document) drains(dr Drain, t Target) bool {
+	return slices.Contains(dr.f.Targets, t.Name()) ||
+		(dr.f.Zone != "" && dr.f.Zone == t.Zone()) ||
+		(dr.f.Region != "" && dr.f.Region == d.RegionOf(t.Zone()))
+}
--- /dev/null
+++ b/internal/config/document/service.go
@@ -0,0 +1,112 @@
+package document
+
+import (
+	"slices"
+	"time"
+)
+
+// ServiceFields are the values of a service.
+type ServiceFields struct {
+	Name     string
+	Once     bool          // Once requires an idempotency key and runs each key at most once.
+	Priority int           // Priority orders services under overload; 0 is served first.
+	Timeout  time.Duration // Timeout applies when the caller sets none.
+	Ceiling  time.Duration // Ceiling is the longest timeout that a caller may set.
+	Body     int64         // Body is the largest request body in bytes.
+	Shift    float64       // Shift caps the growth of requests/s served away from home, in requests/s per second.
+}
+
+// Service is something that callers request and targets run.
+type Service struct{ f ServiceFields }
+
+// NewService returns the service with the given values.
+func NewService(f ServiceFields) Service { return Service{f} }
+
+// Name returns the service's name.
+func (s Service) Name() string { return s.f.Name }
+
+// Once reports whether each request needs an idempotency key and runs at most once.
+func (s Service) Once() bool { return s.f.Once }
+
+// Priority returns the service's rank under overload; 0 is served first.
+func (s Service) Priority() int { return s.f.Priority }
+
+// Timeout returns the deadline of a request whose caller sets none.
+func (s Service) Timeout() time.Duration { return s.f.Timeout }
+
+// Ceiling returns the longest timeout that a caller may set.
+func (s Service) Ceiling() time.Duration { return s.f.Ceiling }
+
+// Body returns the largest request body in bytes.
+func (s Service) Body() int64 { return s.f.Body }
+
+// Shift returns the cap on the growth of traffic served away from its home region, in requests/s per second.
+func (s Service) Shift() float64 { return s.f.Shift }
+
+// Tenant is a customer of the operators whose requests are kept apart from those of others.
+type Tenant struct {
+	name     string
+	digest   string
+	services []string
+}
+
+// NewTenant returns a tenant; digest is the SHA-256 of its key in hexadecimal, or empty for none.
+func NewTenant(name, digest string, services []string) Tenant {
+	return Tenant{name, digest, slices.Clone(services)}
+}
+
+// Name returns the tenant's name.
+func (t Tenant) Name() string { return t.name }
+
+// Digest returns the SHA-256 of the tenant's key in hexadecimal, or an empty string when it has none.
+func (t Tenant) Digest() string { return t.digest }
+
+// Allows reports whether the tenant may use the service; a tenant without a list may use all.
+func (t Tenant) Allows(service string) bool {
+	return len(t.services) == 0 || slices.Contains(t.services, service)
+}
+
+// Services returns the services that the tenant may use; empty means all.
+func (t Tenant) Services() []string { return slices.Clone(t.services) }
+
+// DrainFields are the values of a planned drain.
+type DrainFields struct {
+	Name    string
+	Targets []string // Targets names the targets to empty.
+	Zone    string   // Zone names an availability zone to empty, or is empty.
+	Region  string   // Region names a region to empty, or is empty.
+	Start   time.Time
+	End     time.Time // End is when the targets return; the zero value means never.
+}
+
+// Drain is a planned emptying of targets.
+type Drain struct{ f DrainFields }
+
+// NewDrain returns the drain with the given values.
+func NewDrain(f DrainFields) Drain {
+	f.Targets = slices.Clone(f.Targets)
+	return Drain{f}
+}
+
+// Name returns the drain's name.
+func (d Drain) Name() string { return d.f.Name }
+
+// Targets returns the names of the targets that the drain lists by name.
+func (d Drain) Targets() []string { return slices.Clone(d.f.Targets) }
+
+// Zone returns the availability zone to empty, or an empty string.
+func (d Drain) Zone() string { return d.f.Zone }
+
+// Region returns the region to empty, or an empty string.
+func (d Drain) Region() string { return d.f.Region }
+
+// Start returns when the targets must stop receiving new work.
+func (d Drain) Start() time.Time { return d.f.Start }
+
+// End returns when the targets return; the zero time means never.
+func (d Drain) End() time.Time { return d.f.End }
+
+// Active reports whether the drain is in force at the given time.
+func (d Drain) Active(now time.Time) bool {
+	return !now.Before(d.f.Start) && (d.f.End.IsZero() || now.Before(d.f.End))
+}
--- /dev/null
+++ b/internal/record/event/doc.go
@@ -0,0 +1,2 @@
+// Package event defines the numbered log events and their catalogue.
+package event
--- /dev/null
+++ b/internal/record/event/event.go
@@ -0,0 +1,59 @@
+package event
+
+import (
+	"slices"
+
+	"github.com/go-kit/log"
+)
+
+// Number identifies a kind of event for good; a number is never used again for another meaning.
+type Number int
+
+// Entry describes a kind of event in the catalogue.
+type Entry struct {
+	number  Number
+	name    string
+	meaning string
+	action  string
+}
+
+// Number returns the event's number.
+func (e Entry) Number() Number { return e.number }
+
+// Name returns the short name that stands in the log line.
+func (e Entry) Name() string { return e.name }
+
+// Meaning returns what has happened.
+func (e Entry) Meaning() string { return e.meaning }
+
+// Action returns what an operator does about it.
+func (e Entry) Action() string { return e.action }
+
+// Catalogue returns all kinds of events by ascending number.
+func Catalogue() []Entry {
+	all := slices.Concat(process, configuration, membership, steering, request, operator)
+	slices.SortFunc(all, func(a, b Entry) int { return int(a.number) - int(b.number) })
+	return all
+}
+
+// Log writes numbered events as log lines and may be used by several goroutines.
+type Log struct {
+	out   log.Logger
+	names map[Number]string
+}
+
+// New returns a log that writes to out.
+func New(out log.Logger) *Log {
+	names := make(map[Number]string)
+	for _, e := range Catalogue() {
+		names[e.number] = e.name
+	}
+	return &Log{out: out, names: names}
+}
+
+// Log writes the event with the given keys and values, which alternate.
+func (l *Log) Log(n Number, keyvals ...any) {
+	line := append([]any{"event", int(n), "name", l.names[n]}, keyvals...)
+	// A log that cannot be written must not stop the request path.
+	_ = l.out.Log(line...)
+}
--- /dev/null
+++ b/internal/request/verdict/doc.go
@@ -0,0 +1,3 @@
+// Package verdict says whether a request has run, so that every layer reports
+// the same proof to the caller.
+package verdict
--- /dev/null
+++ b/internal/request/verdict/verdict.go
@@ -0,0 +1,122 @@
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict says what is known about the execution of a request.
+type Verdict uint8
+
+// The verdicts, ordered by how much may have happened: the zero value is the
+// one that promises nothing.
+const (
+	// MayHaveRun means that the request may or may not have run.
+	MayHaveRun Verdict = iota
+	// NotRun means that there is proof that the request has not run.
+	NotRun
+	// Ran means that the whole answer of the target was received.
+	Ran
+)
+
+// String returns the verdict as it is written in the Verdict header.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse returns the verdict written as s and MayHaveRun with an error for any other text.
+func Parse(s string) (Verdict, error) {
+	for _, v := range []Verdict{MayHaveRun, NotRun, Ran} {
+		if v.String() == s {
+			return v, nil
+		}
+	}
+	return MayHaveRun, fmt.Errorf("verdict: %q is none of not-run, may-have-run, ran", s)
+}
+
+// Reason is a short, stable word for the cause of an error, carried in the Reason header.
+type Reason string
+
+// The reasons that callers can receive.
+const (
+	ReasonInput     Reason = "bad-input"
+	ReasonTenant    Reason = "tenant"
+	ReasonRoom      Reason = "no-room"
+	ReasonShift     Reason = "shift-cap"
+	ReasonLink      Reason = "link-limit"
+	ReasonRegion    Reason = "region-limit"
+	ReasonLeaving   Reason = "leaving"
+	ReasonStale     Reason = "stale-snapshot"
+	ReasonIsolated  Reason = "isolated"
+	ReasonStore     Reason = "store-unavailable"
+	ReasonKeys      Reason = "key-memory-full"
+	ReasonDeadline  Reason = "deadline"
+	ReasonCancelled Reason = "cancelled"
+	ReasonConnect   Reason = "connect"
+	ReasonShed      Reason = "shed"
+	ReasonSilent    Reason = "silent"
+	ReasonShort     Reason = "short-answer"
+	ReasonIssuer    Reason = "issuer-gone"
+	ReasonRepeat    Reason = "repeat"
+	ReasonHops      Reason = "too-many-hops"
+)
+
+// Error is a failure together with the verdict on the request that failed.
+type Error struct {
+	verdict Verdict
+	reason  Reason
+	status  int
+	after   time.Duration
+	err     error
+}
+
+// New returns an error with the given verdict, reason, HTTP status and cause.
+func New(v Verdict, r Reason, status int, cause error) *Error {
+	return &Error{verdict: v, reason: r, status: status, err: cause}
+}
+
+// Verdict returns whether the request may have run.
+func (e *Error) Verdict() Verdict { return e.verdict }
+
+// Reason returns the short word for the cause.
+func (e *Error) Reason() Reason { return e.reason }
+
+// Status returns the HTTP status that the caller receives.
+func (e *Error) Status() int { return e.status }
+
+// RetryAfter returns how long the caller should wait before a repeat; zero means no advice.
+func (e *Error) RetryAfter() time.Duration { return e.after }
+
+// WithRetryAfter returns a copy of the error that advises the caller to wait for d.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.after = d
+	return &c
+}
+
+// Error returns the reason, the verdict and the cause in one line.
+func (e *Error) Error() string {
+	if e.err == nil {
+		return fmt.Sprintf("%s (%s)", e.reason, e.verdict)
+	}
+	return fmt.Sprintf("%s (%s): %v", e.reason, e.verdict, e.err)
+}
+
+// Unwrap returns the cause, which may be nil.
+func (e *Error) Unwrap() error { return e.err }
+
+// Of returns the verdict carried by err; an error without one proves nothing and is MayHaveRun.
+func Of(err error) Verdict {
+	if e, ok := errors.AsType[*Error](err); ok {
+		return e.verdict
+	}
+	return MayHaveRun
+}
