internal/standin/network: add links with delay, loss, limits and faults

The demo needs links between regions on one machine. Dialed connections get one-way delay with jitter, the delay of a retransmission for a lost chunk, a byte rate limit and counters per directed pair of regions; pairs can be cut and existing connections can go silent while new ones work.

--- /dev/null
+++ b/internal/standin/network/network.go
@@ -0,0 +1,227 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// ErrCut is returned by a dial between two places that cannot reach each other.
+var ErrCut = errors.New("network: no route between the places")
+
+// cutWait is how long a dial over a cut pair waits before it fails, as a
+// connection attempt without any response does.
+const cutWait = time.Second
+
+// Network connects named places and is safe for concurrent use.
+type Network struct {
+	s      Settings
+	mu     sync.Mutex
+	random *rand.Rand
+	places map[string]Place
+	cuts   map[Pair]bool
+	links  map[Pair]*link
+	conns  map[*conn]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// New returns a network without places.
+func New(s Settings) *Network {
+	return &Network{
+		s:      s,
+		random: rand.New(rand.NewPCG(s.Seed, 0x6e6574)),
+		places: make(map[string]Place),
+		cuts:   make(map[Pair]bool),
+		links:  make(map[Pair]*link),
+		conns:  make(map[*conn]struct{}),
+	}
+}
+
+// Bind states which place listens on the address.
+func (n *Network) Bind(address string, p Place) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.places[address] = p
+}
+
+// Dialer returns a dial function for connections that start at p.
+func (n *Network) Dialer(p Place) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return n.dial(ctx, p, network, address)
+	}
+}
+
+func (n *Network) dial(ctx context.Context, from Place, network, address string) (net.Conn, error) {
+	n.mu.Lock()
+	to, known := n.places[address]
+	cut := n.cutBetween(from, to)
+	n.mu.Unlock()
+	if !known {
+		to = from
+	}
+	if cut {
+		if err := sleep(ctx, cutWait); err != nil {
+			return nil, err
+		}
+		return nil, fmt.Errorf("%w: %s to %s", ErrCut, from.Name, to.Name)
+	}
+	// A connection is usable after one round trip.
+	if err := sleep(ctx, 2*n.jittered(from, to)); err != nil {
+		return nil, err
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return n.adopt(c, from, to)
+}
+
+// adopt wraps an open connection and starts its two transfers.
+func (n *Network) adopt(inner net.Conn, from, to Place) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = inner.Close()
+		return nil, net.ErrClosed
+	}
+	c := newConn(n, inner, from, to, n.link(from, to), n.link(to, from))
+	n.conns[c] = struct{}{}
+	n.wg.Add(2)
+	go c.send()
+	go c.receive()
+	return c, nil
+}
+
+// link returns the shared link of the directed pair of regions, or nil within a region; n.mu is held.
+func (n *Network) link(from, to Place) *link {
+	if from.client() || to.client() || from.Region == to.Region {
+		return nil
+	}
+	p := Pair{from.Region, to.Region}
+	l, ok := n.links[p]
+	if !ok {
+		l = newLink(n.s.Rates[p])
+		n.links[p] = l
+	}
+	return l
+}
+
+func (n *Network) forget(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+// jittered returns a one-way delay with jitter and, at the loss rate, the delay of a retransmission.
+func (n *Network) jittered(from, to Place) time.Duration {
+	d := n.s.delay(from, to)
+	if d == 0 {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := d + time.Duration(n.random.Float64()*n.s.Jitter*float64(d))
+	if n.random.Float64() < n.s.Loss {
+		total += max(2*d, retransmission)
+	}
+	return total
+}
+
+// Cut makes two regions, zones or places unable to reach each other: dials
+// fail and existing connections go silent. Heal ends it for new connections.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[Pair{a, b}] = true
+	for c := range n.conns {
+		if n.cutBetween(c.from, c.to) {
+			c.silence()
+		}
+	}
+}
+
+// Heal makes the pair reachable again.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, Pair{a, b})
+	delete(n.cuts, Pair{b, a})
+}
+
+// Silence makes the existing connections between two regions, zones or places
+// carry nothing any more without closing them; new connections work. It
+// returns how many connections went silent.
+func (n *Network) Silence(a, b string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for c := range n.conns {
+		if joins(c.from, c.to, a, b) {
+			c.silence()
+			count++
+		}
+	}
+	return count
+}
+
+// Uses returns the use of each directed pair of regions so far.
+func (n *Network) Uses() map[Pair]Use {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	uses := make(map[Pair]Use, len(n.links))
+	for p, l := range n.links {
+		uses[p] = l.use()
+	}
+	return uses
+}
+
+// Close cuts all connections and waits until their transfers have ended.
+func (n *Network) Close() {
+	n.mu.Lock()
+	n.closed = true
+	for c := range n.conns {
+		c.abort()
+	}
+	n.mu.Unlock()
+	n.wg.Wait()
+}
+
+// cutBetween reports whether a cut separates the places; n.mu is held.
+func (n *Network) cutBetween(x, y Place) bool {
+	for p := range n.cuts {
+		if joins(x, y, p.From, p.To) {
+			return true
+		}
+	}
+	return false
+}
+
+// joins reports whether one place lies in a and the other in b.
+func joins(x, y Place, a, b string) bool {
+	return (x.in(a) && y.in(b)) || (x.in(b) && y.in(a))
+}
+
+// in reports whether name is the place, its zone or its region.
+func (p Place) in(name string) bool {
+	return name != "" && (p.Name == name || p.Zone == name || p.Region == name)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
