internal/standin/caller: add a caller with look-ups, tickets and records

The caller caches look-ups for their time to live, tries another entry on failure, sends reads, uploads and orders at a seeded rate, and repeats an order with the same key after may-have-run or a lost response. Its records are the callers' side of the promise checks.

--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,137 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// together is the most requests that one caller has in flight; arrivals
+// beyond it wait, as in a program with a bounded worker pool.
+const together = 256
+
+// Caller sends the traffic of its settings.
+type Caller struct {
+	s         Settings
+	http      *http.Client
+	transport *http.Transport
+	directory *directory
+	tickets   *tickets
+	slots     chan struct{}
+	mu        sync.Mutex
+	random    *rand.Rand
+	records   []Record
+	sequence  int
+}
+
+// New returns a caller that has sent nothing yet.
+func New(s Settings) *Caller {
+	transport := &http.Transport{
+		DialContext:         s.Dial,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	c := &Caller{
+		s:         s,
+		transport: transport,
+		http:      &http.Client{Transport: transport},
+		slots:     make(chan struct{}, together),
+		random:    rand.New(rand.NewPCG(s.Seed, 0x63616c6c)),
+	}
+	c.directory = newDirectory(c.http, s.Client, s.Entries)
+	c.tickets = newTickets(c.http, c.header())
+	return c
+}
+
+// Run sends traffic until arrivals is done and then waits for the requests in
+// flight, which end with ctx at the latest.
+func (c *Caller) Run(ctx, arrivals context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range c.s.Loads {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.arrive(ctx, arrivals, l, &wg)
+		}()
+	}
+	wg.Wait()
+	c.transport.CloseIdleConnections()
+}
+
+// arrive starts the requests of one load at random times.
+func (c *Caller) arrive(ctx, arrivals context.Context, l Load, wg *sync.WaitGroup) {
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(c.exponential() / l.Rate * float64(time.Second)))
+		if !sleep(arrivals, time.Until(next)) {
+			return
+		}
+		select {
+		case c.slots <- struct{}{}:
+		case <-arrivals.Done():
+			return
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { <-c.slots }()
+			c.keep(c.request(ctx, l))
+		}()
+	}
+}
+
+// Records returns what the caller was told so far.
+func (c *Caller) Records() []Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Record(nil), c.records...)
+}
+
+func (c *Caller) keep(r Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records = append(c.records, r)
+}
+
+func (c *Caller) exponential() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.ExpFloat64()
+}
+
+func (c *Caller) draw(n int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.IntN(n)
+}
+
+func (c *Caller) id() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sequence++
+	return fmt.Sprintf("%s-%d", c.s.Name, c.sequence)
+}
+
+func (c *Caller) header() http.Header {
+	h := http.Header{"Tenant": {c.s.Tenant}}
+	if c.s.Secret != "" {
+		h.Set("Tenant-Key", c.s.Secret)
+	}
+	return h
+}
+
+// sleep waits for d and reports whether ctx is still going on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(max(d, 0))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/caller/caller_test.go
@@ -0,0 +1,73 @@
+package caller_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/standin/caller"
+)
+
+// fake is an entry that loses the first response to each order key.
+type fake struct {
+	mu   sync.Mutex
+	seen map[string]int
+	name string
+	host string
+	next int
+}
+
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch r.URL.Path {
+	case "/lookup":
+		fmt.Fprintf(w, `{"version":1,"region":"r","ttl":10,"entries":[{"name":%q,"address":%q,"zone":"z"}]}`, f.name, f.host)
+	case "/ticket":
+		f.next++
+		fmt.Fprintf(w, `{"tickets":["t-%d"],"ttl":3600}`, f.next)
+	default:
+		key := r.Header.Get("Idempotency-Key")
+		f.seen[key]++
+		if f.seen[key] == 1 {
+			w.Header().Set("Verdict", "may-have-run")
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		w.Header().Set("Verdict", "ran")
+	}
+}
+
+// Guards against a caller that gives an order a new key after it may have run.
+func TestOrderIsRepeatedWithTheSameKey(t *testing.T) {
+	f := &fake{seen: map[string]int{}, name: "e1"}
+	server := httptest.NewServer(f)
+	defer server.Close()
+	f.host = server.Listener.Addr().String()
+	c := caller.New(caller.Settings{
+		Name: "c", Tenant: "t", Entries: []string{f.host}, Seed: 1, Tries: 4,
+		Loads: []caller.Load{{Service: "gifts", Kind: caller.Order, Rate: 100, Timeout: time.Second}},
+		Dial:  (&net.Dialer{}).DialContext,
+		Path:  func(id string, _ caller.Load) string { return id },
+	})
+	arrivals, stop := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer stop()
+	c.Run(t.Context(), arrivals)
+	records := c.Records()
+	if len(records) == 0 {
+		t.Fatal("no request was sent")
+	}
+	for _, r := range records {
+		if len(r.Tries) != 2 || r.Tries[0].Key != r.Tries[1].Key || r.Last().Verdict != "ran" {
+			t.Errorf("tries = %+v, want two with the same key", r.Tries)
+		}
+	}
+	if s := caller.Summarize(records)["gifts"]; s.Retried != len(records) || s.Ran != len(records) {
+		t.Errorf("summary = %+v", s)
+	}
+}
--- /dev/null
+++ b/internal/standin/caller/request.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// pause is the wait before a new attempt when the response advises none.
+const pause = 50 * time.Millisecond
+
+// pauseLimit is the longest advised wait that the caller follows.
+const pauseLimit = time.Second
+
+// request sends one request until it is answered or given up.
+func (c *Caller) request(ctx context.Context, l Load) Record {
+	r := Record{ID: c.id(), Caller: c.s.Name, Tenant: c.s.Tenant, Service: l.Service, Kind: l.Kind}
+	key := ""
+	first := c.draw(1 << 20)
+	for i := range c.s.Tries {
+		entries, err := c.directory.entries(ctx, l.Service, first+i)
+		if err != nil {
+			if !sleep(ctx, pause) {
+				break
+			}
+			continue
+		}
+		e := entries[(first+i)%len(entries)]
+		if l.Kind == Order && key == "" {
+			if key, err = c.tickets.next(ctx, e.Address, l.Service); err != nil {
+				continue
+			}
+		}
+		t, after := c.attempt(ctx, &r, l, e, key)
+		r.Tries = append(r.Tries, t)
+		if t.Verdict == "ran" || ctx.Err() != nil || (t.Verdict != "not-run" && l.Kind == Upload) || !again(t) {
+			break
+		}
+		if t.Reason == "issuer-gone" && t.Verdict == "not-run" {
+			c.tickets.drop(l.Service)
+			key = ""
+		}
+		if !sleep(ctx, after) {
+			break
+		}
+	}
+	r.Stopped = ctx.Err() != nil
+	return r
+}
+
+// again reports whether another attempt can help; bad input stays bad.
+func again(t Try) bool {
+	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests
+}
+
+// attempt sends the request once and returns what was told and how long to wait before the next attempt.
+func (c *Caller) attempt(ctx context.Context, r *Record, l Load, e entry, key string) (Try, time.Duration) {
+	t := Try{Key: key, Entry: e.Name, Verdict: "may-have-run", Reason: "lost", Start: time.Now()}
+	// An entry answers by the deadline; the margin covers the way to the caller and back.
+	ctx, cancel := context.WithTimeout(ctx, l.Timeout+patience)
+	defer cancel()
+	resp, body, err := c.send(ctx, r.ID, l, e, key)
+	t.End = time.Now()
+	if resp != nil {
+		t.Status = resp.StatusCode
+		t.Verdict, t.Reason = resp.Header.Get("Verdict"), resp.Header.Get("Reason")
+		t.Target = resp.Header.Get("Served-By")
+	}
+	if err != nil {
+		if resp != nil {
+			r.Short = true
+		}
+		t.Verdict, t.Reason = "may-have-run", "lost: "+err.Error()
+		return t, pause
+	}
+	if t.Verdict == "ran" && t.Status < 300 && c.s.Check != nil {
+		if err := c.s.Check(r.ID, l, resp.Header, body); err != nil {
+			r.Wrong = err.Error()
+		}
+	}
+	return t, advised(resp.Header.Get("Retry-After"))
+}
+
+func (c *Caller) send(ctx context.Context, id string, l Load, e entry, key string) (*http.Response, []byte, error) {
+	method, content := http.MethodGet, io.Reader(http.NoBody)
+	if l.Kind != Read {
+		method, content = http.MethodPost, bytes.NewReader(make([]byte, l.Body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Address+"/run/"+l.Service+"/"+c.s.Path(id, l), content)
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Header = c.header()
+	req.Header.Set("Timeout", strconv.FormatInt(l.Timeout.Milliseconds(), 10))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+// advised returns the wait that a Retry-After header in seconds asks for.
+func advised(text string) time.Duration {
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil || s <= 0 {
+		return pause
+	}
+	return min(time.Duration(s*float64(time.Second)), pauseLimit)
+}
--- /dev/null
+++ b/internal/standin/caller/settings.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Kind is the kind of a request.
+type Kind string
+
+// The kinds of requests.
+const (
+	Read   Kind = "read"
+	Upload Kind = "upload"
+	Order  Kind = "order"
+)
+
+// Load is seeded traffic to one service.
+type Load struct {
+	Service string
+	Kind    Kind
+	Rate    float64       // Rate is the mean number of requests per second.
+	Body    int           // Body is the size of the request body in bytes.
+	Answer  int           // Answer is the size of the response body that is asked for, in bytes.
+	Work    time.Duration // Work is how long the target is asked to run the request; 0 leaves it to the target.
+	Timeout time.Duration // Timeout is the deadline of one attempt.
+}
+
+// Settings describe one caller.
+type Settings struct {
+	Name    string
+	Tenant  string
+	Secret  string // Secret is the tenant's key, or empty.
+	Client  string // Client is the client address named in look-ups, or empty.
+	Entries []string
+	Loads   []Load
+	Seed    uint64
+	Tries   int // Tries is the most attempts per request.
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	// Path returns the path and query of a request below the service's name.
+	Path func(id string, l Load) string
+	// Check returns an error when the complete response does not answer the request.
+	Check func(id string, l Load, h http.Header, body []byte) error
+}
