internal/entry/setting: check an entry's settings before it starts

A wrong flag must be found at the start and not in the request path. New reports every flag at fault at once, with its value and the accepted range.

--- /dev/null
+++ b/internal/entry/setting/checker.go
@@ -0,0 +1,58 @@
+package setting
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"net/url"
+)
+
+// checker collects the errors of all flags, so that an operator sees them at once.
+type checker struct{ errs []error }
+
+func (c *checker) fail(flag, format string, args ...any) {
+	c.errs = append(c.errs, fmt.Errorf("setting: --%s: "+format, append([]any{flag}, args...)...))
+}
+
+// longestName is the most bytes of a name; names stand in every gossip message.
+const longestName = 64
+
+func (c *checker) text(flag, value string) {
+	if value == "" || len(value) > longestName {
+		c.fail(flag, "%q has %d characters; the range is 1 to %d", value, len(value), longestName)
+	}
+}
+
+func (c *checker) secret(flag, value string) {
+	if len(value) < minSecret {
+		c.fail(flag, "the key has %d characters; at least %d are needed", len(value), minSecret)
+	}
+}
+
+func (c *checker) address(flag, value string) netip.AddrPort {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.fail(flag, "%q is not an IP address with a port from 0 to 65535, such as 127.0.0.1:8080", value)
+	}
+	return a
+}
+
+func (c *checker) base(flag, value string) {
+	if value == "" {
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		c.fail(flag, "%q is not of the form http://address:port", value)
+		return
+	}
+	if _, err := netip.ParseAddrPort(u.Host); err != nil {
+		c.fail(flag, "%q does not name an IP address and a port", value)
+	}
+}
+
+func within[T cmp.Ordered](c *checker, flag string, value, low, high T) {
+	if value < low || value > high {
+		c.fail(flag, "%v is out of range; the range is %v to %v", value, low, high)
+	}
+}
--- /dev/null
+++ b/internal/entry/setting/setting_test.go
@@ -0,0 +1,45 @@
+package setting_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/entry/setting"
+)
+
+func valid() setting.Raw {
+	const any = "127.0.0.1:0"
+	return setting.Raw{
+		Name: "marmara-a-1", Zone: "marmara-a", Region: "marmara",
+		Call: any, Peer: any, Pass: any, Admin: any, Store: "http://127.0.0.1:9000",
+		Peerkey: "peer-secret", Opkey: "operator-secret",
+		Stop: 10 * time.Minute, TTL: 10 * time.Second, Retention: 24 * time.Hour, Keys: 200_000, Header: 32 << 10,
+	}
+}
+
+// Guards against a bad setting that is accepted, or whose error does not name the flag and the range.
+func TestErrorsNameFlagAndRange(t *testing.T) {
+	if _, err := setting.New(valid()); err != nil {
+		t.Fatalf("valid settings: %v", err)
+	}
+	for _, c := range []struct {
+		change func(*setting.Raw)
+		want   string
+	}{
+		{func(r *setting.Raw) { r.Call = "localhost:80" }, "--call"},
+		{func(r *setting.Raw) { r.Peers = []string{"10.0.0.1"} }, "--peers"},
+		{func(r *setting.Raw) { r.Store = "ftp://x" }, "--store"},
+		{func(r *setting.Raw) { r.Stop = 0 }, "1s to 24h0m0s"},
+		{func(r *setting.Raw) { r.TTL = time.Hour }, "1s to 1m0s"},
+		{func(r *setting.Raw) { r.Keys = 3 }, "1000 to 10000000"},
+		{func(r *setting.Raw) { r.Peerkey = "short" }, "--peer-key"},
+		{func(r *setting.Raw) { r.Name = "" }, "--name"},
+	} {
+		raw := valid()
+		c.change(&raw)
+		if _, err := setting.New(raw); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("error = %v, want one that contains %q", err, c.want)
+		}
+	}
+}
