--- a/internal/record/event/process.go
+++ b/internal/record/event/process.go
@@ -2,9 +2,29 @@
 
 // The process events.
 const (
-	Started Number = 1001
+	Started       Number = 1001
+	Serving       Number = 1002
+	Stopping      Number = 1003
+	Stopped       Number = 1004
+	StopLimit     Number = 1005
+	TickGap       Number = 1006
+	Confirmed     Number = 1007
+	HandedOver    Number = 1008
+	HandoverLost  Number = 1009
+	ListenerEnded Number = 1010
+	RosterLost    Number = 1011
 )
 
 var process = []Entry{
 	{Started, "started", "the process has started", "none"},
+	{Serving, "serving", "the entry has a configuration at or above its floor and serves requests", "none"},
+	{Stopping, "stopping", "a graceful shutdown has begun; look-ups no longer name the entry", "none"},
+	{Stopped, "stopped", "the process has ended its work", "none"},
+	{StopLimit, "stop-limit", "the graceful shutdown reached its hard limit; requests in flight were cut", "raise --stop-limit if requests are meant to take that long"},
+	{TickGap, "tick-gap", "no decision was made for more than 1 s, as when the VM was paused; shares wait for a peer's confirmation", "check the VM for steal time or memory pressure"},
+	{Confirmed, "confirmed", "the entry uses its shares, confirmed by a peer or after 3 s without any peer", "none"},
+	{HandedOver, "handed-over", "the outcomes of the entry's tickets were handed to other entries", "none"},
+	{HandoverLost, "handover-lost", "no other entry took the outcomes of the tickets; repeats of orders are answered may-have-run", "check that other entries of the region run before stopping one"},
+	{ListenerEnded, "listener-ended", "a listener ended with an error", "check the address and the limit of open files"},
+	{RosterLost, "roster-lost", "the VM list does not answer; configuration and heartbeats decide", "check the platform"},
 }
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -8,6 +8,7 @@
 
 // Try is what the caller was told about one attempt.
 type Try struct {
+	ID      string // ID stands in the path; repeats of an order share it, other attempts have one each.
 	Key     string // Key is the order's key in this attempt, or empty.
 	Entry   string
 	Target  string
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -34,7 +35,11 @@
 				continue
 			}
 		}
-		t, after := c.attempt(ctx, &r, l, e, key)
+		id := r.ID
+		if l.Kind != Order {
+			id = fmt.Sprintf("%s.%d", r.ID, i)
+		}
+		t, after := c.attempt(ctx, &r, l, e, Try{ID: id, Key: key})
 		r.Tries = append(r.Tries, t)
 		if t.Verdict == "ran" || ctx.Err() != nil || (t.Verdict != "not-run" && l.Kind == Upload) || !again(t) {
 			break
@@ -57,12 +62,12 @@
 }
 
 // attempt sends the request once and returns what was told and how long to wait before the next attempt.
-func (c *Caller) attempt(ctx context.Context, r *Record, l Load, e entry, key string) (Try, time.Duration) {
-	t := Try{Key: key, Entry: e.Name, Verdict: "may-have-run", Reason: "lost", Start: time.Now()}
+func (c *Caller) attempt(ctx context.Context, r *Record, l Load, e entry, t Try) (Try, time.Duration) {
+	t.Entry, t.Verdict, t.Start = e.Name, "may-have-run", time.Now()
 	// An entry answers by the deadline; the margin covers the way to the caller and back.
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout+patience)
 	defer cancel()
-	resp, body, err := c.send(ctx, r.ID, l, e, key)
+	resp, body, err := c.send(ctx, t.ID, l, e, t.Key)
 	t.End = time.Now()
 	if resp != nil {
 		t.Status = resp.StatusCode
@@ -77,7 +82,7 @@
 		return t, pause
 	}
 	if t.Verdict == "ran" && t.Status < 300 && c.s.Check != nil {
-		if err := c.s.Check(r.ID, l, resp.Header, body); err != nil {
+		if err := c.s.Check(t.ID, l, resp.Header, body); err != nil {
 			r.Wrong = err.Error()
 		}
 	}
