--- /dev/null
+++ b/internal/demo/promise/ledger_test.go
@@ -0,0 +1,71 @@
+package promise_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackspool/internal/demo/promise"
+	"tamarackspool/internal/standin/caller"
+)
+
+var begin = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+
+func try(id, key, verdict string, end int) caller.Try {
+	return caller.Try{ID: id, Key: key, Verdict: verdict, Start: at(0), End: at(end)}
+}
+
+// Guards against a promise check that overlooks its own kind of breach, or that reports a correct run.
+func TestLedgerFindsEachBreach(t *testing.T) {
+	order := func(tries ...caller.Try) caller.Record {
+		return caller.Record{ID: "a", Kind: caller.Order, Service: "gifts", Tries: tries}
+	}
+	ran := promise.Run{ID: "a", Key: "k", Target: "t1", Start: at(10), End: at(20)}
+	for _, c := range []struct {
+		name   string
+		record caller.Record
+		runs   []promise.Run
+		want   string
+	}{
+		{"ran once", order(try("a", "k", "ran", 30)), []promise.Run{ran}, ""},
+		{"refused, then ran", order(try("a", "k", "not-run", 5), try("a", "k", "ran", 30)), []promise.Run{ran}, ""},
+		{"lost, then unknown", order(try("a", "k", "may-have-run", 15)), []promise.Run{ran}, ""},
+		{"ran twice", order(try("a", "k", "ran", 30)), []promise.Run{ran, ran}, promise.Once},
+		{"told not-run after the run", order(try("a", "k", "not-run", 30), try("a", "k", "ran", 40)), []promise.Run{ran}, promise.NotRun},
+		{"ran after the last not-run", order(try("a", "k", "not-run", 5)), []promise.Run{ran}, promise.NotRun},
+		{"answered without a run", order(try("a", "k", "ran", 5)), nil, promise.Answer},
+		{"foreign answer", caller.Record{ID: "a", Wrong: "answer to b", Tries: []caller.Try{try("a", "", "ran", 30)}}, []promise.Run{ran}, promise.Answer},
+	} {
+		l := promise.New([]caller.Record{c.record}, c.runs)
+		l.CheckRequests()
+		got := ""
+		if b := l.Breaches(); len(b) > 0 {
+			got = b[0].Promise
+		}
+		if got != c.want {
+			t.Errorf("%s: broken promise %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a leaving target whose late work goes unnoticed.
+func TestLedgerFindsLateWork(t *testing.T) {
+	l := promise.New(nil, []promise.Run{{Target: "t1", Start: at(2900)}, {Target: "t2", Start: at(9000)}, {Target: "t1", Start: at(3100)}})
+	l.CheckLeaving("t1", at(0))
+	if b := l.Breaches(); len(b) != 1 || b[0].Count != 1 {
+		t.Errorf("breaches = %+v, want one run after 3 s", b)
+	}
+}
+
+// Guards against a region's peak that counts two runs which follow each other in one slot as simultaneous.
+func TestPeaks(t *testing.T) {
+	got := promise.Peaks([]promise.Run{
+		{Region: "r", Start: at(0), End: at(10)},
+		{Region: "r", Start: at(10), End: at(20)},
+		{Region: "r", Start: at(5), End: at(15)},
+	})
+	if got["r"] != 2 {
+		t.Errorf("peak = %d, want 2", got["r"])
+	}
+}
--- a/internal/demo/deployment/region.go
+++ b/internal/demo/promise/region.go
@@ -1,4 +1,4 @@
-package deployment
+package promise
 
 import (
 	"cmp"
@@ -12,14 +12,14 @@
 	delta int
 }
 
-// peaks returns the most requests that ran at once in each region.
-func peaks(runs []run) map[string]int {
+// Peaks returns the most requests that ran at once in each region.
+func Peaks(runs []Run) map[string]int {
 	edges := make(map[string][]edge)
 	for _, r := range runs {
-		if r.end.IsZero() {
+		if r.End.IsZero() {
 			continue
 		}
-		edges[r.region] = append(edges[r.region], edge{r.start, 1}, edge{r.end, -1})
+		edges[r.Region] = append(edges[r.Region], edge{r.Start, 1}, edge{r.End, -1})
 	}
 	peak := make(map[string]int)
 	for region, list := range edges {
