--- a/internal/record/event/process.go
+++ b/internal/record/event/process.go
@@ -7,12 +7,11 @@
 	Stopping      Number = 1003
 	Stopped       Number = 1004
 	StopLimit     Number = 1005
-	TickGap       Number = 1006
-	Confirmed     Number = 1007
-	HandedOver    Number = 1008
-	HandoverLost  Number = 1009
-	ListenerEnded Number = 1010
-	RosterLost    Number = 1011
+	Confirmed     Number = 1006
+	HandedOver    Number = 1007
+	HandoverLost  Number = 1008
+	ListenerEnded Number = 1009
+	RosterLost    Number = 1010
 )
 
 var process = []Entry{
@@ -21,7 +20,6 @@
 	{Stopping, "stopping", "a graceful shutdown has begun; look-ups no longer name the entry", "none"},
 	{Stopped, "stopped", "the process has ended its work", "none"},
 	{StopLimit, "stop-limit", "the graceful shutdown reached its hard limit; requests in flight were cut", "raise --stop-limit if requests are meant to take that long"},
-	{TickGap, "tick-gap", "no decision was made for more than 1 s, as when the VM was paused; shares wait for a peer's confirmation", "check the VM for steal time or memory pressure"},
 	{Confirmed, "confirmed", "the entry uses its shares, confirmed by a peer or after 3 s without any peer", "none"},
 	{HandedOver, "handed-over", "the outcomes of the entry's tickets were handed to other entries", "none"},
 	{HandoverLost, "handover-lost", "no other entry took the outcomes of the tickets; repeats of orders are answered may-have-run", "check that other entries of the region run before stopping one"},
