internal/steer/table: add the tables and the input of a tick

The systems need one set of rows that they read and update each tick. The rows keep their state when the configuration changes, and configured limits that are negative or not a number become numbered events and count as zero.

--- a/internal/record/event/steering.go
+++ b/internal/record/event/steering.go
@@ -2,9 +2,29 @@
 
 // The steering events.
 const (
-	DrainDelayed Number = 3101
+	DrainDelayed   Number = 3101
+	DrainStarted   Number = 3102
+	ReportRefused  Number = 3103
+	ClockBackwards Number = 3104
+	TickGap        Number = 3105
+	RegionBare     Number = 3106
+	BadLimit       Number = 3107
+	OwnerTaken     Number = 3108
+	LoanRefused    Number = 3109
+	InputMissing   Number = 3110
+	ShiftCapped    Number = 3111
 )
 
 var steering = []Entry{
 	{DrainDelayed, "drain-delayed", "a drain waits because a region would be left with too few slots", "add targets or move the drain"},
+	{DrainStarted, "drain-started", "a target receives no new requests because it is leaving", "none"},
+	{ReportRefused, "report-refused", "a target's report holds an impossible value and is not used", "check the target's load endpoint"},
+	{ClockBackwards, "clock-backwards", "the time of a tick lies before that of the previous one and is clamped", "check the VM's clock"},
+	{TickGap, "tick-gap", "the process was paused and its gates stay closed until its incarnation is confirmed", "check the VM's load"},
+	{RegionBare, "region-bare", "the configuration has no targets of a service in this region", "add targets if the service should run here"},
+	{BadLimit, "bad-limit", "a configured limit is negative or not a number and counts as zero", "correct the configuration"},
+	{OwnerTaken, "owner-taken", "this entry has become the owner of a target and holds it", "none"},
+	{LoanRefused, "loan-refused", "a loan of link share is larger than the lender's share or names unknown regions", "check the entries' versions"},
+	{InputMissing, "input-missing", "a tick has no configuration and decides nothing", "check that the entry reaches a peer or the store"},
+	{ShiftCapped, "shift-capped", "requests from another region exceed the cap on traffic movement and are refused", "none, or raise the cap"},
 }
--- /dev/null
+++ b/internal/steer/table/rebuild.go
@@ -0,0 +1,155 @@
+package table
+
+import (
+	"math"
+	"slices"
+
+	"tamarackspool/internal/record/event"
+)
+
+// rebuild makes the rows of a new configuration and keeps the state of rows that stay.
+func (t *Tables) rebuild() {
+	t.rebuildEntries()
+	t.rebuildServices()
+	t.rebuildTargets()
+	t.rebuildPeers()
+	t.rebuildShifts()
+	t.rebuildDrains()
+	t.rebuildLinks()
+	t.rebuildRegion()
+}
+
+func (t *Tables) rebuildEntries() {
+	t.Entries = t.Entries[:0]
+	for _, e := range t.Document.Entries() {
+		t.Entries = append(t.Entries, Entry{Spec: e, Region: t.Document.RegionOf(e.Zone())})
+	}
+}
+
+func (t *Tables) rebuildServices() {
+	old := keep(t.Services, func(s Service) string { return s.Spec.Name() })
+	t.Services = nil
+	for _, s := range t.Document.Services() {
+		row := old[s.Name()]
+		row.Spec = s
+		t.Services = append(t.Services, row)
+	}
+}
+
+func (t *Tables) rebuildTargets() {
+	old := keep(t.Targets, func(r Target) string { return r.Spec.Name() })
+	t.Targets = nil
+	has := make([]bool, len(t.Services))
+	for _, s := range t.Document.Targets() {
+		i := t.service(s.Service())
+		if t.Document.RegionOf(s.Zone()) != t.Region || i < 0 {
+			continue
+		}
+		row, known := old[s.Name()]
+		if !known || row.Spec.Address() != s.Address() {
+			row = Target{Trust: 1, Fresh: true}
+		}
+		if s.Slots() < 0 {
+			t.Emit(event.BadLimit, "target", s.Name(), "slots", s.Slots())
+		}
+		row.Spec, row.Service, row.Zone = s, i, s.Zone()
+		t.Targets = append(t.Targets, row)
+		has[i] = true
+	}
+	for i, ok := range has {
+		if !ok {
+			t.Emit(event.RegionBare, "service", t.Services[i].Spec.Name(), "region", t.Region)
+		}
+	}
+}
+
+func (t *Tables) rebuildPeers() {
+	old := keep(t.Peers, func(p Peer) string { return p.Entry + "\x00" + p.Name })
+	t.Peers = nil
+	clear(t.index)
+	for i, s := range t.Services {
+		for _, e := range t.Entries {
+			if e.Spec.Name() == t.Self {
+				continue
+			}
+			key := e.Spec.Name() + "\x00" + s.Spec.Name()
+			row := old[key]
+			row.Entry, row.Name = e.Spec.Name(), s.Spec.Name()
+			row.Service, row.Region, row.Zone = i, e.Region, e.Spec.Zone()
+			t.index[key] = len(t.Peers)
+			t.Peers = append(t.Peers, row)
+		}
+	}
+}
+
+func (t *Tables) rebuildShifts() {
+	old := keep(t.Shifts, func(r Shift) string { return r.Name + "\x00" + r.Home })
+	t.Shifts = nil
+	for i, s := range t.Services {
+		speed := s.Spec.Shift()
+		if speed < 0 || math.IsNaN(speed) || math.IsInf(speed, 0) {
+			t.Emit(event.BadLimit, "service", s.Spec.Name(), "shift", speed)
+			speed = 0
+		}
+		for _, r := range t.Document.Regions() {
+			row := old[s.Spec.Name()+"\x00"+r.Name()]
+			row.Name, row.Service, row.Home = s.Spec.Name(), i, r.Name()
+			row.Share = t.Part(int(min(speed, 1e9)))
+			t.Shifts = append(t.Shifts, row)
+		}
+	}
+}
+
+func (t *Tables) rebuildDrains() {
+	old := keep(t.Drains, func(d Drain) string { return d.Spec.Name() })
+	t.Drains = nil
+	for _, d := range t.Document.Drains() {
+		row := old[d.Name()]
+		row.Spec = d
+		t.Drains = append(t.Drains, row)
+	}
+}
+
+func (t *Tables) rebuildLinks() {
+	t.Links = nil
+	for _, r := range t.Document.Regions() {
+		l, ok := t.Document.Link(t.Region, r.Name())
+		if !ok || r.Name() == t.Region {
+			continue
+		}
+		if l.Rate() < 0 {
+			t.Emit(event.BadLimit, "link", r.Name(), "rate", l.Rate())
+		}
+		n := int64(0)
+		for _, e := range t.Entries {
+			if e.Region == t.Region || e.Region == r.Name() {
+				n++
+			}
+		}
+		t.Links = append(t.Links, Link{Region: r.Name(), Share: max(0, l.Rate()) / max(1, n)})
+	}
+}
+
+func (t *Tables) rebuildRegion() {
+	t.Share = -1
+	r, ok := t.Document.Region(t.Region)
+	switch {
+	case ok && r.Limit() < 0:
+		t.Emit(event.BadLimit, "region", t.Region, "limit", r.Limit())
+		t.Share = 0
+	case ok && r.Limit() > 0:
+		t.Share = t.Part(r.Limit())
+	}
+}
+
+func (t *Tables) service(name string) int {
+	return slices.IndexFunc(t.Services, func(s Service) bool { return s.Spec.Name() == name })
+}
+
+func keep[T any](rows []T, name func(T) string) map[string]T {
+	m := make(map[string]T, len(rows))
+	for _, r := range rows {
+		m[name(r)] = r
+	}
+	return m
+}
--- /dev/null
+++ b/internal/steer/table/tables.go
@@ -0,0 +1,142 @@
+package table
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/record/event"
+)
+
+// Tables are the steering tables of one entry.
+type Tables struct {
+	Self   string
+	Region string
+	Zone   string
+
+	Input    *Input
+	Document *document.Document
+	Elapsed  time.Duration // Elapsed is the time since the previous tick, at most MaxElapsed.
+	Closed   bool          // Closed means that this entry must not use its gates or shares.
+	Changed  bool          // Changed means that the configuration or the live entries differ from the last tick.
+	Returned bool          // Returned means that this entry started while its whole region was away.
+	Began    time.Time     // Began is the time of the first tick.
+
+	Services []Service
+	Targets  []Target
+	Peers    []Peer
+	Shifts   []Shift
+	Links    []Link
+	Entries  []Entry
+	Drains   []Drain
+	Owned    []int // Owned holds the indexes of the targets that this entry owns.
+	Share    int   // Share is this entry's part of the region limit; -1 means that there is no limit.
+	InFlight int   // InFlight counts the requests that this entry has in flight in its region.
+
+	Events []Event
+
+	states map[string]State
+	vms    map[string]bool
+	index  map[string]int
+}
+
+// MaxElapsed bounds the growth that one tick may apply after a pause.
+const MaxElapsed = time.Second
+
+// New returns empty tables for the entry.
+func New(self, region, zone string) *Tables {
+	return &Tables{Self: self, Region: region, Zone: zone, states: map[string]State{}, vms: map[string]bool{}, index: map[string]int{}}
+}
+
+// Emit adds an event to those of the tick.
+func (t *Tables) Emit(n event.Number, keyvals ...any) {
+	t.Events = append(t.Events, Event{n, keyvals})
+}
+
+// Take stores the input of a tick and rebuilds the rows when the configuration has changed.
+func (t *Tables) Take(in *Input) {
+	t.Input = in
+	t.Events = nil
+	t.Changed = false
+	if in.Document != t.Document {
+		t.Document = in.Document
+		t.rebuild()
+		t.Changed = true
+	}
+	t.takeMembers(in.Members)
+	t.takeVMs(in.Leaving)
+	for i := range t.Peers {
+		t.Peers[i].State = t.states[t.Peers[i].Entry]
+	}
+	t.takeRooms(in.Rooms)
+}
+
+func (t *Tables) takeMembers(members []Member) {
+	for i := range t.Entries {
+		t.Entries[i].State = Dead
+	}
+	next := make(map[string]State, len(members))
+	for _, m := range members {
+		next[m.Name] = m.State
+	}
+	if _, ok := next[t.Self]; !ok {
+		next[t.Self] = Alive
+	}
+	if !maps.Equal(next, t.states) {
+		t.Changed = true
+	}
+	t.states = next
+	for i := range t.Entries {
+		t.Entries[i].State = next[t.Entries[i].Spec.Name()]
+	}
+}
+
+func (t *Tables) takeVMs(names []string) {
+	next := make(map[string]bool, len(names))
+	for _, n := range names {
+		next[n] = true
+	}
+	if !maps.Equal(next, t.vms) {
+		t.Changed = true
+	}
+	t.vms = next
+}
+
+func (t *Tables) takeRooms(rooms []Room) {
+	for _, r := range rooms {
+		if i, ok := t.index[r.Entry+"\x00"+r.Service]; ok && r.Free >= 0 && r.At.After(t.Peers[i].Room.At) {
+			t.Peers[i].Room, t.Peers[i].Heard = r, true
+		}
+	}
+}
+
+// VMLeaving reports whether the platform's list shows the VM as leaving.
+func (t *Tables) VMLeaving(name string) bool { return t.vms[name] }
+
+// Rank returns this entry's position among the configured entries of its region by name, and their number.
+func (t *Tables) Rank() (rank, count int) {
+	rank = -1
+	var names []string
+	for _, e := range t.Entries {
+		if e.Region == t.Region {
+			names = append(names, e.Spec.Name())
+		}
+	}
+	slices.Sort(names)
+	return slices.Index(names, t.Self), len(names)
+}
+
+// Part returns this entry's part of a whole number that is split equally over
+// the configured entries of its region, so that the parts add up to the whole.
+func (t *Tables) Part(whole int) int {
+	rank, count := t.Rank()
+	if rank < 0 || count == 0 || whole <= 0 {
+		return 0
+	}
+	part := whole / count
+	if rank < whole%count {
+		part++
+	}
+	return part
+}
