--- /dev/null
+++ b/internal/steer/decision/bucket.go
@@ -0,0 +1,97 @@
+package decision
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// Burst is how far a bucket may run ahead of its rate.
+const Burst = 50 * time.Millisecond
+
+// Bucket paces the bytes that this entry sends and receives over the link to a region.
+type Bucket struct {
+	epoch time.Time
+	out   pacer
+	in    pacer
+}
+
+// NewBucket returns a bucket without any rate.
+func NewBucket(now time.Time) *Bucket { return &Bucket{epoch: now} }
+
+// SetRate sets the bytes per second of each direction; 0 closes the bucket.
+func (b *Bucket) SetRate(rate int64) {
+	b.out.rate.Store(rate)
+	b.in.rate.Store(rate)
+}
+
+// Rate returns the bytes per second of each direction.
+func (b *Bucket) Rate() int64 { return b.out.rate.Load() }
+
+// Open reports whether a relay may start: the bucket has a rate and neither direction is in debt.
+func (b *Bucket) Open(now time.Time) bool {
+	at := int64(now.Sub(b.epoch))
+	return b.Rate() > 0 && b.out.due.Load() <= at && b.in.due.Load() <= at
+}
+
+// TakeOut charges n bytes sent and returns how long the stream has to wait before it goes on.
+func (b *Bucket) TakeOut(now time.Time, n int64) time.Duration {
+	return b.out.take(int64(now.Sub(b.epoch)), n)
+}
+
+// TakeIn charges n bytes received and returns how long the stream has to wait before it goes on.
+func (b *Bucket) TakeIn(now time.Time, n int64) time.Duration {
+	return b.in.take(int64(now.Sub(b.epoch)), n)
+}
+
+// WaitOut charges n bytes sent and waits until they fit the rate or the context ends.
+func (b *Bucket) WaitOut(ctx context.Context, n int64) error {
+	return wait(ctx, b.TakeOut(time.Now(), n))
+}
+
+// WaitIn charges n bytes received and waits until they fit the rate or the context ends.
+func (b *Bucket) WaitIn(ctx context.Context, n int64) error {
+	return wait(ctx, b.TakeIn(time.Now(), n))
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// pacer holds the time at which everything charged so far has been paid, in
+// nanoseconds since the bucket's epoch.
+type pacer struct {
+	rate atomic.Int64
+	due  atomic.Int64
+}
+
+// closedWait is how long a stream waits when the rate is zero before it may ask again.
+const closedWait = time.Second
+
+func (p *pacer) take(at, n int64) time.Duration {
+	rate := p.rate.Load()
+	if n <= 0 {
+		return 0
+	}
+	if rate <= 0 {
+		return closedWait
+	}
+	cost := int64(float64(n) / float64(rate) * float64(time.Second))
+	for {
+		old := p.due.Load()
+		next := max(old, at-int64(Burst)) + cost
+		if p.due.CompareAndSwap(old, next) {
+			return time.Duration(max(0, next-at))
+		}
+	}
+}
--- /dev/null
+++ b/internal/steer/decision/gate.go
@@ -0,0 +1,85 @@
+package decision
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Gate counts the slots in use at one target or the relays to one peer. It
+// survives snapshots, so requests in flight stay counted when limits change.
+type Gate struct {
+	limit    atomic.Int64
+	inFlight atomic.Int64
+	started  atomic.Int64
+	answered atomic.Int64
+	shed     atomic.Int64
+	failed   atomic.Int64
+	silent   atomic.Int64
+	latency  atomic.Int64
+}
+
+// Take occupies a slot if one is free.
+func (g *Gate) Take() bool {
+	for {
+		n := g.inFlight.Load()
+		if n >= g.limit.Load() {
+			return false
+		}
+		if g.inFlight.CompareAndSwap(n, n+1) {
+			g.started.Add(1)
+			return true
+		}
+	}
+}
+
+// SetLimit sets the most slots that may be in use; slots above it empty by themselves.
+func (g *Gate) SetLimit(n int) { g.limit.Store(int64(n)) }
+
+// Limit returns the most slots that may be in use.
+func (g *Gate) Limit() int { return int(g.limit.Load()) }
+
+// InFlight returns the slots in use.
+func (g *Gate) InFlight() int { return int(g.inFlight.Load()) }
+
+// Free returns the free slots.
+func (g *Gate) Free() int { return max(0, int(g.limit.Load()-g.inFlight.Load())) }
+
+// Count is what a gate has seen since it was last asked.
+type Count struct {
+	InFlight int
+	Started  int
+	Answered int
+	Shed     int
+	Failed   int
+	Silent   int
+	Latency  time.Duration // Latency is the sum over the answered requests.
+}
+
+// Harvest returns the counts since the last call and sets them back to zero.
+func (g *Gate) Harvest() Count {
+	return Count{
+		InFlight: g.InFlight(),
+		Started:  int(g.started.Swap(0)),
+		Answered: int(g.answered.Swap(0)),
+		Shed:     int(g.shed.Swap(0)),
+		Failed:   int(g.failed.Swap(0)),
+		Silent:   int(g.silent.Swap(0)),
+		Latency:  time.Duration(g.latency.Swap(0)),
+	}
+}
+
+func (g *Gate) finish(r Result) {
+	switch r.Kind {
+	case Answered:
+		g.answered.Add(1)
+		g.latency.Add(int64(max(0, r.Latency)))
+	case Shed:
+		g.shed.Add(1)
+	case Failed:
+		g.failed.Add(1)
+	case Silent:
+		g.silent.Add(1)
+	case Cancelled:
+	}
+	g.inFlight.Add(-1)
+}
--- /dev/null
+++ b/internal/steer/decision/status.go
@@ -0,0 +1,51 @@
+package decision
+
+import (
+	"time"
+
+	"tamarackspool/internal/record/event"
+)
+
+// Status is what operators see of the steering of one entry.
+type Status struct {
+	At      time.Time
+	Closed  bool
+	Targets []TargetStatus
+	Shifts  []ShiftStatus
+	Links   []LinkStatus
+	Events  []Event
+}
+
+// TargetStatus is the state of an owned target.
+type TargetStatus struct {
+	Name     string
+	Limit    int
+	InFlight int
+	Load     float64
+	Trust    float64
+	Leaving  string // Leaving is the cause for which the target leaves, or empty.
+	Quiet    bool   // Quiet means that the target is leaving and has nothing in flight.
+}
+
+// ShiftStatus is the state of the cap of one service and home region.
+type ShiftStatus struct {
+	Service string
+	Home    string
+	Allow   float64 // Allow is the rate that this entry may serve, in requests/s.
+	Rate    float64 // Rate is the requests served in the last second.
+	Refused int
+	Open    bool
+}
+
+// LinkStatus is this entry's share of the link to a region.
+type LinkStatus struct {
+	Region string
+	Share  int64 // Share is fixed by the configuration, in bytes per second and direction.
+	Rate   int64 // Rate is the share after loans.
+}
+
+// Event is a numbered event of the tick with its alternating keys and values.
+type Event struct {
+	Number  event.Number
+	Keyvals []any
+}
