--- /dev/null
+++ b/internal/steer/drain/doc.go
@@ -0,0 +1,2 @@
+// Package drain decides which targets and entries are leaving.
+package drain
--- /dev/null
+++ b/internal/steer/drain/drain.go
@@ -0,0 +1,134 @@
+package drain
+
+import (
+	"math"
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/steer/table"
+)
+
+// The causes for which a target leaves; a planned drain's cause is its name after plan.
+const (
+	vmList = "vm-list"
+	report = "report"
+	plan   = "plan:"
+)
+
+// Update marks the targets that are leaving and delays planned drains that
+// would leave the region with less than its keep fraction.
+func Update(now time.Time, t *table.Tables) {
+	before := make([]string, len(t.Targets))
+	for i := range t.Targets {
+		before[i] = t.Targets[i].Leaving
+		t.Targets[i].Leaving = ""
+		if t.VMLeaving(t.Targets[i].Spec.Name()) {
+			t.Targets[i].Leaving = vmList
+		}
+	}
+	for i := range t.Drains {
+		apply(now, t, &t.Drains[i])
+	}
+	reports(now, t)
+	for i := range t.Targets {
+		announce(t, &t.Targets[i], before[i])
+	}
+}
+
+func announce(t *table.Tables, r *table.Target, before string) {
+	switch {
+	case r.Leaving != "" && before == "" && r.Mine:
+		t.Emit(event.DrainStarted, "target", r.Spec.Name(), "cause", r.Leaving, "inflight", r.Seen.InFlight)
+	case r.Leaving == "" && before != "":
+		// A target that returns is cold.
+		r.Fresh = true
+	}
+}
+
+func apply(now time.Time, t *table.Tables, d *table.Drain) {
+	if !d.Spec.Active(now) {
+		d.Started, d.Told = false, false
+		return
+	}
+	chosen := chosen(t, d)
+	if !d.Started {
+		if service, left, keep, short := shortfall(now, t, chosen); short {
+			if !d.Told {
+				t.Emit(event.DrainDelayed, "drain", d.Spec.Name(), "region", t.Region, "service", service, "left", left, "keep", keep)
+			}
+			d.Told = true
+			return
+		}
+	}
+	// A drain that has started is not taken back: its targets may be stopping.
+	d.Started = true
+	for _, i := range chosen {
+		if t.Targets[i].Leaving == "" {
+			t.Targets[i].Leaving = plan + d.Spec.Name()
+		}
+	}
+}
+
+func chosen(t *table.Tables, d *table.Drain) []int {
+	named := make(map[string]bool)
+	for _, n := range d.Spec.Targets() {
+		named[n] = true
+	}
+	whole := d.Spec.Region() != "" && d.Spec.Region() == t.Region
+	var rows []int
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		if whole || named[r.Spec.Name()] || (d.Spec.Zone() != "" && d.Spec.Zone() == r.Zone) {
+			rows = append(rows, i)
+		}
+	}
+	return rows
+}
+
+// shortfall returns the first service that would keep too few slots if the
+// chosen targets left, with the slots left and the slots to keep.
+func shortfall(now time.Time, t *table.Tables, chosen []int) (service string, left, keep int, short bool) {
+	region, ok := t.Document.Region(t.Region)
+	fraction := region.Keep()
+	if !ok || math.IsNaN(fraction) || fraction <= 0 {
+		return "", 0, 0, false
+	}
+	all := make([]int, len(t.Services))
+	usable := make([]int, len(t.Services))
+	touched := make([]bool, len(t.Services))
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		all[r.Service] += max(0, r.Spec.Slots())
+		if r.Leaving == "" && !now.Before(r.Retry) {
+			usable[r.Service] += max(0, r.Spec.Slots())
+		}
+	}
+	for _, i := range chosen {
+		r := &t.Targets[i]
+		touched[r.Service] = true
+		if r.Leaving == "" && !now.Before(r.Retry) {
+			usable[r.Service] -= max(0, r.Spec.Slots())
+		}
+	}
+	for i := range all {
+		keep := int(math.Ceil(min(fraction, 1)*float64(all[i]) - 1e-9))
+		if touched[i] && usable[i] < keep {
+			return t.Services[i].Spec.Name(), usable[i], keep, true
+		}
+	}
+	return "", 0, 0, false
+}
+
+// reports lets a target leave by its own word as long as the region keeps its
+// fraction, so that false reports cannot empty a region.
+func reports(now time.Time, t *table.Tables) {
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		if !r.Heard || !r.Report.Leaving || r.Leaving != "" || now.Sub(r.Report.At) > 2*time.Second {
+			continue
+		}
+		if _, _, _, short := shortfall(now, t, []int{i}); !short {
+			r.Leaving = report
+		}
+	}
+}
--- /dev/null
+++ b/internal/steer/link/doc.go
@@ -0,0 +1,2 @@
+// Package link divides the bytes of each link into shares and loans.
+package link
--- /dev/null
+++ b/internal/steer/link/link.go
@@ -0,0 +1,59 @@
+package link
+
+import (
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/steer/table"
+)
+
+// Safety is the part of a share that is used, so that a bucket's burst stays
+// within the share in every second.
+const Safety = 0.95
+
+// Grace is how much earlier the borrower stops than the lender resumes.
+const Grace = time.Second
+
+// Update sets this entry's rate on each link from its fixed share and the loans in force.
+func Update(now time.Time, t *table.Tables) {
+	for i := range t.Links {
+		t.Links[i].Rate = t.Links[i].Share
+	}
+	for _, l := range t.Input.Loans {
+		apply(now, t, l)
+	}
+	for i := range t.Links {
+		r := &t.Links[i]
+		r.Rate = int64(Safety * float64(max(0, r.Rate)))
+		if t.Closed {
+			r.Rate = 0
+		}
+	}
+}
+
+func apply(now time.Time, t *table.Tables, l table.Loan) {
+	if l.From != t.Self && l.To != t.Self {
+		return
+	}
+	r := row(t, l)
+	if r == nil || l.Rate <= 0 || l.Rate > r.Share || l.From == l.To {
+		t.Emit(event.LoanRefused, "from", l.From, "to", l.To, "rate", l.Rate)
+		return
+	}
+	switch {
+	case l.From == t.Self && now.Before(l.Until.Add(Grace)):
+		r.Rate -= l.Rate
+	case l.To == t.Self && now.Before(l.Until.Add(-Grace)):
+		r.Rate += l.Rate
+	}
+}
+
+func row(t *table.Tables, l table.Loan) *table.Link {
+	for i := range t.Links {
+		r := t.Links[i].Region
+		if (l.A == t.Region && l.B == r) || (l.B == t.Region && l.A == r) {
+			return &t.Links[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/steer/load/doc.go
@@ -0,0 +1,2 @@
+// Package load estimates the load of each target from observation and reports.
+package load
--- /dev/null
+++ b/internal/steer/overload/doc.go
@@ -0,0 +1,2 @@
+// Package overload sets admission by priority and the retry budget.
+package overload
--- /dev/null
+++ b/internal/steer/owner/doc.go
@@ -0,0 +1,2 @@
+// Package owner decides which entry uses which target.
+package owner
--- /dev/null
+++ b/internal/steer/owner/owner.go
@@ -0,0 +1,74 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/steer/table"
+)
+
+// Hold is how long a new owner admits nothing, so that the requests of the old
+// owner have ended or show in the target's reports.
+const Hold = 2 * time.Second
+
+// Update assigns each target of the region to its owner when the
+// configuration or the live entries have changed.
+func Update(now time.Time, t *table.Tables) {
+	if !t.Changed {
+		return
+	}
+	zones := make(map[string][]string)
+	var region []string
+	for _, e := range t.Entries {
+		if e.Region != t.Region || !live(t, e) {
+			continue
+		}
+		zones[e.Spec.Zone()] = append(zones[e.Spec.Zone()], e.Spec.Name())
+		region = append(region, e.Spec.Name())
+	}
+	t.Owned = t.Owned[:0]
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		entries := zones[r.Zone]
+		if len(entries) == 0 {
+			entries = region
+		}
+		assign(now, t, r, Of(r.Spec.Name(), entries))
+		if r.Mine {
+			t.Owned = append(t.Owned, i)
+		}
+	}
+}
+
+// live reports whether the entry can own targets; an entry on a leaving VM hands them over.
+func live(t *table.Tables, e table.Entry) bool {
+	return (e.State == table.Alive || e.State == table.Suspect) && !t.VMLeaving(e.Spec.Name())
+}
+
+func assign(now time.Time, t *table.Tables, r *table.Target, owner string) {
+	mine := owner == t.Self
+	if mine && !r.Mine {
+		r.Hold = now.Add(Hold)
+		r.Fresh = true
+		t.Emit(event.OwnerTaken, "target", r.Spec.Name(), "before", r.Owner)
+	}
+	r.Owner, r.Mine = owner, mine
+}
+
+// Of returns the entry with the highest rendezvous score for the target, or an
+// empty string when there is none.
+func Of(target string, entries []string) string {
+	var owner string
+	var highest uint64
+	var key []byte
+	for _, e := range entries {
+		key = append(append(append(key[:0], target...), 0), e...)
+		score := xxhash.Sum64(key)
+		if owner == "" || score > highest || (score == highest && e < owner) {
+			owner, highest = e, score
+		}
+	}
+	return owner
+}
--- /dev/null
+++ b/internal/steer/shift/doc.go
@@ -0,0 +1,2 @@
+// Package shift caps how fast traffic moves between regions.
+package shift
--- /dev/null
+++ b/internal/steer/warm/doc.go
@@ -0,0 +1,2 @@
+// Package warm ramps up new and returned targets.
+package warm
