--- /dev/null
+++ b/internal/steer/core/doc.go
@@ -0,0 +1,2 @@
+// Package core runs the steering systems in their order and publishes snapshots.
+package core
--- /dev/null
+++ b/internal/steer/core/exchange.go
@@ -0,0 +1,159 @@
+package core
+
+import (
+	"time"
+
+	"tamarackspool/internal/steer/decision"
+	"tamarackspool/internal/steer/shift"
+	"tamarackspool/internal/steer/table"
+)
+
+// harvest moves what the counters have seen since the last tick into the tables.
+func (c *Core) harvest() {
+	t := c.tables
+	t.InFlight = c.total.InFlight()
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		n := entry(c.gates, r.Spec.Name()).Harvest()
+		r.Seen = table.Observation{
+			InFlight: n.InFlight, Answered: n.Answered, Shed: n.Shed,
+			Failed: n.Failed, Silent: n.Silent, Latency: n.Latency,
+		}
+	}
+	for i := range t.Peers {
+		p := &t.Peers[i]
+		n := entry(c.peers, p.Entry+"\x00"+p.Name).Harvest()
+		p.InFlight, p.Started, p.Refused = n.InFlight, n.Started, n.Shed
+	}
+	for i := range t.Shifts {
+		r := &t.Shifts[i]
+		served, refused := entry(c.meters, r.Name+"\x00"+r.Home).Harvest()
+		r.Refused = refused
+		shift.Count(r, served, c.steps)
+	}
+}
+
+// publish sets the limits of the counters and makes the snapshot.
+func (c *Core) publish(now time.Time) *decision.Snapshot {
+	t := c.tables
+	c.total.SetLimit(t.Share)
+	f := decision.Fields{
+		At: now, Region: t.Region, Total: c.total, Closed: t.Closed,
+		Buckets:  c.links(now),
+		Services: c.services(),
+		Status:   c.status(now),
+	}
+	for _, r := range t.Document.Regions() {
+		f.Regions = append(f.Regions, r.Name())
+	}
+	c.slots(f.Services)
+	c.routes(f.Services, f.Buckets)
+	for i := range t.Shifts {
+		r := &t.Shifts[i]
+		m := entry(c.meters, r.Name+"\x00"+r.Home)
+		m.Set(r.Left, r.Open)
+		f.Services[r.Service].Meters = append(f.Services[r.Service].Meters, m)
+	}
+	return decision.New(f)
+}
+
+func (c *Core) links(now time.Time) map[string]*decision.Bucket {
+	buckets := make(map[string]*decision.Bucket, len(c.tables.Links))
+	for _, r := range c.tables.Links {
+		b := c.buckets[r.Region]
+		if b == nil {
+			b = decision.NewBucket(now)
+			c.buckets[r.Region] = b
+		}
+		b.SetRate(r.Rate)
+		buckets[r.Region] = b
+	}
+	return buckets
+}
+
+func (c *Core) services() []decision.Service {
+	rows := make([]decision.Service, 0, len(c.tables.Services))
+	for i := range c.tables.Services {
+		s := &c.tables.Services[i]
+		r := entry(c.retries, s.Spec.Name())
+		r.Grow(c.tables.Elapsed.Seconds())
+		rows = append(rows, decision.Service{
+			Spec: s.Spec, Retries: r, Reserve: s.Reserve, Bound: s.Patience,
+			Expect: time.Duration(s.Latency * float64(time.Second)),
+		})
+	}
+	return rows
+}
+
+func (c *Core) slots(services []decision.Service) {
+	t := c.tables
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		g := entry(c.gates, r.Spec.Name())
+		if t.Closed {
+			r.Limit = 0
+		}
+		g.SetLimit(r.Limit)
+		if !r.Mine {
+			continue
+		}
+		cost := r.Latency
+		if cost <= 0 {
+			cost = max(1e-6, t.Services[r.Service].Latency)
+		}
+		s := &services[r.Service]
+		s.Gates = append(s.Gates, decision.Slot{Target: r.Spec, Gate: g, Cost: cost})
+	}
+}
+
+func (c *Core) routes(services []decision.Service, buckets map[string]*decision.Bucket) {
+	for i := range c.tables.Peers {
+		p := &c.tables.Peers[i]
+		g := entry(c.peers, p.Entry+"\x00"+p.Name)
+		g.SetLimit(p.Limit)
+		s := &services[p.Service]
+		route := decision.Route{Entry: p.Entry, Region: p.Region, Gate: g}
+		if p.Region == c.tables.Region {
+			s.Near = append(s.Near, route)
+			continue
+		}
+		if route.Bucket = buckets[p.Region]; route.Bucket != nil {
+			s.Far = append(s.Far, route)
+		}
+	}
+}
+
+func (c *Core) status(now time.Time) decision.Status {
+	t := c.tables
+	s := decision.Status{At: now, Closed: t.Closed}
+	for _, i := range t.Owned {
+		r := &t.Targets[i]
+		s.Targets = append(s.Targets, decision.TargetStatus{
+			Name: r.Spec.Name(), Limit: r.Limit, InFlight: r.Seen.InFlight, Load: r.Load, Trust: r.Trust,
+			Leaving: r.Leaving, Quiet: r.Leaving != "" && r.Seen.InFlight == 0,
+		})
+	}
+	for i := range t.Shifts {
+		r := &t.Shifts[i]
+		s.Shifts = append(s.Shifts, decision.ShiftStatus{
+			Service: r.Name, Home: r.Home, Allow: r.Allow, Rate: float64(shift.Rate(r)), Refused: r.Refused, Open: r.Open,
+		})
+	}
+	for _, r := range t.Links {
+		s.Links = append(s.Links, decision.LinkStatus{Region: r.Region, Share: r.Share, Rate: r.Rate})
+	}
+	for _, e := range t.Events {
+		s.Events = append(s.Events, decision.Event{Number: e.Number, Keyvals: e.Keyvals})
+	}
+	return s
+}
+
+// entry returns the counter with the given key and makes it when it is new.
+func entry[T any](m map[string]*T, key string) *T {
+	v := m[key]
+	if v == nil {
+		v = new(T)
+		m[key] = v
+	}
+	return v
+}
