--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -3,8 +3,22 @@
 // The configuration events.
 const (
 	StoreUnavailable Number = 2001
+	StoreRestored    Number = 2002
+	WatchSilent      Number = 2003
+	VersionAdopted   Number = 2004
+	VersionFork      Number = 2005
+	VersionInvalid   Number = 2006
+	Isolated         Number = 2007
+	BelowFloor       Number = 2008
 )
 
 var configuration = []Entry{
 	{StoreUnavailable, "store-unavailable", "the key-value service does not answer", "check the platform; requests go on, patches and new caller-chosen keys are refused"},
+	{StoreRestored, "store-restored", "the key-value service answers again", "none"},
+	{WatchSilent, "watch-silent", "a watch of the configuration gave no sign of life for 5 s and was replaced by a read", "none; check the platform if it repeats"},
+	{VersionAdopted, "version-adopted", "a newer version of the configuration is in force in this entry", "none"},
+	{VersionFork, "version-fork", "a version was received twice with different content", "compare the hashes of the entries and submit a new version"},
+	{VersionInvalid, "version-invalid", "a received version does not match its hash or fails validation and was not adopted", "check that all entries run the same release"},
+	{Isolated, "isolated", "neither the key-value service nor a peer can be reached", "check the network of the VM"},
+	{BelowFloor, "below-floor", "the adopted configuration is older than one that this entry has had before", "none if it lasts seconds; else check the key-value service and the peers"},
 }
