internal/platform/store, internal/platform/roster: add the clients

Cause: configuration and claims are kept in the platform's key-value service. Before and after: no client before.

--- /dev/null
+++ b/internal/platform/roster/client.go
@@ -0,0 +1,90 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// ErrUnavailable means that the list could not be read.
+var ErrUnavailable = errors.New("roster: VM list unavailable")
+
+const (
+	// timeout bounds a call; the list is read about once a second.
+	timeout = 2 * time.Second
+	// longest bounds the list: 590 entries and some thousand targets need less than 1 MB.
+	longest = 16 << 20
+)
+
+// VM is one virtual machine as the platform last saw it.
+type VM struct {
+	name    string
+	leaving bool
+	seen    time.Time
+}
+
+// NewVM returns a VM; it is for implementations of the client's interface in tests.
+func NewVM(name string, leaving bool, seen time.Time) VM { return VM{name, leaving, seen} }
+
+// Name returns the VM's name.
+func (v VM) Name() string { return v.name }
+
+// Leaving reports whether the platform is about to take the VM away.
+func (v VM) Leaving() bool { return v.leaving }
+
+// Seen returns when the platform recorded this state.
+func (v VM) Seen() time.Time { return v.seen }
+
+// Client reads the VM list and is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the VM list at the URL base; a nil client means http.DefaultClient.
+func New(base string, client *http.Client) *Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &Client{strings.TrimSuffix(base, "/"), client}
+}
+
+type listWire struct {
+	VMs []struct {
+		Name    string    `json:"name"`
+		Leaving bool      `json:"leaving"`
+		Seen    time.Time `json:"seen"`
+	} `json:"vms"`
+}
+
+// List returns the VMs of the list, or an error that matches ErrUnavailable.
+func (c *Client) List(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/list", nil)
+	if err != nil {
+		return nil, fmt.Errorf("roster: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
+	}
+	var w listWire
+	if err := json.NewDecoder(io.LimitReader(resp.Body, longest)).Decode(&w); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	vms := make([]VM, len(w.VMs))
+	for i, v := range w.VMs {
+		vms[i] = VM{v.Name, v.Leaving, v.Seen}
+	}
+	return vms, nil
+}
--- /dev/null
+++ b/internal/platform/store/client.go
@@ -0,0 +1,123 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// timeout bounds a call; the service responds in milliseconds when it is well.
+	timeout = 2 * time.Second
+	// poll is how long the service may hold a watch open before it answers that nothing has changed.
+	poll = 4 * time.Second
+	// silence is how long a watch may stay without a response: one poll and the time of a slow network.
+	silence = 5 * time.Second
+)
+
+// Client calls the key-value service and is safe for concurrent use.
+type Client struct {
+	base    string
+	key     string
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New returns a client of the service at the URL base that authenticates with key; a nil client means http.DefaultClient.
+func New(base, key string, client *http.Client) *Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: client, timeout: timeout}
+}
+
+// WithTimeout returns a copy of the client whose calls, other than watches, end after d.
+func (c *Client) WithTimeout(d time.Duration) *Client {
+	copied := *c
+	copied.timeout = d
+	return &copied
+}
+
+type valueWire struct {
+	Key      string `json:"key"`
+	Data     []byte `json:"data"`
+	Revision uint64 `json:"revision"`
+	Lease    uint64 `json:"lease,omitempty"`
+}
+
+func (w valueWire) value() Value { return Value{w.Key, w.Data, w.Revision} }
+
+type listWire struct {
+	Values []valueWire `json:"values"`
+}
+
+type leaseWire struct {
+	Lease uint64 `json:"lease,omitempty"`
+	TTL   int64  `json:"ttl,omitempty"` // milliseconds
+}
+
+// Get returns the value of the key, or ErrNotFound.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	var w valueWire
+	err := c.read(ctx, c.timeout, "/get?key="+url.QueryEscape(key), &w)
+	return w.value(), err
+}
+
+// List returns all values whose key begins with prefix, ordered by key.
+func (c *Client) List(ctx context.Context, prefix string) ([]Value, error) {
+	var w listWire
+	if err := c.read(ctx, c.timeout, "/list?prefix="+url.QueryEscape(prefix), &w); err != nil {
+		return nil, err
+	}
+	values := make([]Value, len(w.Values))
+	for i, v := range w.Values {
+		values[i] = v.value()
+	}
+	return values, nil
+}
+
+// Put writes data when the key is at the given revision and returns the new revision.
+// Revision 0 means that the key must not exist; lease 0 means that the key stays until it is deleted.
+func (c *Client) Put(ctx context.Context, key string, data []byte, revision, lease uint64) (uint64, error) {
+	var w valueWire
+	err := c.write(ctx, "/put", valueWire{Key: key, Data: data, Revision: revision, Lease: lease}, &w)
+	return w.Revision, err
+}
+
+// Delete removes the key when it is at the given revision.
+func (c *Client) Delete(ctx context.Context, key string, revision uint64) error {
+	return c.write(ctx, "/delete", valueWire{Key: key, Revision: revision}, nil)
+}
+
+// Grant returns a new lease that lapses ttl after its last renewal.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var w leaseWire
+	err := c.write(ctx, "/grant", leaseWire{TTL: ttl.Milliseconds()}, &w)
+	return w.Lease, err
+}
+
+// Renew starts the lease's time to live again, or returns ErrLease when it has lapsed.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	return c.write(ctx, "/renew", leaseWire{Lease: lease}, nil)
+}
+
+// Watch blocks until the key's revision is above after and returns its value; it returns ErrSilent
+// when the service keeps quiet for 5 s, after which the caller reads the key and watches again.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (Value, error) {
+	query := "/watch?key=" + url.QueryEscape(key) + "&after=" + strconv.FormatUint(after, 10) +
+		"&wait=" + strconv.FormatInt(poll.Milliseconds(), 10)
+	for {
+		var w valueWire
+		err := c.read(ctx, silence, query, &w)
+		if err != nil && ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+			return Value{}, errors.Join(ErrSilent, ErrUnavailable)
+		}
+		if err != nil || w.Revision > after {
+			return w.value(), err
+		}
+	}
+}
