--- /dev/null
+++ b/internal/config/codec/block.go
@@ -0,0 +1,72 @@
+package codec
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"tamarackspool/internal/config/document"
+)
+
+// Limit is the largest part in bytes, which is the largest value of the store.
+const Limit = 1 << 20
+
+// Name returns the name of a part: its SHA-256 in hexadecimal.
+func Name(part []byte) string {
+	sum := sha256.Sum256(part)
+	return hex.EncodeToString(sum[:])
+}
+
+// EncodeBlocks returns the client blocks as parts of at most Limit bytes each, in their order.
+func EncodeBlocks(blocks []document.Block) ([][]byte, error) {
+	var parts [][]byte
+	var part []byte
+	for _, b := range blocks {
+		item, err := json.Marshal(blockWire{b.Prefix().String(), b.Zone()})
+		if err != nil {
+			return nil, fmt.Errorf("codec: %w", err)
+		}
+		if len(part)+len(item)+2 > Limit {
+			parts = append(parts, append(part, ']'))
+			part = nil
+		}
+		if part == nil {
+			part = append(part, '[')
+		} else {
+			part = append(part, ',')
+		}
+		part = append(part, item...)
+	}
+	if part != nil {
+		parts = append(parts, append(part, ']'))
+	}
+	return parts, nil
+}
+
+// DecodeBlocks returns the client blocks of one part, whose zones must be those of the document d.
+func DecodeBlocks(part []byte, d *document.Document) ([]document.Block, error) {
+	var r report
+	if len(part) > Limit {
+		r.add("blocks", "%d bytes; at most %d are accepted", len(part), Limit)
+		return nil, r.err()
+	}
+	var list []blockWire
+	if err := strict(part, &list); err != nil {
+		r.add("blocks", "%v", err)
+		return nil, r.err()
+	}
+	blocks := make([]document.Block, 0, len(list))
+	for i, w := range list {
+		prefix, err := netip.ParsePrefix(w.Prefix)
+		if err != nil || prefix != prefix.Masked() {
+			r.add(fmt.Sprintf("blocks[%d].prefix", i), "%q; an address block such as 10.1.0.0/16 is accepted", w.Prefix)
+		}
+		if _, ok := d.Zone(w.Zone); !ok {
+			r.add(fmt.Sprintf("blocks[%d].zone", i), "%q; a name from zones is accepted", w.Zone)
+		}
+		blocks = append(blocks, document.NewBlock(prefix, w.Zone))
+	}
+	return blocks, r.err()
+}
