internal/config/history: add versions, patches and the audit trail

Cause: the configuration needs one point of commit whose outcomes hold when responses are lost. Before and after: no history before.

--- /dev/null
+++ b/internal/config/history/audit.go
@@ -0,0 +1,82 @@
+package history
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+)
+
+// Audit is the record of one accepted patch; its number is the version that the patch made.
+type Audit struct {
+	version uint64
+	id      string
+	who     string
+	why     string
+	at      time.Time
+	change  []byte
+}
+
+// Version returns the version that the patch made.
+func (a Audit) Version() uint64 { return a.version }
+
+// ID returns the identifier of the patch, chosen by its author.
+func (a Audit) ID() string { return a.id }
+
+// Who returns the author.
+func (a Audit) Who() string { return a.who }
+
+// Why returns the author's reason.
+func (a Audit) Why() string { return a.why }
+
+// At returns when the patch was accepted, by the clock of the entry that accepted it.
+func (a Audit) At() time.Time { return a.at }
+
+// Change returns the RFC 6902 patch, or empty when the record would have been longer than 8 KB.
+func (a Audit) Change() []byte { return slices.Clone(a.change) }
+
+// Refusal is the record of one refused patch.
+type Refusal struct {
+	id, who, reason string
+	base            uint64
+	at              time.Time
+}
+
+// ID returns the identifier of the patch.
+func (r Refusal) ID() string { return r.id }
+
+// Who returns the author.
+func (r Refusal) Who() string { return r.who }
+
+// Reason returns why the patch was refused.
+func (r Refusal) Reason() string { return r.reason }
+
+// Base returns the version on which the patch was based.
+func (r Refusal) Base() uint64 { return r.base }
+
+// At returns when the patch was refused.
+func (r Refusal) At() time.Time { return r.at }
+
+type auditWire struct {
+	Version uint64          `json:"version"`
+	ID      string          `json:"id"`
+	Who     string          `json:"who"`
+	Why     string          `json:"why"`
+	At      time.Time       `json:"at"`
+	Change  json.RawMessage `json:"change,omitempty"`
+}
+
+func (w auditWire) audit() Audit {
+	return Audit{w.Version, w.ID, w.Who, w.Why, w.At, w.Change}
+}
+
+func (a Audit) wire() auditWire {
+	return auditWire{a.version, a.id, a.who, a.why, a.at, a.change}
+}
+
+type refusalWire struct {
+	ID     string    `json:"id"`
+	Who    string    `json:"who"`
+	Reason string    `json:"reason"`
+	Base   uint64    `json:"base"`
+	At     time.Time `json:"at"`
+}
--- /dev/null
+++ b/internal/config/history/part.go
@@ -0,0 +1,81 @@
+package history
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/platform/store"
+)
+
+// inputError is a fault of the patch's author.
+type inputError struct{ err error }
+
+func (e inputError) Error() string { return e.err.Error() }
+func (e inputError) Unwrap() error { return e.err }
+
+// writeParts stores everything that the head will name before the head names it. Parts are named by
+// their content, so repeating the writes after a lost response is harmless.
+func (h *History) writeParts(ctx context.Context, next *head, data []byte, d *document.Document, given [][]byte, known []string) error {
+	names, err := codec.Parts(data)
+	if err != nil {
+		return inputError{err}
+	}
+	next.blocks = names
+	offered := make(map[string][]byte, len(given))
+	for _, part := range given {
+		offered[codec.Name(part)] = part
+	}
+	for _, name := range names {
+		if slices.Contains(known, name) {
+			continue
+		}
+		if err := h.writeBlocks(ctx, name, offered[name], d); err != nil {
+			return err
+		}
+	}
+	next.parts = nil
+	for piece := range slices.Chunk(data, codec.Limit) {
+		if err := h.writePart(ctx, piece); err != nil {
+			return err
+		}
+		next.parts = append(next.parts, codec.Name(piece))
+	}
+	return nil
+}
+
+// writeBlocks checks a newly named part with client blocks and stores it unless the store has it.
+func (h *History) writeBlocks(ctx context.Context, name string, part []byte, d *document.Document) error {
+	stored := part == nil
+	if stored {
+		var err error
+		if part, err = h.Part(ctx, name); errors.Is(err, store.ErrNotFound) {
+			return inputError{fmt.Errorf("blocks: part %s is neither sent nor stored; a sent or stored part is accepted", name)}
+		} else if err != nil {
+			return err
+		}
+	}
+	if _, err := codec.DecodeBlocks(part, d); err != nil {
+		return inputError{err}
+	}
+	if stored {
+		return nil
+	}
+	return h.writePart(ctx, part)
+}
+
+// writePart stores a part; a part that exists already has the same content.
+func (h *History) writePart(ctx context.Context, part []byte) error {
+	key := partPrefix + codec.Name(part)
+	_, err := h.store.Put(ctx, key, part, 0, 0)
+	if errors.Is(err, store.ErrUnknown) {
+		_, err = h.store.Get(ctx, key)
+	}
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		return fmt.Errorf("history: write part: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/history/record.go
@@ -0,0 +1,106 @@
+package history
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// Record is one committed version of the configuration.
+type Record struct {
+	version  uint64
+	hash     [32]byte
+	data     []byte
+	revision uint64
+}
+
+// Version returns the number of the version.
+func (r Record) Version() uint64 { return r.version }
+
+// Hash returns the SHA-256 of the encoded configuration.
+func (r Record) Hash() [32]byte { return r.hash }
+
+// Data returns the encoded configuration; the slice must not be changed.
+func (r Record) Data() []byte { return r.data }
+
+// Revision returns the revision of the head, from which Watch goes on.
+func (r Record) Revision() uint64 { return r.revision }
+
+// head is the decoded value of config/head.
+type head struct {
+	version  uint64
+	hash     [32]byte
+	parts    []string // names of the pieces of the encoded configuration, in order
+	blocks   []string // names of the parts with client blocks
+	ids      []change // the last changes, oldest first
+	audit    []Audit  // the newest records, oldest first, without a gap
+	revision uint64
+}
+
+// change pairs a patch with the version that it made.
+type change struct {
+	id      string
+	version uint64
+}
+
+type headWire struct {
+	Version uint64       `json:"version"`
+	Hash    string       `json:"hash"`
+	Parts   []string     `json:"parts"`
+	Blocks  []string     `json:"blocks"`
+	IDs     []changeWire `json:"ids"`
+	Audit   []auditWire  `json:"audit"`
+}
+
+type changeWire struct {
+	ID      string `json:"id"`
+	Version uint64 `json:"version"`
+}
+
+func decodeHead(data []byte, revision uint64) (head, error) {
+	var w headWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return head{}, fmt.Errorf("history: head: %w", err)
+	}
+	h := head{version: w.Version, parts: w.Parts, blocks: w.Blocks, revision: revision}
+	sum, err := hex.DecodeString(w.Hash)
+	if err != nil || len(sum) != len(h.hash) {
+		return head{}, fmt.Errorf("history: head: hash %q is not a SHA-256", w.Hash)
+	}
+	copy(h.hash[:], sum)
+	for _, c := range w.IDs {
+		h.ids = append(h.ids, change{c.ID, c.Version})
+	}
+	for _, a := range w.Audit {
+		h.audit = append(h.audit, a.audit())
+	}
+	return h, nil
+}
+
+func (h head) encode() ([]byte, error) {
+	w := headWire{
+		Version: h.version, Hash: hex.EncodeToString(h.hash[:]), Parts: h.parts, Blocks: h.blocks,
+		IDs: make([]changeWire, 0, len(h.ids)), Audit: make([]auditWire, 0, len(h.audit)),
+	}
+	for _, c := range h.ids {
+		w.IDs = append(w.IDs, changeWire{c.id, c.version})
+	}
+	for _, a := range h.audit {
+		w.Audit = append(w.Audit, a.wire())
+	}
+	data, err := json.Marshal(w)
+	if err != nil {
+		return nil, fmt.Errorf("history: head: %w", err)
+	}
+	return data, nil
+}
+
+// find returns the version that the patch made, if it is among the last changes.
+func (h head) find(id string) (uint64, bool) {
+	for _, c := range h.ids {
+		if c.id == id {
+			return c.version, true
+		}
+	}
+	return 0, false
+}
