internal/standin/target: add the stand-in target

Cause: tests and the demo need targets that shed, start cold, lag in their reports and fail in the ways of the design. Change: a loopback target with slots, 429 with Shed, start-up cost per connection, cold cache, seeded service times, GET /load, attempts that can be asked about and dropped, deadlines, a record of every run, and faults.

--- /dev/null
+++ b/internal/standin/target/listen.go
@@ -0,0 +1,80 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Serve answers on l until ctx ends or the target dies; it returns nil in both cases.
+func (t *Target) Serve(ctx context.Context, l net.Listener) error {
+	s := &http.Server{Handler: t, ReadHeaderTimeout: time.Minute}
+	t.mu.Lock()
+	t.server = s
+	t.mu.Unlock()
+	stop := context.AfterFunc(ctx, t.Die)
+	defer stop()
+	err := s.Serve(&listener{Listener: l, t: t})
+	t.Die()
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+type listener struct {
+	net.Listener
+	t *Target
+}
+
+// Accept returns the next connection, which the target can make silent.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, t: l.t}
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	l.t.conns[c] = true
+	return c, nil
+}
+
+// conn is a connection that costs time to start and can fall silent.
+type conn struct {
+	net.Conn
+	t      *Target
+	start  sync.Once
+	silent atomic.Bool
+}
+
+// Read returns the next bytes; those that reach a silent connection are lost.
+func (c *conn) Read(p []byte) (int, error) {
+	c.start.Do(func() { time.Sleep(c.t.s.Open) })
+	for {
+		n, err := c.Conn.Read(p)
+		if err != nil || !c.silent.Load() {
+			return n, err
+		}
+	}
+}
+
+// Write sends bytes; those on a silent connection are lost.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.t.mu.Lock()
+	delete(c.t.conns, c)
+	c.t.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/standin/target/serve.go
@@ -0,0 +1,163 @@
+package target
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ServeHTTP serves requests, GET /load, and GET and DELETE of /attempt/<id>.
+// A request with the query size=N is answered with N bytes, one with a body
+// by that body, and any other by a line that names the target.
+func (t *Target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id, ok := strings.CutPrefix(r.URL.Path, "/attempt/"); ok {
+		t.serveAttempt(w, r, id)
+		return
+	}
+	if r.URL.Path == "/load" {
+		t.serveLoad(w, r)
+		return
+	}
+	t.serveRun(w, r, time.Now())
+}
+
+func (t *Target) serveAttempt(w http.ResponseWriter, r *http.Request, id string) {
+	state := "unknown"
+	switch {
+	case r.Method == http.MethodDelete && t.now().Deaf:
+		state = "running"
+	case r.Method == http.MethodDelete:
+		state = t.tries.drop(id)
+	default:
+		state = t.tries.get(id)
+	}
+	writeJSON(w, map[string]string{"state": state})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data) // The asker may have gone.
+}
+
+func shed(w http.ResponseWriter, reason string) {
+	w.Header().Set("Shed", "1")
+	w.Header().Set("Reason", reason)
+	w.WriteHeader(http.StatusTooManyRequests)
+}
+
+func (t *Target) serveRun(w http.ResponseWriter, r *http.Request, arrived time.Time) {
+	f := t.now()
+	if f.DieBefore {
+		t.Die()
+		panic(http.ErrAbortHandler)
+	}
+	id := r.Header.Get("Attempt")
+	if !t.tries.set(id, "waiting") && !f.Deaf {
+		shed(w, "dropped")
+		return
+	}
+	d, gate, ok := t.enter()
+	if !ok {
+		t.tries.drop(id)
+		shed(w, "full")
+		return
+	}
+	defer t.leave()
+	select {
+	case t.arrive <- struct{}{}:
+	default:
+	}
+	if gate != nil {
+		<-gate
+	}
+	if end := deadline(r, arrived); !f.Deaf && !end.IsZero() && !time.Now().Before(end) {
+		t.tries.drop(id)
+		shed(w, "deadline")
+		return
+	}
+	if !t.tries.set(id, "running") && !f.Deaf {
+		shed(w, "dropped")
+		return
+	}
+	defer t.tries.set(id, "done")
+	t.execute(w, r, d)
+}
+
+func (t *Target) execute(w http.ResponseWriter, r *http.Request, d time.Duration) {
+	f := t.now()
+	times := 1
+	if f.Twice {
+		times = 2
+	}
+	t.record(r, times)
+	time.Sleep(d + f.Late)
+	if f.DieAfter {
+		t.Die()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Served-Tenant", r.Header.Get("Tenant"))
+	size, err := strconv.ParseInt(r.URL.Query().Get("size"), 10, 64)
+	switch {
+	case err == nil && size >= 0:
+		t.fill(w, size, f.Cut)
+	case r.ContentLength != 0:
+		t.echo(w, r, f.Cut)
+	default:
+		line := t.s.Name + " " + r.Method + " " + r.URL.RequestURI() + " " + r.Header.Get("Tenant") + "\n"
+		w.Header().Set("Content-Length", strconv.Itoa(len(line)))
+		if f.Cut {
+			abort(w, []byte(line[:len(line)/2]))
+		}
+		_, _ = io.WriteString(w, line)
+	}
+}
+
+// abort sends a part of an answer and then cuts the connection.
+func abort(w http.ResponseWriter, part []byte) {
+	_, _ = w.Write(part)
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+var pattern = []byte(strings.Repeat("tamarack", 4<<10))
+
+func (t *Target) fill(w http.ResponseWriter, size int64, cut bool) {
+	w.Header().Set("Content-Length", strconv.FormatInt(size, 10))
+	end := int64(0)
+	if cut {
+		end = size / 2
+	}
+	for left := size; left > end; {
+		n, err := w.Write(pattern[:min(left-end, int64(len(pattern)))])
+		if err != nil {
+			return
+		}
+		left -= int64(n)
+	}
+	if cut {
+		abort(w, nil)
+	}
+}
+
+func (t *Target) echo(w http.ResponseWriter, r *http.Request, cut bool) {
+	if r.ContentLength >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	// An answer starts while its request still arrives.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if cut {
+		n := max(1, r.ContentLength/2)
+		_, _ = io.CopyN(w, r.Body, n)
+		abort(w, nil)
+	}
+	if _, err := io.Copy(w, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/target/target.go
@@ -0,0 +1,201 @@
+package target
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Target is a stand-in target and is safe for concurrent use.
+type Target struct {
+	s      Settings
+	mu     sync.Mutex
+	faults Faults
+	rand   *rand.Rand
+	busy   int
+	served int
+	drain  bool
+	runs   []Run
+	tries  *tries
+	load   []sample
+	conns  map[*conn]bool
+	server *http.Server
+	gate   chan struct{} // gate is closed to let held requests run; nil when none are held.
+	arrive chan struct{} // arrive receives a value per request that has taken a slot.
+}
+
+type sample struct {
+	at   time.Time
+	busy int
+}
+
+const maxArrivals = 1024
+
+// New returns a target with the given properties and without faults.
+func New(s Settings) *Target {
+	s.Slots = max(1, s.Slots)
+	return &Target{
+		s: s, rand: rand.New(rand.NewPCG(s.Seed, 1)), tries: newTries(),
+		conns: make(map[*conn]bool), arrive: make(chan struct{}, maxArrivals),
+	}
+}
+
+// Set replaces the faults that are in force.
+func (t *Target) Set(f Faults) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.faults = f
+}
+
+// Drain sets whether the target reports that it is leaving.
+func (t *Target) Drain(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drain = on
+}
+
+// Busy returns the number of requests that hold a slot.
+func (t *Target) Busy() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.busy
+}
+
+// Runs returns every execution so far.
+func (t *Target) Runs() []Run {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Run(nil), t.runs...)
+}
+
+// Order identifies an order across targets.
+type Order struct{ Tenant, Key string }
+
+// Repeated returns the orders that the targets ran more than once, with the number of runs.
+func Repeated(targets ...*Target) map[Order]int {
+	count := make(map[Order]int)
+	for _, t := range targets {
+		for _, r := range t.Runs() {
+			if r.Key != "" {
+				count[Order{r.Tenant, r.Key}]++
+			}
+		}
+	}
+	for o, n := range count {
+		if n < 2 {
+			delete(count, o)
+		}
+	}
+	return count
+}
+
+// Hold keeps requests that have taken a slot from running until release is called.
+func (t *Target) Hold() (release func()) {
+	gate := make(chan struct{})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gate = gate
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if t.gate == gate {
+			t.gate = nil
+			close(gate)
+		}
+	}
+}
+
+// Arrivals receives one value per request that has taken a slot; up to 1024 are kept.
+func (t *Target) Arrivals() <-chan struct{} { return t.arrive }
+
+// Silence lets all connections that are open now swallow bytes both ways, while new ones work.
+func (t *Target) Silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.silent.Store(true)
+	}
+}
+
+// Die closes the listener and all connections at once.
+func (t *Target) Die() {
+	t.mu.Lock()
+	s := t.server
+	open := make([]net.Conn, 0, len(t.conns))
+	for c := range t.conns {
+		open = append(open, c)
+	}
+	t.mu.Unlock()
+	if s != nil {
+		_ = s.Close() // Errors of closing do not matter to a dying target.
+	}
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// Conns returns the number of open connections.
+func (t *Target) Conns() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+// enter takes a slot; it reports false when the request must be refused.
+func (t *Target) enter() (time.Duration, chan struct{}, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy >= t.s.Slots || t.faults.Shedding {
+		return 0, nil, false
+	}
+	t.busy++
+	t.note()
+	return t.duration(), t.gate, true
+}
+
+func (t *Target) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy--
+	t.note()
+}
+
+// duration draws a service time; a cold cache makes it longer.
+func (t *Target) duration() time.Duration {
+	d := float64(t.s.Mean) * (1 + t.s.Spread*(2*t.rand.Float64()-1))
+	if t.served < t.s.Cold && t.s.Chill > 1 {
+		d *= 1 + (t.s.Chill-1)*float64(t.s.Cold-t.served)/float64(t.s.Cold)
+	}
+	t.served++
+	return time.Duration(d)
+}
+
+func (t *Target) record(r *http.Request, times int) {
+	run := Run{
+		Tenant: r.Header.Get("Tenant"), Key: r.Header.Get("Idempotency-Key"),
+		Attempt: r.Header.Get("Attempt"), Path: r.URL.Path, At: time.Now(),
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for range times {
+		t.runs = append(t.runs, run)
+	}
+}
+
+func (t *Target) now() Faults {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.faults
+}
+
+// deadline returns when the request must have started; the zero time means never.
+func deadline(r *http.Request, arrived time.Time) time.Time {
+	ms, err := strconv.ParseInt(r.Header.Get("Timeout"), 10, 64)
+	if err != nil {
+		return time.Time{}
+	}
+	return arrived.Add(time.Duration(ms) * time.Millisecond)
+}
