internal/request/pool: add connections with proof of what was written

Cause: net/http.Transport repeats requests that carry an Idempotency-Key and cannot say whether a byte of a request was written. Change: an own pool over http.Request.Write and http.ReadResponse. A connection is sealed when its exchange fails, so that 'nothing was written' is proof. Silent connections are found by asking about the attempt over a new connection, and closed together with the older ones of the same address.

--- /dev/null
+++ b/internal/request/pool/conn.go
@@ -0,0 +1,159 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// The states of a connection with respect to the request that it carries.
+const (
+	fresh  int32 = iota // fresh: no byte of the request was written
+	dirty               // dirty: a byte may have been written
+	sealed              // sealed: no further byte is written
+)
+
+const bufferSize = 4 << 10
+
+var (
+	errSealed = errors.New("pool: connection is given up")
+	errHeader = errors.New("pool: response header is too large")
+	errSilent = errors.New("pool: connection is silent")
+)
+
+// conn is one connection; it carries one request at a time.
+type conn struct {
+	raw      net.Conn
+	path     *path
+	born     uint64 // born orders the connections of a path by the time they were opened.
+	used     time.Time
+	br       *bufio.Reader
+	bw       *bufio.Writer
+	progress time.Duration
+
+	ctx    context.Context // ctx is that of the request in progress.
+	until  time.Duration   // until is the wait for the next read; 0 means progress.
+	left   int64           // left counts down the bytes of a response header; negative means no limit.
+	state  atomic.Int32
+	silent atomic.Bool // silent is set when another connection of the path proved silent.
+}
+
+func newConn(raw net.Conn, p *path, born uint64, progress time.Duration) *conn {
+	c := &conn{raw: raw, path: p, born: born, progress: progress, left: -1}
+	c.br = bufio.NewReaderSize(reader{c}, bufferSize)
+	c.bw = bufio.NewWriterSize(writer{c}, bufferSize)
+	return c
+}
+
+func (c *conn) begin(ctx context.Context) {
+	c.ctx, c.until, c.left = ctx, 0, -1
+	c.state.Store(fresh)
+}
+
+// seal forbids further writes and reports whether a byte of the request may have been written.
+func (c *conn) seal() bool {
+	if c.state.CompareAndSwap(fresh, sealed) {
+		return false
+	}
+	return c.state.Swap(sealed) == dirty
+}
+
+// interrupt ends reads and writes in progress.
+func (c *conn) interrupt() { _ = c.raw.SetDeadline(time.Unix(1, 0)) }
+
+func (c *conn) close() { _ = c.raw.Close() }
+
+// reader and writer keep the deadlines, so that bufio can be used on top.
+type reader struct{ c *conn }
+
+func (r reader) Read(p []byte) (int, error) {
+	c := r.c
+	if c.left == 0 {
+		return 0, errHeader
+	}
+	wait := c.until
+	if wait == 0 {
+		wait = c.progress
+	}
+	if err := c.raw.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return 0, err
+	}
+	// A cancellation sets a passed deadline; the one set above must not undo it.
+	if err := c.ctx.Err(); err != nil {
+		return 0, err
+	}
+	n, err := c.raw.Read(p)
+	if c.left > 0 {
+		c.left = max(0, c.left-int64(n))
+	}
+	return n, err
+}
+
+type writer struct{ c *conn }
+
+func (w writer) Write(p []byte) (int, error) {
+	c := w.c
+	if !c.state.CompareAndSwap(fresh, dirty) && c.state.Load() != dirty {
+		return 0, errSealed
+	}
+	if err := c.raw.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
+		return 0, err
+	}
+	if err := c.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return c.raw.Write(p)
+}
+
+// alive reports whether an unused connection is still open and has no unexpected bytes.
+func (c *conn) alive() bool {
+	if c.br.Buffered() > 0 || c.silent.Load() {
+		return false
+	}
+	if s, ok := c.raw.(syscall.Conn); ok {
+		if open, known := peek(s); known {
+			return open
+		}
+	}
+	// Other kinds of connections offer only a read, which must end by a deadline.
+	if err := c.raw.SetReadDeadline(time.Now().Add(50 * time.Microsecond)); err != nil {
+		return false
+	}
+	var b [1]byte
+	n, err := c.raw.Read(b[:])
+	var timeout net.Error
+	return n == 0 && errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func peek(s syscall.Conn) (open, known bool) {
+	rc, err := s.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	var b [1]byte
+	err = rc.Control(func(fd uintptr) {
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		open = errors.Is(e, syscall.EAGAIN)
+	})
+	return open, err == nil
+}
+
+// kindOf tells the ways apart in which a read or write can fail.
+func (c *conn) kindOf(ctx context.Context, err error) Kind {
+	var timeout net.Error
+	switch {
+	case ctx.Err() != nil:
+		return Cancelled
+	case c.silent.Load() || errors.Is(err, errSilent):
+		return Silent
+	case errors.As(err, &timeout) && timeout.Timeout() && !errors.Is(err, io.ErrUnexpectedEOF):
+		return Silent
+	default:
+		return Cut
+	}
+}
