internal/request/forward: add the request path

Cause: entries forward callers' and relayed requests. Change: request checks, attempts and retries under a budget, relays, orders, verdicts, streaming both ways, metrics. Conclusion: happy path, repeats and sheds are tested in simulated time.

--- /dev/null
+++ b/internal/request/forward/dispatch.go
@@ -0,0 +1,166 @@
+package forward
+
+import (
+	"errors"
+	"maps"
+	"strconv"
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/verdict"
+)
+
+// answer is a target's response on its way to the caller.
+type answer struct {
+	t       *attempt
+	body    []byte // body is the whole body, or its beginning when more is set.
+	more    bool
+	buf     *[whole]byte
+	served  string
+	via     string
+	in      int64
+	settled bool
+}
+
+// attemptAll makes attempts until one brings an answer or no further one is allowed.
+func (f *Forwarder) attemptAll(j *job) (*answer, *verdict.Error) {
+	var last *verdict.Error
+	ran := false // ran means that an earlier attempt of this read may have run.
+	for n := 1; ; n++ {
+		c, err := f.choose(j)
+		if err != nil {
+			if last == nil {
+				last = err
+			}
+			break
+		}
+		var a *answer
+		if a, err = f.attempt(j, c); err == nil {
+			return a, nil
+		}
+		last = err
+		ran = ran || err.Verdict() != verdict.NotRun
+		if !f.again(j, err, n) {
+			break
+		}
+		j.counts.retries.Inc(1)
+	}
+	if ran && last.Verdict() == verdict.NotRun {
+		last = verdict.New(verdict.MayHaveRun, last.Reason(), 502, last)
+	}
+	return nil, last
+}
+
+// again reports whether another attempt is allowed after the n-th.
+func (f *Forwarder) again(j *job, err *verdict.Error, n int) bool {
+	return (err.Verdict() == verdict.NotRun || j.read()) &&
+		n < f.s.Attempts && j.ctx.Err() == nil && j.body.replayable() &&
+		j.counts.budget.take(f.d.Now())
+}
+
+func (f *Forwarder) choose(j *job) (Choice, *verdict.Error) {
+	if j.ctx.Err() != nil || !f.d.Now().Before(j.deadline) {
+		return nil, bad(504, verdict.ReasonDeadline, "deadline has passed before the request was sent")
+	}
+	c, err := f.d.Chooser.Choose(j.ctx, Request{
+		Service: j.service.Name(), Home: j.home, Hops: j.hops, Avoid: j.avoid,
+		Deadline: j.deadline, Relayed: j.relayed && j.granted || j.relayed && !j.service.Once(),
+	}, f.draw(f.serial.Add(1)))
+	if err == nil {
+		return c, nil
+	}
+	if e, ok := errors.AsType[*verdict.Error](err); ok {
+		return nil, e
+	}
+	// Nothing was sent, whatever kept the chooser from choosing.
+	return nil, verdict.New(verdict.NotRun, verdict.ReasonRoom, 503, err)
+}
+
+// attempt sends the request where the choice says; the choice is done when it fails.
+func (f *Forwarder) attempt(j *job, c Choice) (*answer, *verdict.Error) {
+	t, err := f.aim(j, c)
+	if err != nil {
+		c.Done(Result{Kind: Cancelled})
+		return nil, err
+	}
+	j.avoid = append(j.avoid, t.name)
+	a, err := t.run()
+	if err != nil {
+		t.done(t.kind)
+		f.report(t, err)
+		return nil, err
+	}
+	return a, nil
+}
+
+// aim turns a choice into an attempt that is ready to be sent.
+func (f *Forwarder) aim(j *job, c Choice) (*attempt, *verdict.Error) {
+	t := &attempt{f: f, j: j, c: c, start: time.Now(), id: f.prefix + strconv.FormatUint(f.serial.Add(1), 36)}
+	if target, ok := c.Target(); ok {
+		t.name, t.address, t.conns, t.pool = target.Name(), target.Address().String(), target.Conns(), f.d.Targets
+		return t, nil
+	}
+	return t, f.aimEntry(t, c.Entry())
+}
+
+func (f *Forwarder) aimEntry(t *attempt, entry string) *verdict.Error {
+	if t.j.hops >= maxHops {
+		return bad(503, verdict.ReasonHops, "request has passed %d entries already", t.j.hops)
+	}
+	address, ok := f.d.Peers.Pass(entry)
+	if !ok {
+		return bad(503, verdict.ReasonConnect, "address of entry %q is not known", entry)
+	}
+	t.name, t.address, t.relay, t.pool = entry, address.String(), true, f.d.Entries
+	doc := f.d.Configuration.Document()
+	if f.d.Links == nil || doc == nil {
+		return nil
+	}
+	if e, ok := doc.Entry(entry); ok {
+		if region := doc.RegionOf(e.Zone()); region != f.s.Region {
+			t.pacer = f.d.Links.Link(region)
+		}
+	}
+	return nil
+}
+
+// headers returns the header of one attempt.
+func (t *attempt) headers() map[string][]string {
+	j := t.j
+	h := j.header
+	if t.later {
+		h = maps.Clone(h)
+		for _, name := range internal {
+			// An earlier attempt may have gone to an entry; its token is not for targets.
+			delete(h, name)
+		}
+	}
+	h[headerAttempt] = []string{t.id}
+	h[headerTimeout] = []string{strconv.FormatInt(t.remaining().Milliseconds(), 10)}
+	h[headerTenant] = []string{j.tenant}
+	if j.key != "" {
+		h[headerKey] = []string{j.key}
+	}
+	if !t.relay {
+		return h
+	}
+	h[headerPeerKey] = []string{t.f.s.Key}
+	h[headerHop] = []string{strconv.Itoa(j.hops + 1)}
+	h[headerHome] = []string{j.home}
+	if t.granted {
+		h[headerGranted] = []string{"1"}
+	}
+	return h
+}
+
+// report logs what operators have to look at.
+func (f *Forwarder) report(t *attempt, err *verdict.Error) {
+	switch {
+	case t.kind == Silent:
+		f.d.Log.Log(event.ConnectionSilent, "to", t.name, "address", t.address, "service", t.j.service.Name())
+	case t.kind == Failed && err.Reason() == verdict.ReasonShort:
+		f.d.Log.Log(event.AnswerCut, "to", t.name, "service", t.j.service.Name())
+	case t.kind == Failed:
+		f.d.Log.Log(event.TargetLost, "to", t.name, "address", t.address, "service", t.j.service.Name(), "err", err)
+	}
+}
--- /dev/null
+++ b/internal/request/forward/forward_test.go
@@ -0,0 +1,54 @@
+package forward_test
+
+import (
+	"testing"
+
+	"tamarackspool/internal/request/forward"
+	"tamarackspool/internal/request/verdict"
+	"tamarackspool/internal/standin/target"
+)
+
+// Guards against an answer that is changed on its way, directly or through another entry.
+func TestAnswerIsPassedOn(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		got := r.do(r.request("GET", "status/a%2Fb?q=1", nil))
+		r.expect(got, 200, verdict.Ran, "")
+		if got.body != "t1 GET /a%2Fb?q=1 shop\n" || got.served != "t1" {
+			t.Errorf("body %q from %s", got.body, got.served)
+		}
+		got = r.do(r.request("POST", "status/echo", text(100_000)))
+		if r.expect(got, 200, verdict.Ran, ""); len(got.body) != 100_000 {
+			t.Errorf("echo has %d bytes, want 100000", len(got.body))
+		}
+		got = r.do(r.request("POST", "gifts/send", text(10), "Idempotency-Key", "k1"))
+		if r.expect(got, 200, verdict.Ran, ""); !r.orders.is(verdict.Ran) {
+			t.Errorf("order ended as %v", r.orders.ended)
+		}
+		// A repeat is answered from the record.
+		got = r.do(r.request("POST", "gifts/send", text(10), "Idempotency-Key", "k1"))
+		if r.expect(got, 200, verdict.Ran, verdict.ReasonRepeat); r.runs() != 3 || got.body != "xxxxxxxxxx" {
+			t.Errorf("%d runs and body %q after a repeat", r.runs(), got.body)
+		}
+	})
+}
+
+// Guards against a shed that reaches the caller while another target has room,
+// and against a shed that is reported as run.
+func TestShed(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		r.stand["t1"].Set(target.Faults{Shedding: true})
+		got := r.do(r.request("POST", "gifts/send", text(10), "Idempotency-Key", "k1"))
+		if r.expect(got, 200, verdict.Ran, ""); got.served != "t2" {
+			t.Errorf("served by %s", got.served)
+		}
+		got = r.do(r.request("POST", "status/up", text(1_000_000)))
+		if r.expect(got, 200, verdict.Ran, ""); len(got.body) != 1_000_000 {
+			t.Errorf("upload after a shed came back with %d bytes", len(got.body))
+		}
+		r.stand["t2"].Set(target.Faults{Shedding: true})
+		r.expect(r.do(r.request("GET", "status/a", nil)), 503, verdict.NotRun, verdict.ReasonShed)
+		if n := r.count("status.retries"); n != 3 {
+			t.Errorf("%d retries, want 3", n)
+		}
+	})
+}
