internal/entry/operator, internal/entry/console: add the operators' API and its client

Cause: operators need patches, drains, status and the audit trail over HTTP. Before and after: no operators' API before.

--- /dev/null
+++ b/internal/entry/console/console.go
@@ -0,0 +1,192 @@
+package console
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Console runs the operators' commands; each method prints its result. An error is a *Failure, or a failure to print.
+type Console struct {
+	Client *Client
+	Out    io.Writer
+	JSON   bool                                             // JSON prints the API's responses as they are.
+	Wait   func(ctx context.Context, d time.Duration) error // Wait pauses between polls; nil means a timer.
+}
+
+// Change describes who changes what for which reason.
+type Change struct {
+	Base uint64 // Base is the version that the author saw; 0 means the one in force.
+	ID   string // ID identifies the patch; empty means a new one.
+	Who  string
+	Why  string
+}
+
+// Config prints the configuration in force.
+func (c *Console) Config(ctx context.Context) error {
+	data, err := c.get(ctx, "/config")
+	if err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, data, "", "  "); err != nil {
+		return failf(CodeInternal, "%v", err)
+	}
+	_, err = fmt.Fprintln(c.Out, out.String())
+	return err
+}
+
+// Patch submits an RFC 6902 patch with new parts of client blocks and prints its outcome.
+func (c *Console) Patch(ctx context.Context, ch Change, patch []byte, blocks [][]byte) error {
+	if !json.Valid(patch) {
+		return failf(CodeInput, "patch: an RFC 6902 JSON patch is accepted")
+	}
+	if err := c.complete(ctx, &ch); err != nil {
+		return err
+	}
+	body := map[string]any{
+		"base": ch.Base, "id": ch.ID, "who": ch.Who, "why": ch.Why,
+		"patch": json.RawMessage(patch), "blocks": blocks,
+	}
+	_, err := c.change(ctx, "/patch", ch.ID, body)
+	return err
+}
+
+// complete fills the base and the id in.
+func (c *Console) complete(ctx context.Context, ch *Change) error {
+	if ch.Who == "" {
+		return failf(CodeInput, "who: the author of the change is required")
+	}
+	if ch.ID == "" {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return failf(CodeInternal, "%v", err)
+		}
+		ch.ID = id.String()
+	}
+	if ch.Base != 0 {
+		return nil
+	}
+	data, err := c.get(ctx, "/config")
+	if err != nil {
+		return err
+	}
+	var head struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return failf(CodeInternal, "%v", err)
+	}
+	ch.Base = head.Version
+	return nil
+}
+
+// outcome is the response to a patch.
+type outcome struct {
+	Outcome string        `json:"outcome"`
+	Version uint64        `json:"version"`
+	Reason  string        `json:"reason"`
+	Changes []auditRecord `json:"changes"`
+}
+
+// change submits a change, prints its outcome and returns the version that it made.
+func (c *Console) change(ctx context.Context, path, id string, body any) (uint64, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, failf(CodeInput, "%v", err)
+	}
+	if !c.JSON {
+		// The id is printed first, so that it is known when the outcome is not.
+		fmt.Fprintf(c.Out, "id %s\n", id)
+	}
+	r, err := c.Client.try(ctx, http.MethodPost, path, data)
+	if err != nil {
+		return 0, err
+	}
+	var o outcome
+	if err := json.Unmarshal(r.data, &o); err == nil && o.Outcome != "" {
+		if err := c.print(r.data, func(w io.Writer) { o.table(w) }); err != nil {
+			return 0, err
+		}
+	}
+	return o.Version, r.check()
+}
+
+func (o outcome) table(w io.Writer) {
+	fmt.Fprintf(w, "%s\tversion %d\t%s\n", o.Outcome, o.Version, o.Reason)
+	for _, a := range o.Changes {
+		a.row(w)
+	}
+}
+
+type auditRecord struct {
+	Version uint64          `json:"version"`
+	ID      string          `json:"id"`
+	Who     string          `json:"who"`
+	Why     string          `json:"why"`
+	At      time.Time       `json:"at"`
+	Patch   json.RawMessage `json:"patch"`
+}
+
+func (a auditRecord) row(w io.Writer) {
+	fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", a.Version, a.At.Format(time.RFC3339), a.Who, a.ID, a.Why, a.Patch)
+}
+
+// Audit prints the accepted patches from the given version on and the last refused ones.
+func (c *Console) Audit(ctx context.Context, from uint64) error {
+	data, err := c.get(ctx, "/audit?"+url.Values{"from": {strconv.FormatUint(from, 10)}}.Encode())
+	if err != nil {
+		return err
+	}
+	var trail struct {
+		Audit   []auditRecord `json:"audit"`
+		Refused []struct {
+			ID     string    `json:"id"`
+			Base   uint64    `json:"base"`
+			Who    string    `json:"who"`
+			Reason string    `json:"reason"`
+			At     time.Time `json:"at"`
+		} `json:"refused"`
+	}
+	if err := json.Unmarshal(data, &trail); err != nil {
+		return failf(CodeInternal, "%v", err)
+	}
+	return c.print(data, func(w io.Writer) {
+		fmt.Fprintln(w, "VERSION\tAT\tWHO\tID\tWHY\tPATCH")
+		for _, a := range trail.Audit {
+			a.row(w)
+		}
+		for _, r := range trail.Refused {
+			fmt.Fprintf(w, "refused on %d\t%s\t%s\t%s\t%s\t\n", r.Base, r.At.Format(time.RFC3339), r.Who, r.ID, r.Reason)
+		}
+	})
+}
+
+// get asks for a path and returns the body of a successful response.
+func (c *Console) get(ctx context.Context, path string) ([]byte, error) {
+	r, err := c.Client.try(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return r.data, r.check()
+}
+
+// print writes the data as they are, or the table.
+func (c *Console) print(data []byte, table func(w io.Writer)) error {
+	if c.JSON {
+		_, err := fmt.Fprintln(c.Out, string(bytes.TrimSpace(data)))
+		return err
+	}
+	w := tabwriter.NewWriter(c.Out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/entry/console/console_test.go
@@ -0,0 +1,189 @@
+package console_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"tamarackspool/internal/config/current"
+	"tamarackspool/internal/config/history"
+	"tamarackspool/internal/entry/console"
+	"tamarackspool/internal/entry/operator"
+	"tamarackspool/internal/platform/store"
+	"tamarackspool/internal/record/event"
+	standin "tamarackspool/internal/standin/store"
+)
+
+const token = "0123456789abcdef"
+
+// node is one entry's operators' API over a stand-in store.
+type node struct {
+	store     *standin.Server
+	current   *current.Current
+	status    operator.Status
+	announced int
+	url       string
+	lines     bytes.Buffer
+}
+
+func (n *node) Status() operator.Status  { return n.status }
+func (n *node) Announce(context.Context) { n.announced++ }
+
+func start(t *testing.T) *node {
+	t.Helper()
+	n := &node{store: standin.New(standin.Settings{}), current: current.New()}
+	h := history.New(history.Settings{Store: store.New("http://store", "", &http.Client{Transport: n.store.Transport()})})
+	data, err := os.ReadFile("../../../examples/letters.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := h.Create(t.Context(), data, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := n.current.Adopt(r.Version(), r.Hash(), r.Data()); err != nil {
+		t.Fatal(err)
+	}
+	registry := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("requests", registry).Inc(7)
+	api, err := operator.New(token, operator.Dependencies{
+		Configuration: n.current, History: h, Reporter: n, Announcer: n, Metrics: registry,
+		Log: event.New(log.NewLogfmtLogger(&n.lines)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(api)
+	t.Cleanup(server.Close)
+	n.url = server.URL
+	return n
+}
+
+func (n *node) console(out *bytes.Buffer, bases ...string) *console.Console {
+	return &console.Console{
+		Client: console.NewClient(append(bases, n.url), token, nil), Out: out,
+		Wait: func(context.Context, time.Duration) error {
+			n.status.Drains[0].Quiet, n.status.Drains[0].Busy = true, 0
+			return nil
+		},
+	}
+}
+
+func code(err error) int {
+	if f, ok := errors.AsType[*console.Failure](err); ok {
+		return f.ExitCode()
+	}
+	if err != nil {
+		return -1
+	}
+	return 0
+}
+
+// Guards against an exit code that does not tell the outcome, and against an accepted patch that is not
+// adopted and announced before the response.
+func TestPatchCodes(t *testing.T) {
+	n := start(t)
+	var out bytes.Buffer
+	c := n.console(&out)
+	patch := []byte(`[{"op":"replace","path":"/regions/0/keep","value":0.2}]`)
+	ch := console.Change{Base: 1, ID: "a", Who: "ayla"}
+	if err := c.Patch(t.Context(), ch, patch, nil); code(err) != 0 || n.announced != 1 || n.current.Document().Version() != 2 {
+		t.Errorf("applied: %v; announced %d times", err, n.announced)
+	}
+	if err := c.Patch(t.Context(), ch, patch, nil); code(err) != 0 || n.announced != 1 {
+		t.Errorf("repeated: %v; announced %d times", err, n.announced)
+	}
+	if err := c.Patch(t.Context(), console.Change{Base: 1, ID: "b", Who: "ayla"}, patch, nil); code(err) != console.CodeRefused {
+		t.Errorf("outdated: %v", err)
+	}
+	if err := c.Patch(t.Context(), console.Change{ID: "c"}, patch, nil); code(err) != console.CodeInput {
+		t.Errorf("no author: %v", err)
+	}
+	n.store.SetDown(true)
+	if err := c.Patch(t.Context(), console.Change{ID: "d", Who: "ayla"}, patch, nil); code(err) != console.CodeUnavailable {
+		t.Errorf("store down: %v", err)
+	}
+	n.store.SetDown(false)
+	if err := c.Audit(t.Context(), 0); err != nil || !strings.Contains(out.String(), "refused on 1") {
+		t.Errorf("audit: %v\n%s", err, out.String())
+	}
+}
+
+// Guards against an unknown outcome shown as a failure, and against a second effect through another entry.
+func TestLostResponse(t *testing.T) {
+	n := start(t)
+	cut := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer cut.Close()
+	var out bytes.Buffer
+	patch := []byte(`[{"op":"replace","path":"/regions/0/keep","value":0.2}]`)
+	alone := &console.Console{Client: console.NewClient([]string{cut.URL}, token, nil), Out: &out}
+	if err := alone.Patch(t.Context(), console.Change{Base: 1, ID: "a", Who: "ayla"}, patch, nil); code(err) != console.CodeUnknown {
+		t.Errorf("one entry: %v", err)
+	}
+	if err := n.console(&out, cut.URL).Patch(t.Context(), console.Change{Base: 1, ID: "a", Who: "ayla"}, patch, nil); code(err) != 0 {
+		t.Errorf("second entry: %v", err)
+	}
+}
+
+// Guards against a drain that ends its command before the owners are quiet.
+func TestDrainFollow(t *testing.T) {
+	n := start(t)
+	n.status = operator.Status{Entry: "ege-a-1", Version: 2, Drains: []operator.Drain{{Name: "weekly", Active: true, Busy: 3}}}
+	var out bytes.Buffer
+	err := n.console(&out).Drain(t.Context(), console.Change{Who: "ayla"}, console.Drain{Name: "weekly", Zone: "ege-a", Follow: true})
+	if err != nil || !strings.Contains(out.String(), "3 in flight") || !strings.Contains(out.String(), "quiet") {
+		t.Errorf("drain: %v\n%s", err, out.String())
+	}
+	if leaving := n.current.Document().Leaving(time.Now()); len(leaving) == 0 {
+		t.Error("the drain is not in force")
+	}
+	err = n.console(&out).Drain(t.Context(), console.Change{Who: "ayla"}, console.Drain{Name: "all", Region: "ege"})
+	if code(err) != console.CodeRefused || !strings.Contains(err.Error(), "leaves region ege 0 of 30 slots") {
+		t.Errorf("drain of a region: %v", err)
+	}
+}
+
+// Guards against a call without the token, and against a token in the log.
+func TestToken(t *testing.T) {
+	n := start(t)
+	for _, path := range []string{"/config", "/status", "/audit", "/metrics", "/none"} {
+		for given, want := range map[string]int{token: http.StatusOK, "wrong-" + token: http.StatusUnauthorized, "": http.StatusUnauthorized} {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.url+path, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+given)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			if path == "/none" && given == token {
+				want = http.StatusNotFound
+			}
+			if resp.StatusCode != want {
+				t.Errorf("GET %s with token %q: status %d, want %d", path, given, resp.StatusCode, want)
+			}
+		}
+	}
+	if strings.Contains(n.lines.String(), token) {
+		t.Error("the log holds a token")
+	}
+	if _, err := operator.New("short", operator.Dependencies{}); err == nil {
+		t.Error("a short token was accepted")
+	}
+}
