internal/standin/caller: pass over failed entries and keep unsent requests apart

A failed address is now passed over for 3 s and a request counts as unsent only when no connection was obtained; a test covers the transport's repeat.

--- a/internal/entry/setting/checker.go
+++ b/internal/entry/setting/checker.go
@@ -23,9 +23,9 @@
 	}
 }
 
-func (c *checker) secret(flag, value string) {
-	if len(value) < minSecret {
-		c.fail(flag, "the key has %d characters; at least %d are needed", len(value), minSecret)
+func (c *checker) secret(flag, value string, need int) {
+	if len(value) < need {
+		c.fail(flag, "the key has %d characters; at least %d are needed", len(value), need)
 	}
 }
 
--- a/internal/entry/setting/setting.go
+++ b/internal/entry/setting/setting.go
@@ -34,7 +34,8 @@
 	minRetention, maxRetention = time.Hour, 7 * 24 * time.Hour
 	minKeys, maxKeys           = 1_000, 10_000_000
 	minHeader, maxHeader       = 4 << 10, 1 << 20
-	minSecret                  = 8
+	minPeerkey                 = 8
+	minOpkey                   = 16
 )
 
 // New returns the checked settings, or an error that lists every flag at fault.
@@ -53,8 +54,8 @@
 	}
 	c.base("store", raw.Store)
 	c.base("roster", raw.Roster)
-	c.secret("peer-key", raw.Peerkey)
-	c.secret("operator-key", raw.Opkey)
+	c.secret("peer-key", raw.Peerkey, minPeerkey)
+	c.secret("operator-key", raw.Opkey, minOpkey)
 	within(&c, "stop-limit", raw.Stop, minStop, maxStop)
 	within(&c, "lookup-ttl", raw.TTL, minTTL, maxTTL)
 	within(&c, "retention", raw.Retention, minRetention, maxRetention)
--- a/internal/entry/setting/setting_test.go
+++ b/internal/entry/setting/setting_test.go
@@ -13,7 +13,7 @@
 	return setting.Raw{
 		Name: "marmara-a-1", Zone: "marmara-a", Region: "marmara",
 		Call: any, Peer: any, Pass: any, Admin: any, Store: "http://127.0.0.1:9000",
-		Peerkey: "peer-secret", Opkey: "operator-secret",
+		Peerkey: "peer-secret", Opkey: "operator-secret-token",
 		Stop: 10 * time.Minute, TTL: 10 * time.Second, Retention: 24 * time.Hour, Keys: 200_000, Header: 32 << 10,
 	}
 }
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,3 +72,40 @@
 		t.Errorf("summary = %+v", s)
 	}
 }
+
+// Guards against a caller that takes a request for unsent because a repeat of
+// it by the transport found no listener, although the first sending ran.
+func TestLostAnswerIsNotTakenForUnsent(t *testing.T) {
+	f := &fake{seen: map[string]int{}, name: "e1"}
+	var ran atomic.Int64
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/lookup" {
+			f.ServeHTTP(w, r)
+			return
+		}
+		ran.Add(1)
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	f.host = server.Listener.Addr().String()
+	c := caller.New(caller.Settings{
+		Name: "c", Tenant: "t", Entries: []string{f.host}, Seed: 1, Tries: 1,
+		Loads: []caller.Load{{Service: "status", Kind: caller.Read, Rate: 1000, Timeout: time.Second}},
+		Dial:  (&net.Dialer{}).DialContext,
+		Path:  func(id string, _ caller.Load) string { return id },
+	})
+	arrivals, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer stop()
+	c.Run(t.Context(), arrivals)
+	unknown := 0
+	for _, r := range c.Records() {
+		if r.Last().Verdict == "may-have-run" {
+			unknown++
+		}
+	}
+	if unknown < int(ran.Load()) {
+		t.Errorf("%d requests ran and lost their answer, %d are recorded as may-have-run", ran.Load(), unknown)
+	}
+}
--- a/internal/standin/caller/directory.go
+++ b/internal/standin/caller/directory.go
@@ -36,15 +36,19 @@
 	seeds  []string
 	mu     sync.Mutex
 	cached map[string]cachedAnswer
+	broken map[string]time.Time // broken holds addresses that failed and until when they are passed over.
 }
 
+// shun is how long an address is passed over after a failure there.
+const shun = 3 * time.Second
+
 type cachedAnswer struct {
 	entries []entry
 	until   time.Time
 }
 
 func newDirectory(c *http.Client, client string, seeds []string) *directory {
-	return &directory{http: c, client: client, seeds: seeds, cached: make(map[string]cachedAnswer)}
+	return &directory{http: c, client: client, seeds: seeds, cached: make(map[string]cachedAnswer), broken: make(map[string]time.Time)}
 }
 
 // entries returns the entries for the service from the cache or from a new look-up.
@@ -111,3 +115,24 @@
 	}
 	return a, nil
 }
+
+// avoid passes the address over for a while.
+func (d *directory) avoid(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.broken[address] = time.Now().Add(shun)
+}
+
+// pick returns one of the entries that has not failed lately, or any when all have.
+func (d *directory) pick(entries []entry, draw int) entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for i := range entries {
+		e := entries[(draw+i)%len(entries)]
+		if d.broken[e.Address].Before(now) {
+			return e
+		}
+	}
+	return entries[draw%len(entries)]
+}
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -29,7 +31,7 @@
 			}
 			continue
 		}
-		e := entries[(first+i)%len(entries)]
+		e := c.directory.pick(entries, first+i)
 		if l.Kind == Order && key == "" {
 			if key, err = c.tickets.next(ctx, e.Address, l.Service); err != nil {
 				continue
@@ -67,7 +69,7 @@
 	// An entry answers by the deadline; the margin covers the way to the caller and back.
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout+patience)
 	defer cancel()
-	resp, body, err := c.send(ctx, t.ID, l, e, t.Key)
+	resp, body, sent, err := c.send(ctx, t.ID, l, e, t.Key)
 	t.End = time.Now()
 	if resp != nil {
 		t.Status = resp.StatusCode
@@ -75,10 +77,12 @@
 		t.Target = resp.Header.Get("Served-By")
 	}
 	if err != nil {
-		if resp != nil {
-			r.Short = true
+		r.Short = r.Short || resp != nil
+		t.Verdict, t.Reason, t.Detail = "may-have-run", "lost", err.Error()
+		c.directory.avoid(e.Address)
+		if !sent {
+			t.Verdict, t.Reason = "not-run", "unreached"
 		}
-		t.Verdict, t.Reason = "may-have-run", "lost: "+err.Error()
 		return t, pause
 	}
 	if t.Verdict == "ran" && t.Status < 300 && c.s.Check != nil {
@@ -89,27 +93,32 @@
 	return t, advised(resp.Header.Get("Retry-After"))
 }
 
-func (c *Caller) send(ctx context.Context, id string, l Load, e entry, key string) (*http.Response, []byte, error) {
+// send sends the request and reports whether any of it was written to a
+// connection. The transport may replace a broken connection by a new one, so
+// the error of the last dial alone would not prove that nothing was sent.
+func (c *Caller) send(ctx context.Context, id string, l Load, e entry, key string) (resp *http.Response, body []byte, sent bool, err error) {
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { written.Store(true) }})
 	method, content := http.MethodGet, io.Reader(http.NoBody)
 	if l.Kind != Read {
 		method, content = http.MethodPost, bytes.NewReader(make([]byte, l.Body))
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.Address+"/run/"+l.Service+"/"+c.s.Path(id, l), content)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, false, err
 	}
 	req.Header = c.header()
 	req.Header.Set("Timeout", strconv.FormatInt(l.Timeout.Milliseconds(), 10))
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	resp, err := c.http.Do(req)
+	resp, err = c.http.Do(req)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, written.Load(), err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return resp, body, err
+	body, err = io.ReadAll(resp.Body)
+	return resp, body, true, err
 }
 
 // advised returns the wait that a Retry-After header in seconds asks for.
