internal/request/ticket, internal/request/order: run each key at most once

Cause: a gift order, reservation or payment must run at most once, also when the caller repeats it through another entry VM during a store outage. Change: tickets that name the only incarnation that may run them; the table of outcomes with bounded memory; handover at a planned stop; placement of caller-chosen keys at the keeper of their claim. Conclusion: tickets need neither store, lease nor clock; without a claim looked up, a caller-chosen key is never reported as not run.

--- /dev/null
+++ b/internal/request/order/registry_test.go
@@ -0,0 +1,186 @@
+package order_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/request/order"
+	"tamarackspool/internal/request/ticket"
+	"tamarackspool/internal/request/verdict"
+)
+
+type fleet struct {
+	holders map[ticket.Incarnation]string
+	keeper  string
+}
+
+func (f *fleet) Holder(n ticket.Incarnation) (string, bool) {
+	name, ok := f.holders[n]
+	return name, ok
+}
+
+func (f *fleet) Keeper(string, string, string) (string, bool) { return f.keeper, f.keeper != "" }
+
+// claims is a log that all entries of a test share.
+type claims struct {
+	taken map[string]bool
+	down  bool
+}
+
+func (c *claims) Claim(_ context.Context, tenant, service, text string) (bool, error) {
+	if c.down {
+		return false, errors.New("store: unavailable")
+	}
+	k := tenant + " " + service + " " + text
+	fresh := !c.taken[k]
+	c.taken[k] = true
+	return fresh, nil
+}
+
+func (c *claims) Release(tenant, service, text string) {
+	delete(c.taken, tenant+" "+service+" "+text)
+}
+
+type entry struct {
+	registry *order.Registry
+	issuer   *order.Issuer
+	table    *order.Table
+	estates  *order.Estates
+}
+
+func newEntry(name string, n byte, f *fleet, c *claims) entry {
+	keys := ticket.NewKey([]byte("peer"))
+	e := entry{issuer: order.NewIssuer(keys, ticket.Incarnation{n}), table: newTable(100, 1000), estates: order.NewEstates()}
+	e.registry = order.NewRegistry(name, keys, e.issuer, e.table, e.estates, f, c)
+	return e
+}
+
+func (e entry) place(t *testing.T, key string, now time.Time) (order.Place, error) {
+	t.Helper()
+	return e.registry.Place(t.Context(), order.NewKey("t", "gifts", key), 1, now)
+}
+
+// Guards against an order that runs twice because the caller repeats it through
+// another entry VM, with the issuer alive, gone, or replaced under the same name.
+func TestTicketRunsOnlyAtItsIssuer(t *testing.T) {
+	now := time.Now()
+	f := &fleet{holders: map[ticket.Incarnation]string{{1}: "ege-a-1", {2}: "ege-b-1"}}
+	first, second := newEntry("ege-a-1", 1, f, nil), newEntry("ege-b-1", 2, f, nil)
+	key := first.issuer.Issue("t", "gifts", 1, now)[0]
+	if p, err := second.place(t, key, now); err != nil || p.Relay() != "ege-a-1" {
+		t.Fatalf("Place at another entry = %+v, %v, want a relay to the issuer", p, err)
+	}
+	p, err := first.place(t, key, now)
+	if err != nil || p.Permit() == nil {
+		t.Fatalf("Place at the issuer = %+v, %v, want a permit", p, err)
+	}
+	p.Permit().Finish(order.NewAnswer(200, nil, nil), now)
+	if p, err := first.place(t, key, now); err != nil || p.Answer() == nil {
+		t.Errorf("repeat at the issuer = %+v, %v, want the first answer", p, err)
+	}
+	f.holders = map[ticket.Incarnation]string{{3}: "ege-a-1", {2}: "ege-b-1"}
+	replaced := newEntry("ege-a-1", 3, f, nil)
+	for _, e := range []entry{second, replaced} {
+		_, err := e.place(t, key, now)
+		wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonIssuer)
+	}
+}
+
+// Guards against a ticket that runs after its validity, when the record of its first run may have been dropped.
+func TestOldTicketsDoNotRun(t *testing.T) {
+	now := time.Now()
+	e := newEntry("a", 1, &fleet{}, nil)
+	key := e.issuer.Issue("t", "gifts", 1, now)[0]
+	p, err := e.place(t, key, now.Add(order.Validity-time.Second))
+	if err != nil || p.Permit() == nil {
+		t.Fatalf("Place within the validity = %+v, %v, want a permit", p, err)
+	}
+	finished := now.Add(order.Validity + time.Second)
+	p.Permit().Finish(order.NewAnswer(200, nil, nil), finished)
+	if p, err := e.place(t, key, finished.Add(order.Retention-time.Second)); err != nil || p.Answer() == nil {
+		t.Errorf("repeat within the retention = %+v, %v, want the first answer", p, err)
+	}
+	if _, _, err := e.table.Begin(t.Context(), order.NewKey("t", "gifts", "other"), 1, finished.Add(order.Retention)); err != nil || e.table.Len() != 1 {
+		t.Fatalf("Begin after the retention: %v, %d keys, want only the new key", err, e.table.Len())
+	}
+	_, err = e.place(t, key, finished.Add(order.Retention))
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonIssuer)
+	unused := e.issuer.Issue("t", "gifts", 1, now.Add(5*order.Validity))[0]
+	_, err = e.place(t, unused, now.Add(7*order.Validity))
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonIssuer)
+}
+
+// Guards against outcomes lost at a planned stop: the successor answers for used
+// tickets and proves that unused ones have not run.
+func TestSuccessorAnswersForStoppedIssuer(t *testing.T) {
+	now := time.Now()
+	f := &fleet{holders: map[ticket.Incarnation]string{{1}: "a"}}
+	stopping, heir := newEntry("a", 1, f, nil), newEntry("b", 2, f, nil)
+	keys := stopping.issuer.Issue("t", "gifts", 3, now)
+	if _, err := stopping.table.Export(ticket.Incarnation{1}, 1); err == nil {
+		t.Error("an open table was exported")
+	}
+	p, _ := stopping.place(t, keys[0], now)
+	p.Permit().Finish(order.NewAnswer(201, map[string][]string{"Content-Type": {"text/plain"}}, []byte("coin")), now)
+	if p, err := stopping.place(t, keys[1], now); err != nil || p.Permit() == nil {
+		t.Fatal("the second ticket got no permit")
+	}
+	stopping.table.Close()
+	_, err := stopping.place(t, keys[2], now)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonLeaving)
+	data, err := stopping.table.Export(ticket.Incarnation{1}, stopping.issuer.Floor(now))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := heir.estates.Add(data, now); err != nil || n != (ticket.Incarnation{1}) {
+		t.Fatalf("Add = %v, %v", n, err)
+	}
+	if p, err := heir.place(t, keys[0], now); err != nil || p.Answer() == nil || string(p.Answer().Body()) != "coin" {
+		t.Errorf("used ticket at the successor = %+v, %v, want the first answer", p, err)
+	}
+	_, err = heir.place(t, keys[1], now)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonRepeat)
+	_, err = heir.place(t, keys[2], now)
+	wantVerdict(t, err, verdict.NotRun, verdict.ReasonIssuer)
+}
+
+// Guards against a caller-chosen key that runs at two keepers, and against a
+// refusal without the store that claims proof of not run.
+func TestChosenKeys(t *testing.T) {
+	now := time.Now()
+	log := &claims{taken: map[string]bool{}}
+	f := &fleet{keeper: "a"}
+	first, second := newEntry("a", 1, f, log), newEntry("b", 2, f, log)
+	if p, err := second.place(t, "order-7", now); err != nil || p.Relay() != "a" {
+		t.Fatalf("Place away from the keeper = %+v, %v, want a relay", p, err)
+	}
+	p, err := first.place(t, "order-7", now)
+	if err != nil || p.Permit() == nil {
+		t.Fatalf("Place = %+v, %v, want a permit", p, err)
+	}
+	f.keeper = "b"
+	_, err = second.place(t, "order-7", now)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonRepeat)
+
+	log.down = true
+	_, err = second.place(t, "order-8", now)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonStore)
+	log.down = false
+	p, err = second.place(t, "order-8", now)
+	if err != nil || p.Permit() == nil {
+		t.Fatalf("after the outage: %+v, %v, want a permit", p, err)
+	}
+	p.Permit().Fail(verdict.NotRun, now)
+	if p, err = second.place(t, "order-8", now); err != nil || p.Permit() == nil {
+		t.Errorf("after not run: %+v, %v, want a permit", p, err)
+	}
+	second.table.Close()
+	_, err = second.place(t, "order-9", now)
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonLeaving)
+	for _, key := range []string{"", "a b", "ż", string(make([]byte, 129))} {
+		_, err := first.place(t, key, now)
+		wantVerdict(t, err, verdict.NotRun, verdict.ReasonInput)
+	}
+}
--- /dev/null
+++ b/internal/request/ticket/doc.go
@@ -0,0 +1,3 @@
+// Package ticket encodes and checks order tickets: idempotency keys that name
+// the only entry process that may run them.
+package ticket
