internal/config/history: check outcomes for linearizability; read stale heads again

Cause: a property test found a refusal after a stale read whose list of changes lacked the newest one (12 of 13).

--- a/internal/config/history/history.go
+++ b/internal/config/history/history.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"tamarackspool/internal/config/codec"
@@ -20,6 +21,9 @@
 	refusedKey = "audit/refused"
 )
 
+// staleReads bounds how often a head older than one seen before is read again at once.
+const staleReads = 3
+
 // Store is the part of the key-value service's client that the history needs.
 type Store interface {
 	Get(ctx context.Context, key string) (store.Value, error)
@@ -40,6 +44,7 @@
 	store Store
 	now   func() time.Time
 	wait  func(ctx context.Context, d time.Duration) error
+	seen  atomic.Uint64 // the highest version read or written; a read below it is stale
 }
 
 // New returns a history over the store of s.
@@ -105,6 +110,7 @@
 	if err != nil {
 		return Record{}, err
 	}
+	h.note(current.version)
 	return h.read(ctx, current)
 }
 
@@ -145,12 +151,33 @@
 	return v.Data(), nil
 }
 
+// head reads the head. After a restart the store may answer with an older head, which is read again.
 func (h *History) head(ctx context.Context) (head, error) {
-	v, err := h.store.Get(ctx, headKey)
-	if err != nil {
-		return head{}, fmt.Errorf("history: head: %w", err)
+	var current head
+	for range staleReads {
+		v, err := h.store.Get(ctx, headKey)
+		if err != nil {
+			return head{}, fmt.Errorf("history: head: %w", err)
+		}
+		if current, err = decodeHead(v.Data(), v.Revision()); err != nil {
+			return head{}, err
+		}
+		if current.version >= h.seen.Load() {
+			h.note(current.version)
+			return current, nil
+		}
+	}
+	return head{}, fmt.Errorf("%w: stale head: version %d read after version %d", store.ErrUnavailable, current.version, h.seen.Load())
+}
+
+// note raises the highest version seen.
+func (h *History) note(version uint64) {
+	for {
+		old := h.seen.Load()
+		if version <= old || h.seen.CompareAndSwap(old, version) {
+			return
+		}
 	}
-	return decodeHead(v.Data(), v.Revision())
 }
 
 // read fetches the pieces of a version and checks them as a whole.
--- /dev/null
+++ b/internal/config/history/linear_test.go
@@ -0,0 +1,174 @@
+package history_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"tamarackspool/internal/config/history"
+	"tamarackspool/internal/platform/store"
+	standin "tamarackspool/internal/standin/store"
+)
+
+// submitted is the input of a recorded submission; base 0 is a read of the version.
+type submitted struct {
+	base uint64
+	id   string
+}
+
+type result struct {
+	kind    history.Kind
+	version uint64
+}
+
+// model is the head as a sequential object: the state lists the ids of the applied patches, each after a comma.
+var model = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{""} },
+	Step: func(state, input, output any) []any {
+		ids, in, out := state.(string), input.(submitted), output.(result)
+		version := uint64(strings.Count(ids, ",")) + 1
+		if in.base == 0 {
+			return keepIf(out.version == version, ids)
+		}
+		if before, _, ok := strings.Cut(ids, ","+in.id+"."); ok {
+			applied := uint64(strings.Count(before, ",")) + 2
+			return keepIf(out.kind == history.Unknown || (out.kind == history.Applied && out.version == applied), ids)
+		}
+		next := ids + "," + in.id + "."
+		switch out.kind {
+		case history.Applied:
+			return keepIf(in.base == version && out.version == version+1, next)
+		case history.Refused:
+			return keepIf(in.base != version, ids)
+		default:
+			if in.base == version {
+				return []any{ids, next}
+			}
+			return []any{ids}
+		}
+	},
+}
+
+func keepIf(ok bool, state string) []any {
+	if ok {
+		return []any{state}
+	}
+	return nil
+}
+
+// recorder collects operations with logical times.
+type recorder struct {
+	clock atomic.Int64
+	mu    sync.Mutex
+	list  []porcupine.Operation
+}
+
+// add records an operation that began at call. An unknown outcome has no end: its write may still take effect.
+func (r *recorder) add(client int, in submitted, call int64, out result) {
+	end := r.clock.Add(1)
+	if out.kind == history.Unknown && in.base != 0 {
+		end = math.MaxInt64
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = append(r.list, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
+}
+
+// operate submits patches and reads the version through one history; failed calls changed nothing and are not recorded.
+func (r *recorder) operate(t *testing.T, s *standin.Server, client int, draw *rand.Rand) {
+	h := history.New(history.Settings{
+		Store: store.New("http://store", "k", &http.Client{Transport: s.Transport()}),
+		Wait: func(ctx context.Context, d time.Duration) error {
+			if draw.IntN(4) == 0 { // the store goes away between a lost answer and the next read of the head
+				s.SetDown(true)
+			}
+			time.Sleep(d)
+			return ctx.Err()
+		},
+	})
+	base, id := uint64(1), ""
+	for i := range 8 {
+		time.Sleep(time.Duration(draw.IntN(1000)) * time.Millisecond)
+		call := r.clock.Add(1)
+		if record, err := h.Load(t.Context()); err == nil {
+			base = record.Version()
+			r.add(client, submitted{}, call, result{version: base})
+		}
+		if id == "" || draw.IntN(3) > 0 { // else the last patch is submitted again
+			id = fmt.Sprintf("%d-%d", client, i)
+		}
+		call = r.clock.Add(1)
+		if o, err := h.Submit(t.Context(), keep(base, id, draw.IntN(40))); err == nil {
+			r.add(client, submitted{base, id}, call, result{o.Kind(), o.Version()})
+		}
+	}
+}
+
+// disturb switches faults on and off until stop is closed.
+func disturb(s *standin.Server, draw *rand.Rand, stop <-chan struct{}) {
+	for {
+		s.LoseAnswers(draw.IntN(3), []string{"", "config/head", "config/head"}[draw.IntN(3)])
+		s.SetDelay([]time.Duration{0, 0, 50 * time.Millisecond, 2500 * time.Millisecond}[draw.IntN(4)])
+		s.SetDown(draw.IntN(4) == 0)
+		select {
+		case <-stop:
+			s.SetDown(false)
+			s.SetDelay(0)
+			s.LoseAnswers(0, "")
+			return
+		case <-time.After(time.Duration(20+draw.IntN(2000)) * time.Millisecond):
+		}
+	}
+}
+
+// Guards against a patch that is applied twice, applied over another one, or reported otherwise than it ended,
+// when answers are lost, calls are slow and the store goes away during four operators' submissions.
+func TestHeadIsLinearizable(t *testing.T) {
+	kinds := map[history.Kind]int{}
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			s, _ := bench(t)
+			var r recorder
+			var operators, faults sync.WaitGroup
+			stop := make(chan struct{})
+			faults.Go(func() { disturb(s, rand.New(rand.NewPCG(seed, 99)), stop) })
+			for client := range 4 {
+				operators.Go(func() { r.operate(t, s, client, rand.New(rand.NewPCG(seed, uint64(client)))) })
+			}
+			operators.Wait()
+			close(stop)
+			faults.Wait()
+			time.Sleep(10 * time.Second) // lets late writes take effect
+			call := r.clock.Add(1)
+			record, err := open(s).Load(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.add(9, submitted{}, call, result{version: record.Version()})
+			for _, o := range r.list {
+				if o.Input.(submitted).base != 0 {
+					kinds[o.Output.(result).kind]++
+				}
+			}
+			complete(t, open(s), record.Version())
+			m := model.ToModel()
+			if !porcupine.CheckOperations(m, r.list) {
+				t.Errorf("seed %d: not linearizable: %+v", seed, r.list)
+			}
+		})
+	}
+	t.Logf("outcomes: %v", kinds)
+	if kinds[history.Unknown] == 0 || kinds[history.Applied] == 0 || kinds[history.Refused] == 0 {
+		t.Errorf("outcomes %v; the check needs some of each kind", kinds)
+	}
+}
--- a/internal/config/history/submit.go
+++ b/internal/config/history/submit.go
@@ -194,5 +194,6 @@
 	if err != nil {
 		return 0, fmt.Errorf("history: commit: %w", err)
 	}
+	s.History.note(next.version)
 	return written, nil
 }
