internal/config/history, internal/standin/store: delete old parts; end late calls with the test

Cause: each version left a part in the store for good. TestFollowerThroughFaults failed in 1 of 8 runs because a delayed call outlived the test's bubble.

--- a/internal/config/history/part.go
+++ b/internal/config/history/part.go
@@ -79,3 +79,18 @@
 	}
 	return nil
 }
+
+// collect deletes the first piece of the versions that the next head no longer lists. A first piece holds
+// its version's number, so no later version can name it; other pieces may be shared and are kept.
+func (h *History) collect(ctx context.Context, current, next head) {
+	for _, c := range current.ids {
+		if c.version >= next.ids[0].version {
+			return
+		}
+		key := partPrefix + c.part
+		if v, err := h.store.Get(ctx, key); err == nil {
+			// A piece that stays after a failure takes space and harms nothing.
+			_ = h.store.Delete(ctx, key, v.Revision())
+		}
+	}
+}
--- a/internal/config/history/record.go
+++ b/internal/config/history/record.go
@@ -37,10 +37,11 @@
 	revision uint64
 }
 
-// change pairs a patch with the version that it made.
+// change pairs a patch with the version that it made and the first piece of that version.
 type change struct {
 	id      string
 	version uint64
+	part    string
 }
 
 type headWire struct {
@@ -55,6 +56,7 @@
 type changeWire struct {
 	ID      string `json:"id"`
 	Version uint64 `json:"version"`
+	Part    string `json:"part"`
 }
 
 func decodeHead(data []byte, revision uint64) (head, error) {
@@ -69,7 +71,7 @@
 	}
 	copy(h.hash[:], sum)
 	for _, c := range w.IDs {
-		h.ids = append(h.ids, change{c.ID, c.Version})
+		h.ids = append(h.ids, change{c.ID, c.Version, c.Part})
 	}
 	for _, a := range w.Audit {
 		h.audit = append(h.audit, a.audit())
@@ -83,7 +85,7 @@
 		IDs: make([]changeWire, 0, len(h.ids)), Audit: make([]auditWire, 0, len(h.audit)),
 	}
 	for _, c := range h.ids {
-		w.IDs = append(w.IDs, changeWire{c.id, c.version})
+		w.IDs = append(w.IDs, changeWire{c.id, c.version, c.part})
 	}
 	for _, a := range h.audit {
 		w.Audit = append(w.Audit, a.wire())
--- a/internal/config/history/submit.go
+++ b/internal/config/history/submit.go
@@ -156,6 +156,7 @@
 		return Outcome{}, err
 	}
 	s.trim(ctx, next)
+	s.collect(ctx, current, next)
 	return Outcome{
 		kind: Applied, version: next.version,
 		record: Record{next.version, next.hash, data, revision},
@@ -172,7 +173,7 @@
 		record.change = nil
 	}
 	next.audit = append(append(next.audit, current.audit...), record)
-	next.ids = append(append(next.ids, current.ids...), change{s.patch.ID, next.version})
+	next.ids = append(append(next.ids, current.ids...), change{s.patch.ID, next.version, next.parts[0]})
 	if extra := len(next.ids) - window; extra > 0 {
 		next.ids = next.ids[extra:]
 	}
--- a/internal/entry/console/console_test.go
+++ b/internal/entry/console/console_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"tamarackspool/internal/config/codec"
 	"tamarackspool/internal/config/current"
 	"tamarackspool/internal/config/history"
 	"tamarackspool/internal/entry/console"
@@ -157,6 +159,38 @@
 	}
 }
 
+// Guards against tables or JSON that lack what the API says.
+func TestPrint(t *testing.T) {
+	n := start(t)
+	n.status = operator.Status{
+		Entry: "ege-a-1", Version: 1, Roster: 1500 * time.Millisecond,
+		Targets: []operator.Target{{Name: "status-2", Service: "status", Owner: "ege-a-1", Busy: 2, Limit: 5, Slots: 6}},
+		Regions: []operator.Region{{Name: "ege", Free: 4}},
+		Links:   []operator.Link{{From: "ege", To: "marmara", Used: 1, Share: 62_500_000}},
+		Members: []operator.Member{{Name: "ege-b-1", Zone: "ege-b", State: "suspect", Version: 1}},
+	}
+	var table, plain, config bytes.Buffer
+	if err := n.console(&table).Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+	for _, want := range []string{"status-2", "ege-marmara", "62500000", "suspect", "1.5 s"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("no %q in\n%s", want, table.String())
+		}
+	}
+	c := n.console(&plain)
+	c.JSON = true
+	if err := c.Status(t.Context()); err != nil || !json.Valid(plain.Bytes()) || !strings.Contains(plain.String(), `"share":62500000`) {
+		t.Errorf("status as JSON: %v\n%s", err, plain.String())
+	}
+	if err := n.console(&config).Config(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if d, err := codec.Decode(config.Bytes()); err != nil || d.Version() != 1 {
+		t.Errorf("printed configuration: %v", err)
+	}
+}
+
 // Guards against a call without the token, and against a token in the log.
 func TestToken(t *testing.T) {
 	n := start(t)
--- a/internal/platform/store/call.go
+++ b/internal/platform/store/call.go
@@ -31,6 +31,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	// Once there is a connection the request may leave, even after the call has given up.
 	var sent atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -32,6 +33,7 @@
 	table                 *table
 	faults                faults
 	counters              counters
+	calls                 sync.WaitGroup // calls through Transport
 	readLimit, writeLimit *rate.Limiter
 }
 
--- a/internal/standin/store/transport.go
+++ b/internal/standin/store/transport.go
@@ -1,10 +1,10 @@
 package store
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"net/http/httptrace"
 )
 
@@ -12,9 +12,16 @@
 var errCut = errors.New("standin store: connection cut before the response")
 
 // Transport returns a transport that calls the stand-in in the same process, without a network, so that
-// a test can run it under testing/synctest. A call whose context ends goes on in the stand-in.
+// a test can run it under testing/synctest. A call whose context ends goes on in the stand-in; Close
+// waits for such calls.
 func (s *Server) Transport() http.RoundTripper { return transport{s} }
 
+// Close cuts the waiting watches and returns when all calls through Transport have ended.
+func (s *Server) Close() {
+	s.cut()
+	s.calls.Wait()
+}
+
 type transport struct{ s *Server }
 
 // RoundTrip carries out one call.
@@ -26,17 +33,17 @@
 		trace.GotConn(httptrace.GotConnInfo{})
 	}
 	out := make(chan *http.Response, 1)
-	go func() {
+	t.s.calls.Go(func() {
 		defer close(out)
 		defer func() {
 			if p := recover(); p != nil && p != http.ErrAbortHandler {
 				panic(p)
 			}
 		}()
-		w := httptest.NewRecorder()
+		w := &recorder{code: http.StatusOK, header: http.Header{}}
 		t.s.ServeHTTP(w, r)
-		out <- w.Result()
-	}()
+		out <- w.response()
+	})
 	select {
 	case resp, ok := <-out:
 		if !ok {
@@ -48,3 +55,27 @@
 		return nil, r.Context().Err()
 	}
 }
+
+// recorder keeps the response of one call.
+type recorder struct {
+	code   int
+	header http.Header
+	body   bytes.Buffer
+}
+
+// Header returns the header to fill in.
+func (r *recorder) Header() http.Header { return r.header }
+
+// WriteHeader keeps the status; the stand-in calls it at most once.
+func (r *recorder) WriteHeader(code int) { r.code = code }
+
+// Write keeps a piece of the body.
+func (r *recorder) Write(p []byte) (int, error) { return r.body.Write(p) }
+
+func (r *recorder) response() *http.Response {
+	return &http.Response{
+		Status: http.StatusText(r.code), StatusCode: r.code, Header: r.header,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(r.body.Len()), Body: io.NopCloser(&r.body),
+	}
+}
