--- a/internal/config/codec/codec.go
+++ b/internal/config/codec/codec.go
@@ -52,10 +52,15 @@
 	return out, d, nil
 }
 
-// Parts returns the names of the parts that hold the client blocks of the document in data.
+// Parts returns the names of the parts that hold the client blocks of the document in data, which has been checked.
 func Parts(data []byte) ([]string, error) {
-	w, err := parse(data)
-	return w.Blocks, err
+	var s struct {
+		Blocks []string `json:"blocks"`
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("codec: %w", err)
+	}
+	return s.Blocks, nil
 }
 
 // parse reads the JSON form and refuses unknown fields.
--- a/internal/entry/console/console_test.go
+++ b/internal/entry/console/console_test.go
@@ -227,3 +227,33 @@
 		t.Error("a short token was accepted")
 	}
 }
+
+// Guards against a body with a misspelt field, or one that is not JSON, being taken for a patch.
+func TestBadBody(t *testing.T) {
+	n := start(t)
+	for body, want := range map[string]int{
+		`{"base":1,"id":"a","who":"ayla","pach":[]}`: http.StatusBadRequest,
+		`patch`: http.StatusBadRequest,
+		`{"base":1,"id":"a","who":"ayla","patch":[]}`:                       http.StatusConflict,
+		`{"base":1,"id":"","who":"ayla","patch":[]}`:                        http.StatusConflict,
+		`{"why":"` + strings.Repeat("x", 17<<20) + `"}`:                     http.StatusRequestEntityTooLarge,
+		`{"base":1,"id":"a","who":"ayla","patch":[{"op":"test"}],"why":""}`: http.StatusConflict,
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, n.url+"/patch", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("POST /patch %.60s: status %d, want %d", body, resp.StatusCode, want)
+		}
+	}
+	if n.current.Document().Version() != 1 {
+		t.Error("a bad body changed the configuration")
+	}
+}
