--- /dev/null
+++ b/internal/config/codec/bench_test.go
@@ -0,0 +1,48 @@
+package codec_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/document"
+)
+
+// fleet returns a configuration of the size to design for: 4 regions, 12 zones, 590 entries, 3000 targets.
+func fleet() *document.Document {
+	f := document.Fields{Version: 1, Services: []document.Service{document.NewService(document.ServiceFields{
+		Name: "s", Timeout: time.Second, Ceiling: time.Second, Body: 1, Shift: 1,
+	})}}
+	for i := range 4 {
+		f.Regions = append(f.Regions, document.NewRegion(document.RegionFields{Name: fmt.Sprint("r", i), Keep: 0.5}))
+	}
+	for i := range 12 {
+		f.Zones = append(f.Zones, document.NewZone(fmt.Sprint("z", i), fmt.Sprint("r", i%4)))
+	}
+	for i := range 590 {
+		f.Entries = append(f.Entries, document.NewEntry(document.EntryFields{Name: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%12)}))
+	}
+	for i := range 3000 {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8080)
+		f.Targets = append(f.Targets, document.NewTarget(document.TargetFields{
+			Name: fmt.Sprint("t", i), Service: "s", Zone: fmt.Sprint("z", i%12), Address: a, Slots: 6, Conns: 400,
+		}))
+	}
+	return document.New(f)
+}
+
+// BenchmarkDecode measures the cost of adopting a version of the size to design for.
+func BenchmarkDecode(b *testing.B) {
+	data, err := codec.Encode(fleet())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	for b.Loop() {
+		if _, err := codec.Decode(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
