--- /dev/null
+++ b/internal/request/forward/check_test.go
@@ -0,0 +1,178 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/request/forward"
+	"tamarackspool/internal/request/verdict"
+)
+
+// stall replaces target t1 by a handler that goes on until the request ends.
+func (r *rig) stall(f func(body io.Reader, w io.Writer)) {
+	r.replace(func(w http.ResponseWriter, q *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		f(q.Body, w)
+		select {
+		case <-q.Context().Done():
+		case <-time.After(10 * time.Second):
+		}
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// replace has a handler serve in the place of target t1.
+func (r *rig) replace(h http.HandlerFunc) {
+	r.stand["t1"].Die()
+	r.serve(address(1).String(), h)
+}
+
+// Guards against requests of unknown, forged or ambiguous tenants, and other
+// input that must not reach a target.
+func TestBadInput(t *testing.T) {
+	run(t, forward.Settings{Header: 4 << 10}, func(t *testing.T, r *rig) {
+		for name, c := range map[string]struct {
+			path   string
+			header []string
+			status int
+			says   string
+		}{
+			"missing tenant":    {"status/a", []string{"Tenant", ""}, 401, "Tenant"},
+			"unknown tenant":    {"status/a", []string{"Tenant", "other"}, 401, "other"},
+			"missing key":       {"status/a", []string{"Tenant-Key", ""}, 403, "Tenant-Key"},
+			"forged key":        {"status/a", []string{"Tenant-Key", "secreT"}, 403, "Tenant-Key"},
+			"digest as key":     {"status/a", []string{"Tenant-Key", digest("secret")}, 403, "Tenant-Key"},
+			"foreign service":   {"gifts/a", []string{"Tenant", "open", "Idempotency-Key", "k"}, 403, "gifts"},
+			"unknown service":   {"other/a", nil, 404, "other"},
+			"order without key": {"gifts/a", nil, 400, "Idempotency-Key"},
+			"key too long":      {"gifts/a", []string{"Idempotency-Key", strings.Repeat("k", 129)}, 400, "128"},
+			"key with a space":  {"gifts/a", []string{"Idempotency-Key", "a b"}, 400, "visible ASCII"},
+			"timeout too long":  {"status/a", []string{"Timeout", "60001"}, 400, "1 to 60000 ms"},
+			"timeout no number": {"status/a", []string{"Timeout", "soon"}, 400, "1 to 60000 ms"},
+			"internal Hop":      {"status/a", []string{"Hop", "1"}, 400, "Hop"},
+			"internal Home":     {"status/a", []string{"Home", "ege"}, 400, "Home"},
+			"internal Attempt":  {"status/a", []string{"Attempt", "x"}, 400, "Attempt"},
+			"internal Granted":  {"gifts/a", []string{"Granted", "1", "Idempotency-Key", "k"}, 400, "Granted"},
+			"header too large":  {"status/a", []string{"Filler", strings.Repeat("f", 4<<10)}, 431, "4096"},
+		} {
+			got := r.do(r.request("POST", c.path, text(1), c.header...))
+			if got.status != c.status || got.verdict != "not-run" || !strings.Contains(got.body, c.says) {
+				t.Errorf("%s: got %d %s %q, want %d with %q", name, got.status, got.verdict, got.body, c.status, c.says)
+			}
+		}
+		if r.runs() != 0 {
+			t.Errorf("%d bad requests ran", r.runs())
+		}
+	})
+}
+
+// Guards against bodies beyond the limit of their service, with and without a length.
+func TestOversizedBody(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		got := r.do(r.request("POST", "status/up", text(8<<20+1)))
+		if r.expect(got, 413, verdict.NotRun, verdict.ReasonInput); r.runs() != 0 {
+			t.Errorf("%d runs", r.runs())
+		}
+		q := r.request("POST", "status/up", io.LimitReader(&endless{}, 8<<20+1))
+		q.ContentLength = -1
+		if got = r.do(q); got.err == nil && got.verdict == "ran" {
+			t.Errorf("a chunked body beyond the limit was served: %+v", got)
+		}
+	})
+}
+
+// Guards against request smuggling and against headers that steer this entry or the target.
+func TestHeaderSmuggling(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		var seen []*http.Request
+		r.replace(func(_ http.ResponseWriter, q *http.Request) {
+			data, _ := io.ReadAll(q.Body)
+			q.Pattern = string(data)
+			seen = append(seen, q)
+		})
+		const head = " /run/status/a HTTP/1.1\r\nHost: x\r\nTenant: shop\r\nTenant-Key: secret\r\n"
+		for name, c := range map[string]struct {
+			rest   string
+			status int
+		}{
+			"both lengths":     {"POST" + head + "Content-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 200},
+			"two lengths":      {"POST" + head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400},
+			"two tenants":      {"POST" + head + "Tenant: open\r\nContent-Length: 2\r\n\r\nab", 400},
+			"named hop header": {"POST" + head + "Connection: Secret-Hop, Tenant\r\nSecret-Hop: 1\r\nContent-Length: 2\r\n\r\nab", 200},
+			"other encoding":   {"POST" + head + "Transfer-Encoding: gzip, chunked\r\n\r\n", 501},
+		} {
+			seen = nil
+			conn, err := r.net.dial(t.Context(), "tcp", "10.0.2.1:80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _, _ = io.WriteString(conn, c.rest) }()
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || resp.StatusCode != c.status {
+				t.Fatalf("%s: %v, %+v", name, err, resp)
+			}
+			_ = conn.Close()
+			if got := fmt.Sprint(len(seen)); (got == "1") != (c.status == 200) || len(seen) > 1 {
+				t.Errorf("%s: target saw %s requests", name, got)
+			}
+			for _, q := range seen {
+				h := q.Header
+				if q.Pattern != "ab" || h.Get("Tenant") != "shop" || h.Get("Secret-Hop")+h.Get("Tenant-Key")+h.Get("Peer-Key") != "" {
+					t.Errorf("%s: target saw body %q and %v", name, q.Pattern, h)
+				}
+			}
+		}
+	})
+}
+
+func (r *rig) relayed(path, hop, key string) reply {
+	q := r.request("GET", path, nil, "Hop", hop, "Peer-Key", key)
+	q.URL.Host = passPort.String()
+	return r.do(q)
+}
+
+// Guards against requests that go round between entries.
+func TestRelayLoop(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		r.chooser.relay = "e2"
+		r.expect(r.read(), 503, verdict.NotRun, verdict.ReasonHops)
+		for _, q := range r.chooser.requests {
+			if q.Hops > 3 {
+				t.Errorf("a request with %d hops was still carried", q.Hops)
+			}
+		}
+		r.expect(r.relayed("status/a", "4", token), 503, verdict.NotRun, verdict.ReasonHops)
+	})
+}
+
+// Guards against relays without the token of the entries.
+func TestForgedPeer(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		r.expect(r.relayed("status/a", "1", token+"x"), 403, verdict.NotRun, verdict.ReasonInput)
+		r.expect(r.relayed("status/a", "1", ""), 403, verdict.NotRun, verdict.ReasonInput)
+		r.expect(r.relayed("status/a", "", token), 400, verdict.NotRun, verdict.ReasonInput)
+		r.expect(r.relayed("status/a", "1", token), 200, verdict.Ran, "")
+	})
+}
+
+// Guards against an order that its key's home does not know of, and against
+// not-run when that home cannot be reached.
+func TestOrderGoesToTheHomeOfItsKey(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		r.orders.home = "e2"
+		r.expect(r.order(), 200, verdict.Ran, "")
+		if !r.orders.is(verdict.Ran) || r.runs() != 1 || r.chooser.out != 10 || r.chooser.in != 10 {
+			t.Errorf("order ended as %v in %d runs, link %d and %d bytes", r.orders.ended, r.runs(), r.chooser.out, r.chooser.in)
+		}
+		if q := r.chooser.requests[0]; q.Hops != 1 || q.Home != "ege" || q.Relayed {
+			t.Errorf("home asked for %+v", q)
+		}
+		r.orders.home = "gone"
+		r.expect(r.order("Idempotency-Key", "k2"), 502, verdict.MayHaveRun, verdict.ReasonConnect)
+	})
+}
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -103,6 +103,7 @@
 	orders  *orders
 	chooser *chooser
 	wait    sync.WaitGroup
+	servers []*http.Server
 }
 
 func address(i int) netip.AddrPort {
@@ -121,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := &rig{
 			t: t, net: &network{servers: map[string]chan net.Conn{}}, stand: map[string]*target.Target{},
-			m: metrics.NewRegistry(), orders: &orders{}, chooser: &chooser{},
+			m: metrics.NewRegistry(), orders: &orders{answers: map[string]forward.Answer{}}, chooser: &chooser{},
 		}
 		r.doc = document.New(document.Fields{
 			Services: []document.Service{
@@ -147,17 +148,20 @@
 			r.wait.Go(func() { _ = tt.Serve(ctx, l) })
 		}
 		r.build(s)
-		call := r.serve("10.0.2.1:80", r.f.ServeCaller)
-		pass := r.serve(passPort.String(), r.f.ServePeer)
+		r.serve("10.0.2.1:80", r.f.ServeCaller)
+		r.serve(passPort.String(), r.f.ServePeer)
 		r.client = &http.Transport{DialContext: r.net.dial, DisableCompression: true}
+		synctest.Wait() // All servers listen.
 		test(t, r)
 		r.client.CloseIdleConnections()
-		_ = call.Close()
-		_ = pass.Close()
+		for _, s := range r.servers {
+			_ = s.Close()
+		}
 		stop()
 		r.targets.Close()
 		r.entries.Close()
 		r.wait.Wait()
+		time.Sleep(time.Minute) // Handlers of targets end by themselves.
 		if open := r.chooser.open(); open != 0 {
 			t.Errorf("%d choices were not done exactly once", open)
 		}
@@ -182,11 +186,11 @@
 	}
 }
 
-func (r *rig) serve(at string, h http.HandlerFunc) *http.Server {
+func (r *rig) serve(at string, h http.HandlerFunc) {
 	l := r.net.listen(netip.MustParseAddrPort(at))
 	s := &http.Server{Handler: h}
+	r.servers = append(r.servers, s)
 	r.wait.Go(func() { _ = s.Serve(l) })
-	return s
 }
 
 // Document returns the configuration of the rig.
@@ -310,26 +314,38 @@
 
 // orders grants every key and keeps how its run ended.
 type orders struct {
-	mu    sync.Mutex
-	home  string
-	ended []string
-	last  *forward.Answer
+	mu      sync.Mutex
+	home    string
+	ended   []string
+	answers map[string]forward.Answer
+}
+
+type oneRun struct {
+	*orders
+	key string
 }
 
-func (o *orders) Begin(context.Context, forward.Key) (forward.Grant, error) {
+func (o *orders) Begin(_ context.Context, k forward.Key) (forward.Grant, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if home := o.home; home != "" {
 		o.home = ""
 		return forward.Grant{Entry: home}, nil
 	}
-	return forward.Grant{Answer: o.last, Run: o}, nil
+	if a, ok := o.answers[k.Text]; ok {
+		return forward.Grant{Answer: &a}, nil
+	}
+	return forward.Grant{Run: oneRun{o, k.Text}}, nil
 }
 
-func (o *orders) Finish(a forward.Answer) { o.end(verdict.Ran); o.last = &a }
-func (o *orders) Fail(v verdict.Verdict)  { o.end(v) }
+func (o oneRun) Finish(a forward.Answer) {
+	o.Fail(verdict.Ran)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.answers[o.key] = a
+}
 
-func (o *orders) end(v verdict.Verdict) {
+func (o oneRun) Fail(v verdict.Verdict) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ended = append(o.ended, v.String())
