internal/request/pool: refuse a write of a cancelled request before it counts as written

Cause: a request whose context ended while its connection was opened was marked as written although no byte had left, so its verdict was may-have-run. Change: the context is checked before the connection is marked.

--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -98,15 +98,15 @@
 
 func (w writer) Write(p []byte) (int, error) {
 	c := w.c
-	if !c.state.CompareAndSwap(fresh, dirty) && c.state.Load() != dirty {
-		return 0, errSealed
-	}
 	if err := c.raw.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
 		return 0, err
 	}
 	if err := c.ctx.Err(); err != nil {
 		return 0, err
 	}
+	if !c.state.CompareAndSwap(fresh, dirty) && c.state.Load() != dirty {
+		return 0, errSealed
+	}
 	return c.raw.Write(p)
 }
 
--- /dev/null
+++ b/internal/request/pool/pool_test.go
@@ -0,0 +1,178 @@
+package pool_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tamarackspool/internal/request/pool"
+)
+
+// peer answers requests on in-memory connections; mute ones read and never answer.
+type peer struct {
+	dials   atomic.Int32
+	written atomic.Int64
+	mute    atomic.Int32 // mute is the number of the last connection that is silent.
+	extra   string       // extra is sent after each response.
+	onDial  func()
+}
+
+func (p *peer) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	n := p.dials.Add(1)
+	if p.onDial != nil {
+		p.onDial()
+	}
+	go p.serve(far, n)
+	return near, nil
+}
+
+func (p *peer) serve(c net.Conn, n int32) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		p.written.Add(1)
+		answer := "{}"
+		if strings.HasPrefix(r.URL.Path, "/attempt/") {
+			answer = `{"state":"unknown"}`
+		}
+		if n <= p.mute.Load() {
+			continue
+		}
+		go func() {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: "+string(rune('0'+len(answer)/10))+string(rune('0'+len(answer)%10))+"\r\n\r\n"+answer+p.extra)
+		}()
+	}
+}
+
+func run(t *testing.T, s pool.Settings, test func(t *testing.T, p *peer, c *pool.Pool)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &peer{}
+		c, err := pool.New(s, p.dial)
+		if err != nil {
+			t.Fatal(err)
+		}
+		test(t, p, c)
+		c.Close()
+		synctest.Wait()
+		if n := c.Open("a"); n != 0 {
+			t.Errorf("%d connections stay open", n)
+		}
+	})
+}
+
+func do(ctx context.Context, t *testing.T, c *pool.Pool) (*http.Response, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(ctx, "GET", "http://a/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.Do(ctx, pool.Call{Address: "a", Attempt: "1", Request: r})
+}
+
+func finish(t *testing.T, r *http.Response, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(r.Body); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against more connections than an address may have.
+func TestConnectionsPerAddressAreBounded(t *testing.T) {
+	run(t, pool.Settings{Conns: 4}, func(t *testing.T, p *peer, c *pool.Pool) {
+		a, err := do(t.Context(), t, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := do(t.Context(), t, c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		within, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var f *pool.Failure
+		if _, err := do(within, t, c); !errors.As(err, &f) || f.Written() || p.dials.Load() != 2 {
+			t.Errorf("third of two connections: %v after %d dials", err, p.dials.Load())
+		}
+		time.AfterFunc(time.Second, func() { finish(t, a, nil) })
+		d, err := do(t.Context(), t, c)
+		finish(t, d, err)
+		finish(t, b, nil)
+	})
+}
+
+// Guards against a silence that leaves the older connections of the same address in use.
+func TestSilenceClosesOlderConnections(t *testing.T) {
+	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
+		var open []*http.Response
+		for range 3 {
+			r, err := do(t.Context(), t, c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			open = append(open, r)
+		}
+		for _, r := range open {
+			finish(t, r, nil) // The newest connection is put back last and used first.
+		}
+		p.mute.Store(3)
+		var f *pool.Failure
+		if _, err := do(t.Context(), t, c); !errors.As(err, &f) || f.Kind() != pool.Silent || !f.Written() {
+			t.Errorf("request on a silent connection: %v", err)
+		}
+		if n := c.Open("a"); n != 0 {
+			t.Errorf("%d older connections stay open", n)
+		}
+		r, err := do(t.Context(), t, c)
+		finish(t, r, err)
+	})
+}
+
+// Guards against a request that is reported as not written and arrives all the same.
+func TestNothingWrittenIsProof(t *testing.T) {
+	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p.onDial = cancel
+		var f *pool.Failure
+		if _, err := do(ctx, t, c); !errors.As(err, &f) || f.Written() || f.Kind() != pool.Cancelled {
+			t.Errorf("request cancelled before it was written: %v", err)
+		}
+		synctest.Wait()
+		if n := p.written.Load(); n != 0 {
+			t.Errorf("%d requests arrived", n)
+		}
+	})
+}
+
+// Guards against an answer that arrives twice and is taken for that of the next request.
+func TestAnswerTwice(t *testing.T) {
+	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
+		p.extra = "HTTP/1.1 500 Twice\r\nContent-Length: 0\r\n\r\n"
+		for range 2 {
+			r, err := do(t.Context(), t, c)
+			finish(t, r, err)
+			synctest.Wait()
+			if r.StatusCode != 200 {
+				t.Errorf("status %d", r.StatusCode)
+			}
+		}
+		if n := p.dials.Load(); n != 2 {
+			t.Errorf("%d connections for two requests, want 2", n)
+		}
+	})
+}
