--- /dev/null
+++ b/internal/measure/forward/doc.go
@@ -0,0 +1,3 @@
+// Package forward measures the request path: the time, work and memory that an
+// entry adds to a direct call to a target, all on loopback in one process.
+package forward
