internal/request/forward: keep the header values of an attempt in one piece

Cause: each header set for an attempt or an answer cost an allocation. Change: the values lie in an array of the attempt or answer.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -40,6 +40,7 @@
 	latency time.Duration
 	kind    Kind
 	resp    *http.Response
+	values
 }
 
 func (t *attempt) remaining() time.Duration {
--- a/internal/request/forward/dispatch.go
+++ b/internal/request/forward/dispatch.go
@@ -20,6 +20,7 @@
 	via     string
 	in      int64
 	settled bool
+	values  values
 }
 
 // attemptAll makes attempts until one brings an answer or no further one is allowed.
@@ -135,20 +136,20 @@
 			delete(h, name)
 		}
 	}
-	h[headerAttempt] = []string{t.id}
-	h[headerTimeout] = []string{strconv.FormatInt(t.remaining().Milliseconds(), 10)}
-	h[headerTenant] = []string{j.tenant}
+	t.set(h, headerAttempt, t.id)
+	t.set(h, headerTimeout, strconv.FormatInt(t.remaining().Milliseconds(), 10))
+	t.set(h, headerTenant, j.tenant)
 	if j.key != "" {
-		h[headerKey] = []string{j.key}
+		t.set(h, headerKey, j.key)
 	}
 	if !t.relay {
 		return h
 	}
-	h[headerPeerKey] = []string{t.f.s.Key}
-	h[headerHop] = []string{strconv.Itoa(j.hops + 1)}
-	h[headerHome] = []string{j.home}
+	t.set(h, headerPeerKey, t.f.s.Key)
+	t.set(h, headerHop, strconv.Itoa(j.hops+1))
+	t.set(h, headerHome, j.home)
 	if t.granted {
-		h[headerGranted] = []string{"1"}
+		t.set(h, headerGranted, "1")
 	}
 	return h
 }
--- a/internal/request/forward/header.go
+++ b/internal/request/forward/header.go
@@ -89,3 +89,16 @@
 
 // PeerHeader returns the header that proves to other entries that a request comes from an entry.
 func PeerHeader(key string) http.Header { return http.Header{headerPeerKey: {key}} }
+
+// values holds the values of headers that an attempt or an answer sets, in one
+// piece of memory instead of one per header.
+type values struct {
+	kept [8]string
+	n    int
+}
+
+func (v *values) set(h http.Header, name, value string) {
+	v.kept[v.n] = value
+	h[name] = v.kept[v.n : v.n+1 : v.n+1]
+	v.n++
+}
--- a/internal/request/forward/respond.go
+++ b/internal/request/forward/respond.go
@@ -135,13 +135,13 @@
 	h := j.w.Header()
 	copyHeader(h, a.t.resp.Header, answerDrop)
 	h[headerVerdict] = ranText
-	h[headerServed] = []string{a.served}
-	h[headerVia] = []string{a.via}
+	a.values.set(h, headerServed, a.served)
+	a.values.set(h, headerVia, a.via)
 	switch {
 	case a.t.resp.ContentLength >= 0:
-		h["Content-Length"] = []string{strconv.FormatInt(a.t.resp.ContentLength, 10)}
+		a.values.set(h, "Content-Length", strconv.FormatInt(a.t.resp.ContentLength, 10))
 	case !a.more && j.r.Method != http.MethodHead:
-		h["Content-Length"] = []string{strconv.Itoa(len(a.body))}
+		a.values.set(h, "Content-Length", strconv.Itoa(len(a.body)))
 	}
 	if a.t.resp.StatusCode == http.StatusNoContent || a.t.resp.StatusCode == http.StatusNotModified {
 		delete(h, "Content-Length")
