internal/request/pool: look at idle sockets through a kept handle

Cause: the check of an idle connection took a new handle and a closure each time. Change: both are kept with the connection.

--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -41,12 +41,21 @@
 	left   int64           // left counts down the bytes of a response header; negative means no limit.
 	state  atomic.Int32
 	silent atomic.Bool // silent is set when another connection of the path proved silent.
+
+	control syscall.RawConn // control is nil for connections that are not sockets.
+	look    func(fd uintptr)
+	quiet   bool // quiet is what look found: open and without bytes.
 }
 
 func newConn(raw net.Conn, p *path, born uint64, progress time.Duration) *conn {
 	c := &conn{raw: raw, path: p, born: born, progress: progress, left: -1}
 	c.br = bufio.NewReaderSize(reader{c}, bufferSize)
 	c.bw = bufio.NewWriterSize(writer{c}, bufferSize)
+	if s, ok := raw.(syscall.Conn); ok {
+		if control, err := s.SyscallConn(); err == nil {
+			c.control, c.look = control, c.peek
+		}
+	}
 	return c
 }
 
@@ -115,10 +124,9 @@
 	if c.br.Buffered() > 0 || c.silent.Load() {
 		return false
 	}
-	if s, ok := c.raw.(syscall.Conn); ok {
-		if open, known := peek(s); known {
-			return open
-		}
+	if c.control != nil {
+		c.quiet = false
+		return c.control.Control(c.look) == nil && c.quiet
 	}
 	// Other kinds of connections offer only a read, which must end by a deadline.
 	if err := c.raw.SetReadDeadline(time.Now().Add(50 * time.Microsecond)); err != nil {
@@ -130,17 +138,11 @@
 	return n == 0 && errors.As(err, &timeout) && timeout.Timeout()
 }
 
-func peek(s syscall.Conn) (open, known bool) {
-	rc, err := s.SyscallConn()
-	if err != nil {
-		return false, false
-	}
+// peek looks at the socket without taking a byte from it.
+func (c *conn) peek(fd uintptr) {
 	var b [1]byte
-	err = rc.Control(func(fd uintptr) {
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(e, syscall.EAGAIN)
-	})
-	return open, err == nil
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = errors.Is(err, syscall.EAGAIN)
 }
 
 // kindOf tells the ways apart in which a read or write can fail.
