internal/request/forward: bound slow callers, keep pausing bodies

An attempt that arrived twice was told not-run. Change: writes to a caller and reads of its body have deadlines. A pause within a body asks the other side, up to six times, before the connection counts as silent. Only a dropped attempt is told not-run; one that arrived before is told may-have-run. A relayed repeat keeps its reason, and an entry without an address is avoided by the next choice.

--- a/internal/request/forward/attempts.go
+++ b/internal/request/forward/attempts.go
@@ -22,15 +22,18 @@
 	return &attempts{running: make(map[string]context.CancelFunc), past: make(map[string]string)}
 }
 
-// start reports whether the attempt may run here.
-func (a *attempts) start(id string, cancel context.CancelFunc) bool {
+// start reports whether the attempt may run here; if not, it returns what is known about it.
+func (a *attempts) start(id string, cancel context.CancelFunc) (known string, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if _, again := a.running[id]; again || a.past[id] != "" {
-		return false
+	if _, again := a.running[id]; again {
+		return "running", false
+	}
+	if s := a.past[id]; s != "" {
+		return s, false
 	}
 	a.running[id] = cancel
-	return true
+	return "", true
 }
 
 func (a *attempts) end(id string) {
--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -30,11 +30,11 @@
 }
 
 // readBody takes in a small body before a slot is used for it, so that a slow caller holds no slot.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, slow time.Duration) (*body, error) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, slow time.Duration, until time.Time) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &body{}, nil
 	}
-	src := &source{from: r.Body, control: http.NewResponseController(w), slow: slow, left: limit}
+	src := &source{from: r.Body, control: http.NewResponseController(w), slow: slow, until: until, left: limit}
 	b := &body{rest: src, length: r.ContentLength}
 	if r.ContentLength > whole {
 		return b, nil
@@ -126,6 +126,7 @@
 	from    io.Reader
 	control *http.ResponseController
 	slow    time.Duration
+	until   time.Time // until is the request's deadline.
 	left    int64
 	count   atomic.Int64
 	touched atomic.Bool
@@ -138,7 +139,11 @@
 func (s *source) Read(p []byte) (int, error) {
 	s.touched.Store(true)
 	// A recorder in a test knows no deadlines; the request's own deadline holds in any case.
-	_ = s.control.SetReadDeadline(time.Now().Add(s.slow))
+	end := time.Now().Add(s.slow)
+	if s.until.Before(end) {
+		end = s.until
+	}
+	_ = s.control.SetReadDeadline(end)
 	if s.stopped.Load() {
 		s.interrupt()
 	}
--- a/internal/request/forward/check_test.go
+++ b/internal/request/forward/check_test.go
@@ -205,6 +205,29 @@
 	})
 }
 
+// Guards against a relayed attempt that runs after it was cancelled, or twice.
+func TestRelayedAttemptArrivesLateOrTwice(t *testing.T) {
+	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		send := func(method, path, id string) reply {
+			q := r.request(method, "status/a", nil, "Hop", "1", "Peer-Key", token, "Attempt", id)
+			q.URL.Host = passPort.String()
+			if path != "" {
+				q.URL.Path = path
+			}
+			return r.do(q)
+		}
+		if got := send("DELETE", "/attempt/x", ""); got.body != `{"state":"dropped"}` {
+			t.Errorf("DELETE: %s", got.body)
+		}
+		r.expect(send("GET", "", "x"), 503, verdict.NotRun, verdict.ReasonCancelled)
+		r.expect(send("GET", "", "y"), 200, verdict.Ran, "")
+		r.expect(send("GET", "", "y"), 502, verdict.MayHaveRun, verdict.ReasonRepeat)
+		if r.runs() != 1 {
+			t.Errorf("%d runs, want 1", r.runs())
+		}
+	})
+}
+
 // Guards against an order that its key's home does not know of, and against
 // not-run when that home cannot be reached.
 func TestOrderGoesToTheHomeOfItsKey(t *testing.T) {
--- a/internal/request/forward/dispatch.go
+++ b/internal/request/forward/dispatch.go
@@ -17,6 +17,7 @@
 	more    bool
 	buf     *[whole]byte
 	served  string
+	reason  string // reason is that of a relayed answer, such as a repeat.
 	via     string
 	in      int64
 	settled bool
@@ -80,11 +81,11 @@
 // attempt sends the request where the choice says; the choice is done when it fails.
 func (f *Forwarder) attempt(j *job, c Choice) (*answer, *verdict.Error) {
 	t, err := f.aim(j, c)
+	j.avoid = append(j.avoid, t.name)
 	if err != nil {
 		c.Done(Result{Kind: Cancelled})
 		return nil, err
 	}
-	j.avoid = append(j.avoid, t.name)
 	a, err := t.run()
 	if err != nil {
 		t.done(t.kind)
@@ -105,6 +106,7 @@
 }
 
 func (f *Forwarder) aimEntry(t *attempt, entry string) *verdict.Error {
+	t.name = entry
 	if t.j.hops >= maxHops {
 		return bad(503, verdict.ReasonHops, "request has passed %d entries already", t.j.hops)
 	}
@@ -112,7 +114,7 @@
 	if !ok {
 		return bad(503, verdict.ReasonConnect, "address of entry %q is not known", entry)
 	}
-	t.name, t.address, t.relay, t.pool = entry, address.String(), true, f.d.Entries
+	t.address, t.relay, t.pool = address.String(), true, f.d.Entries
 	doc := f.d.Configuration.Document()
 	if f.d.Links == nil || doc == nil {
 		return nil
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -103,7 +103,8 @@
 var noAgent = []string{""}
 
 func (f *Forwarder) takeBody(j *job) *verdict.Error {
-	b, err := readBody(j.w, j.r, f.bodyLimit(j.service), f.s.Slow)
+	until, _ := j.ctx.Deadline()
+	b, err := readBody(j.w, j.r, f.bodyLimit(j.service), f.s.Slow, until)
 	switch {
 	case errors.Is(err, errBody):
 		return bad(413, verdict.ReasonInput, "body is longer than the %d bytes that service %s accepts", f.bodyLimit(j.service), j.service.Name())
--- a/internal/request/forward/peer.go
+++ b/internal/request/forward/peer.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -77,8 +78,8 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if id != "" {
-		if !f.attempts.start(id, cancel) {
-			f.refuse(w, bad(503, verdict.ReasonCancelled, "attempt was cancelled before it arrived"))
+		if known, ok := f.attempts.start(id, cancel); !ok {
+			f.refuse(w, arrivedAgain(known))
 			return
 		}
 		defer f.attempts.end(id)
@@ -86,6 +87,14 @@
 	f.serve(ctx, w, j)
 }
 
+// arrivedAgain refuses an attempt that this entry knows already; only a dropped one has not run.
+func arrivedAgain(known string) *verdict.Error {
+	if known == "dropped" {
+		return bad(503, verdict.ReasonCancelled, "attempt was cancelled before it arrived")
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonRepeat, 502, errors.New("forward: attempt has arrived before"))
+}
+
 func (f *Forwarder) serveAttempt(w http.ResponseWriter, r *http.Request, id string) {
 	state := "unknown"
 	switch r.Method {
--- a/internal/request/forward/respond.go
+++ b/internal/request/forward/respond.go
@@ -40,7 +40,7 @@
 func (t *attempt) takeIn() (*answer, *verdict.Error) {
 	a := &answer{t: t, served: t.name, via: t.f.s.Name}
 	if t.relay {
-		a.served = t.resp.Header.Get(headerServed)
+		a.served, a.reason = t.resp.Header.Get(headerServed), t.resp.Header.Get(headerReason)
 		a.via = t.resp.Header.Get(headerVia) + ", " + t.f.s.Name
 	}
 	if t.resp.Body == nil || t.resp.ContentLength == 0 {
@@ -103,6 +103,9 @@
 		f.settle(a, Answered)
 	}
 	f.writeHead(j, a)
+	if a.more {
+		_ = http.NewResponseController(j.w).SetWriteDeadline(time.Now().Add(f.s.Slow))
+	}
 	_, err := j.w.Write(a.body)
 	if a.more && err == nil {
 		err = f.copyRest(j, a)
@@ -137,6 +140,9 @@
 	h[headerVerdict] = ranText
 	a.values.set(h, headerServed, a.served)
 	a.values.set(h, headerVia, a.via)
+	if a.reason != "" {
+		a.values.set(h, headerReason, a.reason)
+	}
 	switch {
 	case a.t.resp.ContentLength >= 0:
 		a.values.set(h, "Content-Length", strconv.FormatInt(a.t.resp.ContentLength, 10))
@@ -155,6 +161,7 @@
 // piece is flushed, so that the caller's speed sets the target's.
 func (f *Forwarder) copyRest(j *job, a *answer) error {
 	control := http.NewResponseController(j.w)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	if a.t.pacer != nil {
 		if err := a.t.pacer.WaitIn(j.ctx, len(a.body)); err != nil {
 			return err
@@ -170,6 +177,8 @@
 			}
 		}
 		if n > 0 {
+			// A caller that stops reading must not hold the slot. A recorder in a test knows no deadlines.
+			_ = control.SetWriteDeadline(time.Now().Add(f.s.Slow))
 			if _, werr := j.w.Write(piece[:n]); werr != nil {
 				return werr
 			}
--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -36,11 +36,13 @@
 	bw       *bufio.Writer
 	progress time.Duration
 
-	ctx    context.Context // ctx is that of the request in progress.
-	until  time.Duration   // until is the wait for the next read; 0 means progress.
-	left   int64           // left counts down the bytes of a response header; negative means no limit.
-	state  atomic.Int32
-	silent atomic.Bool // silent is set when another connection of the path proved silent.
+	ctx   context.Context // ctx is that of the request in progress.
+	until time.Duration   // until is the wait for the next read; 0 means progress.
+	// exchange is asked after a pause within a body whether the other side still works on it; nil for probes.
+	exchange *exchange
+	left     int64 // left counts down the bytes of a response header; negative means no limit.
+	state    atomic.Int32
+	silent   atomic.Bool // silent is set when another connection of the path proved silent.
 
 	control syscall.RawConn // control is nil for connections that are not sockets.
 	look    func(fd uintptr)
@@ -60,7 +62,7 @@
 }
 
 func (c *conn) begin(ctx context.Context) {
-	c.ctx, c.until, c.left = ctx, 0, -1
+	c.ctx, c.until, c.left, c.exchange = ctx, 0, -1, nil
 	c.state.Store(fresh)
 }
 
@@ -89,34 +91,61 @@
 	if wait == 0 {
 		wait = c.progress
 	}
-	if err := c.raw.SetReadDeadline(time.Now().Add(wait)); err != nil {
-		return 0, err
-	}
-	// A cancellation sets a passed deadline; the one set above must not undo it.
-	if err := c.ctx.Err(); err != nil {
-		return 0, err
-	}
-	n, err := c.raw.Read(p)
-	if c.left > 0 {
-		c.left = max(0, c.left-int64(n))
+	for pauses := 0; ; pauses++ {
+		if err := c.raw.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return 0, err
+		}
+		// A cancellation sets a passed deadline; the one set above must not undo it.
+		if err := c.ctx.Err(); err != nil {
+			return 0, err
+		}
+		n, err := c.raw.Read(p)
+		if n == 0 && c.until == 0 && c.patient(err, pauses) {
+			continue
+		}
+		if c.left > 0 {
+			c.left = max(0, c.left-int64(n))
+		}
+		return n, err
 	}
-	return n, err
+}
+
+// maxPauses bounds the pauses within a body. The other side works on the body
+// also when its own writes are lost on a silent connection, so that its word
+// alone must not keep the connection for ever.
+const maxPauses = 6
+
+// patient reports whether a read or write that made no progress may go on.
+func (c *conn) patient(err error, pauses int) bool {
+	var timeout net.Error
+	return err != nil && c.exchange != nil && pauses < maxPauses &&
+		errors.As(err, &timeout) && timeout.Timeout() &&
+		c.ctx.Err() == nil && !c.silent.Load() && c.exchange.works()
 }
 
 type writer struct{ c *conn }
 
 func (w writer) Write(p []byte) (int, error) {
 	c := w.c
-	if err := c.raw.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
-		return 0, err
-	}
-	if err := c.ctx.Err(); err != nil {
-		return 0, err
-	}
-	if !c.state.CompareAndSwap(fresh, dirty) && c.state.Load() != dirty {
-		return 0, errSealed
+	for sent, pauses := 0, 0; ; pauses++ {
+		if err := c.raw.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
+			return sent, err
+		}
+		if err := c.ctx.Err(); err != nil {
+			return sent, err
+		}
+		if !c.state.CompareAndSwap(fresh, dirty) && c.state.Load() != dirty {
+			return sent, errSealed
+		}
+		n, err := c.raw.Write(p[sent:])
+		sent += n
+		if n > 0 {
+			pauses = 0
+		}
+		if err == nil || !c.patient(err, pauses) {
+			return sent, err
+		}
 	}
-	return c.raw.Write(p)
 }
 
 // alive reports whether an unused connection is still open and has no unexpected bytes.
--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -38,6 +38,7 @@
 	}
 	c.begin(ctx)
 	e := &exchange{p: p, c: c, call: call, ctx: ctx}
+	c.exchange = e
 	e.stop = context.AfterFunc(ctx, c.interrupt)
 	if err := e.send(); err != nil {
 		return nil, e.fail(err)
@@ -174,6 +175,8 @@
 	}
 }
 
+func (e *exchange) works() bool { return e.ask() == Running }
+
 func (e *exchange) ask() State {
 	if e.call.Attempt == "" {
 		return Unreachable
