--- /dev/null
+++ b/cmd/tamarackmeasure/main.go
@@ -0,0 +1,15 @@
+// Command tamarackmeasure measures the steering system's parts on small fakes.
+package main
+
+import "github.com/alecthomas/kong"
+
+// commands are the subcommands; each has its own file.
+type commands struct {
+	Policy policyCommand `cmd:"" help:"Measure steering policies side by side."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("tamarackmeasure"), kong.Description("Measurements on small fakes."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
