internal/steer/owner: bound the targets of a service that one entry owns

Cause: plain rendezvous hashing gives some entries several targets of a service and others none, while the shares of the region limit are equal.

--- a/internal/steer/owner/owner.go
+++ b/internal/steer/owner/owner.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tamarackspool/internal/record/event"
 	"tamarackspool/internal/steer/table"
 )
@@ -29,13 +27,10 @@
 		region = append(region, e.Spec.Name())
 	}
 	t.Owned = t.Owned[:0]
+	owners := assignment(t, zones, region)
 	for i := range t.Targets {
 		r := &t.Targets[i]
-		entries := zones[r.Zone]
-		if len(entries) == 0 {
-			entries = region
-		}
-		assign(now, t, r, Of(r.Spec.Name(), entries))
+		assign(now, t, r, owners[i])
 		if r.Mine {
 			t.Owned = append(t.Owned, i)
 		}
@@ -56,19 +51,3 @@
 	}
 	r.Owner, r.Mine = owner, mine
 }
-
-// Of returns the entry with the highest rendezvous score for the target, or an
-// empty string when there is none.
-func Of(target string, entries []string) string {
-	var owner string
-	var highest uint64
-	var key []byte
-	for _, e := range entries {
-		key = append(append(append(key[:0], target...), 0), e...)
-		score := xxhash.Sum64(key)
-		if owner == "" || score > highest || (score == highest && e < owner) {
-			owner, highest = e, score
-		}
-	}
-	return owner
-}
