--- a/internal/steer/table/rows.go
+++ b/internal/steer/table/rows.go
@@ -55,8 +55,9 @@
 	Free     int // Free counts the free slots that this entry owns.
 	Slots    int // Slots counts the open slots that this entry owns.
 	Latency  float64
-	Spilled  float64 // Spilled is the smoothed rate of relays to other regions per second.
-	Reserve  int     // Reserve is the part of the region share that the service may not use.
+	Spilled  float64   // Spilled is the smoothed rate of relays to other regions per second.
+	Returned time.Time // Returned is when a target of this entry last came back.
+	Reserve  int       // Reserve is the part of the region share that the service may not use.
 	Patience time.Duration
 }
 
--- a/internal/steer/warm/warm.go
+++ b/internal/steer/warm/warm.go
@@ -26,6 +26,10 @@
 			r.Limit = 0
 			continue
 		}
+		if r.Fresh && r.Warm > 0 && now.Sub(r.Hold) > 2*time.Second {
+			// The target has been ramped here before, so its capacity comes back.
+			t.Services[r.Service].Returned = now
+		}
 		ramp(now, t.Elapsed, r, t.Services[r.Service].Latency)
 		r.Limit = bound(now, r)
 		t.Services[r.Service].Slots += r.Limit
