--- a/internal/measure/policy/ours.go
+++ b/internal/measure/policy/ours.go
@@ -205,8 +205,9 @@
 		return none
 	}
 	service := w.place.works[r.arrival.work].service
-	if !relayed && r.tries > r.charged {
-		r.charged = r.tries
+	// A refusal by a peer has reached no target and costs no retry.
+	if !relayed && r.attempted > r.charged {
+		r.charged = r.attempted
 		if !s.Retry(service) {
 			none.reason = "retry-budget"
 			return none
--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -30,16 +30,17 @@
 
 // request is a request on its way.
 type request struct {
-	arrival  *arrival
-	origin   int
-	deadline time.Duration
-	tries    int
-	charged  int // charged is the number of tries that the retry budget has paid for
-	avoid    []string
-	hops     []*hop
-	queued   bool
-	waited   bool
-	ended    bool
+	arrival   *arrival
+	origin    int
+	deadline  time.Duration
+	tries     int
+	attempted int // attempted counts the attempts that were sent to a target
+	charged   int // charged is the number of attempts that the retry budget has paid for
+	avoid     []string
+	hops      []*hop
+	queued    bool
+	waited    bool
+	ended     bool
 }
 
 // begin lets a caller send its request to an entry of its home, or of another region when its home is lost.
@@ -270,6 +271,7 @@
 	x.latency = w.now - h.began
 	w.policy.done(w, r, h.entry, h, x)
 	if h.target >= 0 && x.kind != decision.Answered {
+		r.attempted++
 		r.avoid = append(r.avoid, w.targets[h.target].spec.Name())
 	} else if h.peer >= 0 && x.kind != decision.Answered {
 		r.avoid = append(r.avoid, w.entries[h.peer].spec.Name())
