--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -91,6 +91,7 @@
 	case c.peer >= 0:
 		r.hops = append(r.hops, c.hop)
 		w.relay(r, c.hop)
+	case relayed && w.hold(r, e):
 	case relayed:
 		w.plan(w.now+w.between(e, r.origin), func() { w.back(r, end{kind: decision.Shed}) })
 	default:
@@ -98,6 +99,24 @@
 	}
 }
 
+// hold keeps a relayed request in the owner's queue for a short time.
+func (w *world) hold(r *request, e int) bool {
+	patience := w.patience(r)
+	if r.waited || w.now+patience > r.deadline {
+		return false
+	}
+	r.waited, r.queued = true, true
+	q := &w.entries[e].waiting[r.arrival.work]
+	*q = append(*q, r)
+	w.plan(w.now+patience, func() {
+		if r.queued {
+			r.queued = false
+			w.plan(w.now+w.between(e, r.origin), func() { w.back(r, end{kind: decision.Shed}) })
+		}
+	})
+	return true
+}
+
 // wait keeps a request without a slot in the entry's queue for a short time.
 func (w *world) wait(r *request, reason string) {
 	patience := w.patience(r)
@@ -128,7 +147,7 @@
 	for len(*q) > 0 {
 		r := (*q)[0]
 		if r.queued {
-			c := w.policy.choose(w, r, e, false)
+			c := w.policy.choose(w, r, e, e != r.origin)
 			if c.target < 0 && c.peer < 0 {
 				return
 			}
