internal/steer/split: relay to peers of the region beyond their last count

Cause: a peer's count of free slots is several hundred milliseconds old while requests take 30 ms, so a count of zero kept requests from slots that were free again; entries whose targets were drained suffered most. Change: relays for half of a peer's slots may be in flight in any case.

--- a/internal/steer/shift/shift.go
+++ b/internal/steer/shift/shift.go
@@ -15,7 +15,7 @@
 const (
 	window = 10                     // steps in which requests are counted against the allowance
 	memory = 500 * time.Millisecond // time constant of the baseline
-	safety = 0.85
+	safety = 0.8
 	refill = time.Minute // how long a region that returned is refilled under the cap at most
 )
 
--- a/internal/steer/split/split.go
+++ b/internal/steer/split/split.go
@@ -34,8 +34,9 @@
 	smooth(t, spilled)
 }
 
-// near lets one relay through to a peer without free slots by its count, so
-// that a silent peer is tried and a full one refuses.
+// near lets relays for half of a peer's slots through whatever its count says:
+// the count is older than a request takes, and a full peer lets requests wait.
+// A peer without a current count gets one, so that it is tried.
 func near(now time.Time, p *table.Peer) int {
 	if !reachable(p.State) {
 		return 0
@@ -43,7 +44,7 @@
 	if !p.Heard || now.Sub(p.Room.At) > stale {
 		return 1
 	}
-	return max(1, count(p, p.Room.Free))
+	return max(1, p.Room.Slots/2, count(p, p.Room.Free))
 }
 
 func far(now time.Time, p *table.Peer, others int) int {
