--- a/internal/config/codec/codec.go
+++ b/internal/config/codec/codec.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"tamarackspool/internal/config/document"
 )
@@ -51,10 +52,15 @@
 	return out, d, nil
 }
 
-// Parts returns the names of the parts that hold the client blocks of the document in data.
+// Parts returns the names of the parts that hold the client blocks of the document in data, which has been checked.
 func Parts(data []byte) ([]string, error) {
-	w, err := parse(data)
-	return w.Blocks, err
+	var s struct {
+		Blocks []string `json:"blocks"`
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return nil, fmt.Errorf("codec: %w", err)
+	}
+	return s.Blocks, nil
 }
 
 // parse reads the JSON form and refuses unknown fields.
@@ -105,5 +111,19 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("data after the end of the document; one JSON object is accepted")
 	}
+	return lower(data)
+}
+
+// lower refuses field names with capitals, which encoding/json would take for the fields of this format.
+func lower(data []byte) error {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return nil // a text or a list has no field names
+	}
+	for name := range fields {
+		if name != strings.ToLower(name) {
+			return fmt.Errorf("json: unknown field %q", name)
+		}
+	}
 	return nil
 }
--- a/internal/entry/console/console_test.go
+++ b/internal/entry/console/console_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -13,7 +14,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
 
+	"tamarackspool/internal/config/codec"
 	"tamarackspool/internal/config/current"
 	"tamarackspool/internal/config/history"
 	"tamarackspool/internal/entry/console"
@@ -23,6 +26,11 @@
 	standin "tamarackspool/internal/standin/store"
 )
 
+// TestMain guards against goroutines that outlive the API and its clients.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
 const token = "0123456789abcdef"
 
 // node is one entry's operators' API over a stand-in store.
@@ -157,6 +165,38 @@
 	}
 }
 
+// Guards against tables or JSON that lack what the API says.
+func TestPrint(t *testing.T) {
+	n := start(t)
+	n.status = operator.Status{
+		Entry: "ege-a-1", Version: 1, Roster: 1500 * time.Millisecond,
+		Targets: []operator.Target{{Name: "status-2", Service: "status", Owner: "ege-a-1", Busy: 2, Limit: 5, Slots: 6}},
+		Regions: []operator.Region{{Name: "ege", Free: 4}},
+		Links:   []operator.Link{{From: "ege", To: "marmara", Used: 1, Share: 62_500_000}},
+		Members: []operator.Member{{Name: "ege-b-1", Zone: "ege-b", State: "suspect", Version: 1}},
+	}
+	var table, plain, config bytes.Buffer
+	if err := n.console(&table).Status(t.Context()); err != nil {
+		t.Error(err)
+	}
+	for _, want := range []string{"status-2", "ege-marmara", "62500000", "suspect", "1.5 s"} {
+		if !strings.Contains(table.String(), want) {
+			t.Errorf("no %q in\n%s", want, table.String())
+		}
+	}
+	c := n.console(&plain)
+	c.JSON = true
+	if err := c.Status(t.Context()); err != nil || !json.Valid(plain.Bytes()) || !strings.Contains(plain.String(), `"share":62500000`) {
+		t.Errorf("status as JSON: %v\n%s", err, plain.String())
+	}
+	if err := n.console(&config).Config(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if d, err := codec.Decode(config.Bytes()); err != nil || d.Version() != 1 {
+		t.Errorf("printed configuration: %v", err)
+	}
+}
+
 // Guards against a call without the token, and against a token in the log.
 func TestToken(t *testing.T) {
 	n := start(t)
@@ -187,3 +227,33 @@
 		t.Error("a short token was accepted")
 	}
 }
+
+// Guards against a body with a misspelt field, or one that is not JSON, being taken for a patch.
+func TestBadBody(t *testing.T) {
+	n := start(t)
+	for body, want := range map[string]int{
+		`{"base":1,"id":"a","who":"ayla","pach":[]}`: http.StatusBadRequest,
+		`patch`: http.StatusBadRequest,
+		`{"base":1,"id":"a","who":"ayla","patch":[]}`:                       http.StatusConflict,
+		`{"base":1,"id":"","who":"ayla","patch":[]}`:                        http.StatusConflict,
+		`{"why":"` + strings.Repeat("x", 17<<20) + `"}`:                     http.StatusRequestEntityTooLarge,
+		`{"base":1,"id":"a","who":"ayla","patch":[{"op":"test"}],"why":""}`: http.StatusConflict,
+	} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, n.url+"/patch", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+token)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("POST /patch %.60s: status %d, want %d", body, resp.StatusCode, want)
+		}
+	}
+	if n.current.Document().Version() != 1 {
+		t.Error("a bad body changed the configuration")
+	}
+}
--- a/internal/request/forward/dispatch.go
+++ b/internal/request/forward/dispatch.go
@@ -17,9 +17,11 @@
 	more    bool
 	buf     *[whole]byte
 	served  string
+	reason  string // reason is that of a relayed answer, such as a repeat.
 	via     string
 	in      int64
 	settled bool
+	values  values
 }
 
 // attemptAll makes attempts until one brings an answer or no further one is allowed.
@@ -79,11 +81,11 @@
 // attempt sends the request where the choice says; the choice is done when it fails.
 func (f *Forwarder) attempt(j *job, c Choice) (*answer, *verdict.Error) {
 	t, err := f.aim(j, c)
+	j.avoid = append(j.avoid, t.name)
 	if err != nil {
 		c.Done(Result{Kind: Cancelled})
 		return nil, err
 	}
-	j.avoid = append(j.avoid, t.name)
 	a, err := t.run()
 	if err != nil {
 		t.done(t.kind)
@@ -104,6 +106,7 @@
 }
 
 func (f *Forwarder) aimEntry(t *attempt, entry string) *verdict.Error {
+	t.name = entry
 	if t.j.hops >= maxHops {
 		return bad(503, verdict.ReasonHops, "request has passed %d entries already", t.j.hops)
 	}
@@ -111,7 +114,7 @@
 	if !ok {
 		return bad(503, verdict.ReasonConnect, "address of entry %q is not known", entry)
 	}
-	t.name, t.address, t.relay, t.pool = entry, address.String(), true, f.d.Entries
+	t.address, t.relay, t.pool = address.String(), true, f.d.Entries
 	doc := f.d.Configuration.Document()
 	if f.d.Links == nil || doc == nil {
 		return nil
@@ -135,20 +138,20 @@
 			delete(h, name)
 		}
 	}
-	h[headerAttempt] = []string{t.id}
-	h[headerTimeout] = []string{strconv.FormatInt(t.remaining().Milliseconds(), 10)}
-	h[headerTenant] = []string{j.tenant}
+	t.set(h, headerAttempt, t.id)
+	t.set(h, headerTimeout, strconv.FormatInt(t.remaining().Milliseconds(), 10))
+	t.set(h, headerTenant, j.tenant)
 	if j.key != "" {
-		h[headerKey] = []string{j.key}
+		t.set(h, headerKey, j.key)
 	}
 	if !t.relay {
 		return h
 	}
-	h[headerPeerKey] = []string{t.f.s.Key}
-	h[headerHop] = []string{strconv.Itoa(j.hops + 1)}
-	h[headerHome] = []string{j.home}
+	t.set(h, headerPeerKey, t.f.s.Key)
+	t.set(h, headerHop, strconv.Itoa(j.hops+1))
+	t.set(h, headerHome, j.home)
 	if t.granted {
-		h[headerGranted] = []string{"1"}
+		t.set(h, headerGranted, "1")
 	}
 	return h
 }
