internal/fleet/gossip: add membership, exchange and lookup

Cause: entries need a common view of each other, of free slots and of the configuration version without a second coordination service.

A heartbeat carries the digest of a record; a peer asks for records whose digest it does not know.

--- /dev/null
+++ b/internal/fleet/gossip/frame.go
@@ -0,0 +1,95 @@
+package gossip
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// segmentOverhead is what TCP over IPv4 with timestamps adds to each message on the wire.
+const segmentOverhead = 52
+
+// codec is jsonrpc2's varint framing with a limit on the size of a message, which that library lacks.
+type codec struct {
+	jsonrpc2.VarintObjectCodec
+	limit *atomic.Int64
+}
+
+// ReadObject reads one message of at most the limit.
+func (c codec) ReadObject(r *bufio.Reader, v any) error {
+	n, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if limit := c.limit.Load(); n > uint64(limit) {
+		return fmt.Errorf("gossip: message of %d bytes exceeds the limit of %d", n, limit)
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, v)
+}
+
+// wire counts the bytes of a connection and bounds how long a write or the wait for a message may take.
+type wire struct {
+	net.Conn
+	count *counters
+	write time.Duration
+	idle  time.Duration
+}
+
+// Read reads from the connection and fails after the idle time without a byte.
+func (w *wire) Read(p []byte) (int, error) {
+	if err := w.SetReadDeadline(time.Now().Add(w.idle)); err != nil {
+		return 0, err
+	}
+	n, err := w.Conn.Read(p)
+	w.count.received.Add(int64(n))
+	return n, err
+}
+
+// Write writes to the connection and fails when the peer takes nothing for the write deadline.
+func (w *wire) Write(p []byte) (int, error) {
+	if err := w.SetWriteDeadline(time.Now().Add(w.write)); err != nil {
+		return 0, err
+	}
+	n, err := w.Conn.Write(p)
+	w.count.sent.Add(int64(n) + segmentOverhead)
+	w.count.messages.Add(1)
+	return n, err
+}
+
+// counters are the totals of a service; they are safe for concurrent use.
+type counters struct {
+	sent, received, messages, bulk         atomic.Int64
+	late, refused, stale, silent, unknowns atomic.Int64
+}
+
+// Counts are the totals of a service since its start.
+type Counts struct {
+	Sent, Received int64 // bytes on the wire
+	Messages       int64 // messages sent
+	Late           int64 // answers that matched no open call
+	Refused        int64 // connections refused for a wrong key
+	Stale          int64 // configurations that were not newer
+	Silent         int64 // calls without an answer within the deadline
+	Unknown        int64 // heartbeats without a known record
+}
+
+// Counts returns the totals since the start.
+func (s *Service) Counts() Counts {
+	c := &s.count
+	return Counts{
+		Sent: c.sent.Load(), Received: c.received.Load(), Messages: c.messages.Load(),
+		Late: c.late.Load(), Refused: c.refused.Load(), Stale: c.stale.Load(),
+		Silent: c.silent.Load(), Unknown: c.unknowns.Load(),
+	}
+}
--- /dev/null
+++ b/internal/fleet/gossip/message.go
@@ -0,0 +1,226 @@
+package gossip
+
+import (
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"tamarackspool/internal/fleet/member"
+	"tamarackspool/internal/record/event"
+)
+
+// hashBytes is how much of the configuration's hash goes into each exchange: enough to notice a difference.
+const hashBytes = 8
+
+type heardBeat struct {
+	beat  member.Beat
+	heard time.Time
+	self  bool
+}
+
+// compose makes a message for the named peer. The caller holds the lock.
+func (s *Service) compose(peer string, first []uint32) exchangeForm {
+	version, hash, _ := s.deps.Holder.Raw()
+	m := exchangeForm{Version: version}
+	if version > 0 {
+		m.Hash = hex.EncodeToString(hash[:hashBytes])
+	}
+	beats := s.choose(first)
+	m.Services = servicesOf(beats)
+	for _, b := range beats {
+		m.Beats = append(m.Beats, rowOf(b.beat, m.Version, m.Services))
+	}
+	m.Want = s.wanted()
+	m.Doubt = s.doubts()
+	m.Loans = s.loansFor(peer)
+	return m
+}
+
+// choose returns the heartbeats for a message: the entry's own, those asked for, then two thirds newest and
+// one third at random, so that no member is starved by others with newer news.
+func (s *Service) choose(first []uint32) []heardBeat {
+	var all []heardBeat
+	s.table.Beats(func(b member.Beat, heard time.Time, self bool) {
+		all = append(all, heardBeat{b, heard, self})
+	})
+	prior := func(b heardBeat) int {
+		switch {
+		case b.self:
+			return 0
+		case slices.Contains(first, b.beat.Digest):
+			return 1
+		default:
+			return 2
+		}
+	}
+	s.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortStableFunc(all, func(a, b heardBeat) int {
+		if c := prior(a) - prior(b); c != 0 {
+			return c
+		}
+		return b.heard.Compare(a.heard)
+	})
+	most := s.pace.beats
+	if len(all) <= most {
+		return all
+	}
+	rest := all[most-most/3:]
+	s.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	return all[:most]
+}
+
+func servicesOf(beats []heardBeat) []string {
+	var names []string
+	for _, b := range beats {
+		for name := range b.beat.Rooms {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func rowOf(b member.Beat, version uint64, services []string) []int64 {
+	row := []int64{int64(b.Digest), int64(b.Sequence), int64(version) - int64(b.Version)}
+	if len(b.Rooms) == 0 {
+		return row
+	}
+	for _, name := range services {
+		free, ok := b.Rooms[name]
+		if !ok {
+			free = -1
+		}
+		row = append(row, int64(free))
+	}
+	return row
+}
+
+func beatOf(row []int64, version uint64, services []string) (member.Beat, bool) {
+	if len(row) < 3 || row[0] < 0 || row[1] < 0 || int64(version)-row[2] < 0 {
+		return member.Beat{}, false
+	}
+	b := member.Beat{
+		Digest: uint32(row[0]), Sequence: uint64(row[1]), Version: uint64(int64(version) - row[2]),
+		Rooms: make(map[string]int),
+	}
+	for i, free := range row[3:] {
+		if i < len(services) && free >= 0 {
+			b.Rooms[services[i]] = int(free)
+		}
+	}
+	return b, true
+}
+
+// wanted returns the digests to ask for and notes the time of the question.
+func (s *Service) wanted() []uint32 {
+	now := s.deps.Now()
+	var out []uint32
+	for digest, asked := range s.wants {
+		if _, known := s.table.Known(digest); known || (!asked.IsZero() && now.Sub(asked) > 4*wantAgain) {
+			delete(s.wants, digest)
+			continue
+		}
+		if len(out) < maxMembers && (asked.IsZero() || now.Sub(asked) > wantAgain) {
+			out = append(out, digest)
+			s.wants[digest] = now
+		}
+	}
+	return out
+}
+
+func (s *Service) doubts() []uint32 {
+	var out []uint32
+	for _, m := range s.table.Members() {
+		if m.State() == member.Suspect && len(out) < maxDoubts {
+			out = append(out, m.Digest())
+		}
+	}
+	return out
+}
+
+func (s *Service) loansFor(peer string) []loanForm {
+	if !s.owed[peer] {
+		return nil
+	}
+	now := s.deps.Now()
+	var out []loanForm
+	for _, l := range s.lent {
+		if left := l.Until.Sub(now); l.To == peer && left > 0 {
+			out = append(out, loanForm{Link: l.Link, Rate: l.Rate, Left: left.Milliseconds()})
+		}
+	}
+	return out
+}
+
+// absorb takes over a message from the named peer. The caller holds the lock.
+func (s *Service) absorb(peer member.Member, m exchangeForm, sent time.Time) {
+	now := s.deps.Now()
+	before := s.table.Standing()
+	s.table.Merge(now, membersOf(m.Members, 4*maxMembers))
+	for _, row := range m.Beats[:min(len(m.Beats), 1024)] {
+		b, ok := beatOf(row, m.Version, m.Services)
+		if !ok {
+			continue
+		}
+		if _, known := s.table.Beat(now, b); !known {
+			s.count.unknowns.Add(1)
+			if _, asked := s.wants[b.Digest]; !asked {
+				s.wants[b.Digest] = time.Time{}
+			}
+		}
+	}
+	if self := s.table.Self().Digest(); slices.Contains(m.Doubt, self) {
+		s.table.Refute(now)
+	}
+	if len(m.Loans) > 0 {
+		s.loans[peer.Name()] = takeLoans(peer.Name(), s.settings.Self.Name(), m.Loans, sent)
+	}
+	s.compare(peer, m)
+	s.reportStanding(before)
+}
+
+// takeLoans starts a loan's remaining time when its message was asked for, so that it ends no later than the lender counts.
+func takeLoans(from, to string, forms []loanForm, sent time.Time) []Loan {
+	var out []Loan
+	for _, f := range forms {
+		out = append(out, Loan{From: from, To: to, Link: f.Link, Rate: f.Rate, Until: sent.Add(time.Duration(f.Left) * time.Millisecond)})
+	}
+	return out
+}
+
+// compare looks at the peer's configuration version.
+func (s *Service) compare(peer member.Member, m exchangeForm) {
+	version, hash, _ := s.deps.Holder.Raw()
+	switch {
+	case m.Version > version:
+		s.ask(peer, m.Version)
+	case m.Version == version && version > 0 && m.Hash != hex.EncodeToString(hash[:hashBytes]):
+		s.deps.Events.Log(event.ConfigurationDiffers, "peer", peer.Name(), "version", version)
+	}
+}
+
+func (s *Service) reportStanding(before member.Standing) {
+	after := s.table.Standing()
+	if after == before {
+		return
+	}
+	switch after {
+	case member.Contested:
+		s.deps.Events.Log(event.IncarnationContested, "entry", s.settings.Self.Name())
+	case member.Superseded:
+		s.deps.Events.Log(event.IncarnationSuperseded, "entry", s.settings.Self.Name())
+	}
+}
+
+// records returns the full records behind the digests that a peer asked for.
+func (s *Service) records(want []uint32) []memberForm {
+	var out []memberForm
+	for _, digest := range want[:min(len(want), 4*maxMembers)] {
+		if m, ok := s.table.Known(digest); ok {
+			out = append(out, formOf(m))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/lookup/doc.go
@@ -0,0 +1,2 @@
+// Package lookup answers which entries a caller should use.
+package lookup
--- /dev/null
+++ b/internal/fleet/member/table_test.go
@@ -0,0 +1,131 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackspool/internal/fleet/member"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(name string, run byte, epoch uint32, sequence uint64) member.Member {
+	return member.New(member.Fields{
+		Name: name, Incarnation: [16]byte{run}, Epoch: epoch, Sequence: sequence, Zone: "a", Region: "r",
+	})
+}
+
+func state(t *testing.T, table *member.Table, name string) member.State {
+	t.Helper()
+	m, ok := table.Member(name)
+	if !ok {
+		t.Fatalf("%s is unknown", name)
+	}
+	return m.State()
+}
+
+// Guards against a short pause that takes a member out, and against one that never does.
+func TestPauseSuspectsBeforeItKills(t *testing.T) {
+	table := member.NewTable(start, entry("self", 1, 0, 0))
+	table.Merge(start, []member.Member{entry("b", 2, 0, 1)})
+	for _, step := range []struct {
+		after time.Duration
+		want  member.State
+	}{{1400 * time.Millisecond, member.Alive}, {1700 * time.Millisecond, member.Suspect}, {4900 * time.Millisecond, member.Suspect}, {5100 * time.Millisecond, member.Dead}} {
+		table.Tick(start.Add(step.after), 100*time.Millisecond)
+		if got := state(t, table, "b"); got != step.want {
+			t.Errorf("after %v: %v, want %v", step.after, got, step.want)
+		}
+	}
+	b := entry("b", 2, 0, 1)
+	table.Beat(start.Add(6*time.Second), member.Beat{Digest: b.Digest(), Sequence: 1})
+	if got := state(t, table, "b"); got != member.Dead {
+		t.Errorf("a repeated heartbeat made the member %v", got)
+	}
+	table.Beat(start.Add(6*time.Second), member.Beat{Digest: b.Digest(), Sequence: 2})
+	if got := state(t, table, "b"); got != member.Alive {
+		t.Errorf("after a new heartbeat: %v", got)
+	}
+}
+
+// Guards against a leaving member that a suspicion or an old record turns back to alive.
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	source := member.NewTable(start, entry("b", 2, 0, 1))
+	source.Leave(start, []string{"c"})
+	table := member.NewTable(start, entry("self", 1, 0, 0))
+	table.Merge(start, []member.Member{entry("b", 2, 0, 1), source.Self(), entry("b", 2, 0, 1)})
+	table.Tick(start.Add(6*time.Second), 0)
+	source.Advance(start, 0)
+	table.Beat(start.Add(7*time.Second), member.Beat{Digest: source.Self().Digest(), Sequence: source.Self().Sequence()})
+	if got := state(t, table, "b"); got != member.Leaving {
+		t.Errorf("state = %v, want leaving", got)
+	}
+	if got := table.Heirs([16]byte{2}); len(got) != 1 || got[0] != "c" {
+		t.Errorf("heirs = %v", got)
+	}
+	table.Tick(start.Add(2*time.Hour), 0)
+	if got := table.Heirs([16]byte{2}); len(got) != 0 {
+		t.Errorf("heirs after the retention = %v", got)
+	}
+}
+
+// Guards against a replaced entry whose random incarnation ranks below that of the process it replaces.
+func TestFreshIncarnationOutranksTheOldOne(t *testing.T) {
+	table := member.NewTable(start, entry("b", 1, 0, 1))
+	table.Merge(start, []member.Member{entry("b", 9, 4, 700)})
+	peer := member.NewTable(start, entry("self", 3, 0, 0))
+	peer.Merge(start, []member.Member{entry("b", 9, 4, 700), table.Self()})
+	if !peer.Current("b", [16]byte{1}) {
+		t.Error("the peer still holds the old incarnation for current")
+	}
+}
+
+// Guards against an old process that wakes and takes its name back from the running one, and against a running
+// process that yields to the stale record of a stopped one.
+func TestOldIncarnationThatWakesIsSuperseded(t *testing.T) {
+	old := member.NewTable(start, entry("b", 9, 0, 700))
+	old.Confirm()
+	old.Merge(start, []member.Member{entry("b", 1, 1, 5)})
+	if old.Standing() != member.Contested {
+		t.Fatalf("standing = %v, want contested", old.Standing())
+	}
+	old.Merge(start, []member.Member{entry("b", 1, 1, 6)})
+	old.Tick(start.Add(time.Minute), 0)
+	old.Confirm()
+	if old.Standing() != member.Superseded {
+		t.Errorf("standing = %v, want superseded", old.Standing())
+	}
+	running := member.NewTable(start, entry("b", 1, 0, 5))
+	running.Confirm()
+	running.Merge(start, []member.Member{entry("b", 9, 0, 700)})
+	running.Tick(start.Add(6*time.Second), 0)
+	if running.Standing() == member.Superseded || running.Self().Epoch() != 1 {
+		t.Errorf("standing = %v, epoch = %d", running.Standing(), running.Self().Epoch())
+	}
+}
+
+// Guards against a floor that a replaced entry with an older configuration lowers.
+func TestFloorNeverFalls(t *testing.T) {
+	table := member.NewTable(start, entry("self", 1, 0, 0))
+	f := entry("b", 2, 0, 1).Fields()
+	f.Version = 41
+	table.Merge(start, []member.Member{member.New(f), entry("b", 3, 1, 1)})
+	if got := table.Floor("b"); got != 41 {
+		t.Errorf("floor = %d, want 41", got)
+	}
+}
+
+// Guards against a configuration without watchers, or more of them, when members are lost.
+func TestWatchersAreThreeLiveMembers(t *testing.T) {
+	var all []member.Member
+	for i := range 12 {
+		f := entry(string(rune('a'+i)), byte(i), 0, 1).Fields()
+		if i%2 == 0 {
+			f.State = member.Dead
+		}
+		all = append(all, member.New(f))
+	}
+	if got := member.Watchers(all, 3); len(got) != 3 {
+		t.Errorf("watchers = %v", got)
+	}
+}
