internal/measure/forward: count direct calls in the half load

Cause: direct calls came on top of half of the full rate, so times were taken at more than half load; connections of idle callers were counted as uploads. Change: both kinds of calls together make half load; closed connections are let go of before the next phase.

--- a/internal/measure/forward/report.go
+++ b/internal/measure/forward/report.go
@@ -29,7 +29,7 @@
 type Level struct {
 	Callers int
 	Full    float64 // Full is the requests/s through the entry when every caller sends without a pause.
-	Rate    float64 // Rate is the requests/s at which the times were taken, about half of Full.
+	Rate    float64 // Rate is the requests/s at which the times were taken; the direct calls have the same rate, and both together make half load.
 	Direct  Quantiles
 	Through Quantiles
 	Added   Quantiles // Added is Through less Direct.
--- a/internal/measure/forward/run.go
+++ b/internal/measure/forward/run.go
@@ -120,7 +120,7 @@
 func viaEntry(p *pair) *caller  { return p.through }
 func viaTarget(p *pair) *caller { return p.direct }
 
-// level measures the times at half of the rate that the callers reach at full speed.
+// level measures the times at half of the load that the callers make at full speed.
 func level(ctx context.Context, r *rig, s Settings, n int) (Level, int64, error) {
 	all, err := pairs(ctx, r, s, n)
 	defer func() { closeAll(all) }()
@@ -131,8 +131,13 @@
 	if err != nil {
 		return Level{}, 0, err
 	}
-	// A pair makes a direct call and one through the entry per period.
-	period := time.Duration(2 * float64(n) / full * float64(time.Second))
+	fullDirect, err := each(all, s.Length/2, busy(viaTarget))
+	if err != nil {
+		return Level{}, 0, err
+	}
+	// A pair makes a direct call and one through the entry per period; both
+	// kinds together take half of the time that the callers have at full speed.
+	period := time.Duration(2 * float64(n) * (1/full + 1/fullDirect) * float64(time.Second))
 	rate, err := each(all, s.Length, paced(ctx, period))
 	if err != nil {
 		return Level{}, 0, err
--- a/internal/measure/forward/work.go
+++ b/internal/measure/forward/work.go
@@ -62,6 +62,9 @@
 	return nil
 }
 
+// settle is the time in which servers let go of closed connections.
+const settle = time.Second
+
 // memory returns the bytes of heap and stacks in use after a collection.
 func memory() int64 {
 	runtime.GC()
@@ -79,6 +82,7 @@
 		for _, c := range all {
 			c.close()
 		}
+		time.Sleep(settle)
 	}()
 	for range n {
 		c, err := dial(ctx, r.entry, through)
