internal/request/forward: keep request, URL and answer inside the attempt

Cause: each was an allocation per attempt, and the late counter a closure. Change: they are fields of the attempt; the pool takes a counter.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -41,6 +41,11 @@
 	kind    Kind
 	resp    *http.Response
 	values
+
+	// What an attempt needs once lies here and not in allocations of its own.
+	req    http.Request
+	url    url.URL
+	answer answer
 }
 
 func (t *attempt) remaining() time.Duration {
@@ -64,7 +69,8 @@
 // request returns the HTTP request of the attempt.
 func (t *attempt) request() *http.Request {
 	j := t.j
-	u := &url.URL{Scheme: "http", Host: t.address, RawQuery: j.r.URL.RawQuery}
+	u := &t.url
+	*u = url.URL{Scheme: "http", Host: t.address, RawQuery: j.r.URL.RawQuery}
 	if t.relay {
 		u.Path, u.RawPath = j.r.URL.Path, j.r.URL.RawPath
 	} else {
@@ -73,11 +79,12 @@
 			u.Path = path
 		}
 	}
-	return &http.Request{
+	t.req = http.Request{
 		Method: j.r.Method, URL: u, Host: t.address, Header: t.headers(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: j.body.reader(j.ctx, t.pacer), ContentLength: j.body.length,
 	}
+	return &t.req
 }
 
 // run sends the request and takes in the response, or the beginning of a long one.
@@ -100,7 +107,7 @@
 	}
 	resp, err := t.pool.Do(t.j.ctx, pool.Call{
 		Address: t.address, Conns: t.conns, Attempt: t.id, Once: t.j.service.Once(),
-		Request: req, Hold: hold, Late: func() { t.j.counts.late.Inc(1) },
+		Request: req, Hold: hold, Late: t.j.counts.late,
 	})
 	t.latency = time.Since(t.start)
 	if err != nil {
--- a/internal/request/forward/respond.go
+++ b/internal/request/forward/respond.go
@@ -38,7 +38,8 @@
 
 // takeIn reads a response of up to 64 KB completely, before anything goes to the caller.
 func (t *attempt) takeIn() (*answer, *verdict.Error) {
-	a := &answer{t: t, served: t.name, via: t.f.s.Name}
+	a := &t.answer
+	*a = answer{t: t, served: t.name, via: t.f.s.Name}
 	if t.relay {
 		a.served, a.reason = t.resp.Header.Get(headerServed), t.resp.Header.Get(headerReason)
 		a.via = t.resp.Header.Get(headerVia) + ", " + t.f.s.Name
--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -111,7 +111,7 @@
 }
 
 // linger waits for the answer to an abandoned attempt, counts it and drops it.
-func (p *Pool) linger(c *conn, late func()) bool {
+func (p *Pool) linger(c *conn, late Counter) bool {
 	if p.lingers.Add(1) > maxLingers || !p.goes() {
 		p.lingers.Add(-1)
 		return false
@@ -123,7 +123,7 @@
 		if c.lateByte(time.Now().Add(lingerTime)) {
 			p.late.Add(1)
 			if late != nil {
-				late()
+				late.Inc(1)
 			}
 		}
 	}()
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -27,6 +27,9 @@
 	closed   bool
 }
 
+// Counter counts; it is safe for concurrent use.
+type Counter interface{ Inc(n int64) }
+
 // Call is one request to a remote address.
 type Call struct {
 	Address string
@@ -35,7 +38,7 @@
 	Once    bool          // Once has an idle connection probed before it carries the request.
 	Request *http.Request // Request is written as it is; its Body is streamed.
 	Hold    bool          // Hold keeps the body back until the other side has asked for it or a second has passed.
-	Late    func()        // Late is called when the answer arrives after the call was abandoned; it may be nil.
+	Late    Counter       // Late counts an answer that arrives after the call was abandoned; it may be nil.
 }
 
 // New returns a pool that opens connections by dial.
