internal/request/forward: log a failing target once per second

Cause: a dead target fails thousands of attempts per second, each with a log line. Change: equal events about the same target or entry are at least 1 s apart. Tests for the settings' ranges and for the counters of verdicts. Conclusion: the log stays readable; counters count every attempt.

--- a/internal/request/forward/dispatch.go
+++ b/internal/request/forward/dispatch.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"tamarackspool/internal/record/event"
 	"tamarackspool/internal/request/verdict"
 )
 
@@ -155,15 +154,3 @@
 	}
 	return h
 }
-
-// report logs what operators have to look at.
-func (f *Forwarder) report(t *attempt, err *verdict.Error) {
-	switch {
-	case t.kind == Silent:
-		f.d.Log.Log(event.ConnectionSilent, "to", t.name, "address", t.address, "service", t.j.service.Name())
-	case t.kind == Failed && err.Reason() == verdict.ReasonShort:
-		f.d.Log.Log(event.AnswerCut, "to", t.name, "service", t.j.service.Name())
-	case t.kind == Failed:
-		f.d.Log.Log(event.TargetLost, "to", t.name, "address", t.address, "service", t.j.service.Name(), "err", err)
-	}
-}
--- a/internal/request/forward/failure_test.go
+++ b/internal/request/forward/failure_test.go
@@ -125,6 +125,9 @@
 				if r.runs() != c.runs || len(target.Repeated(r.stand["t1"], r.stand["t2"])) > 0 {
 					t.Errorf("order ran %d times, want %d", r.runs(), c.runs)
 				}
+				if n := r.count("gifts.may-have-run"); (n == 1) != (c.v == verdict.MayHaveRun) {
+					t.Errorf("%d orders counted as may-have-run", n)
+				}
 				if got = r.read(); got.served != "t2" {
 					t.Errorf("read is not served elsewhere: %+v", got)
 				}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -27,6 +27,7 @@
 	serial   atomic.Uint64
 	services sync.Map // services maps a service's name to its *counters.
 	attempts *attempts
+	reported reported
 }
 
 // New returns a forwarder, or an error that names the wrong setting.
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -1,7 +1,9 @@
 package forward_test
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"tamarackspool/internal/request/forward"
 	"tamarackspool/internal/request/verdict"
@@ -47,8 +49,29 @@
 		}
 		r.stand["t2"].Set(target.Faults{Shedding: true})
 		r.expect(r.do(r.request("GET", "status/a", nil)), 503, verdict.NotRun, verdict.ReasonShed)
-		if n := r.count("status.retries"); n != 3 {
-			t.Errorf("%d retries, want 3", n)
+		if n, m := r.count("status.retries"), r.count("status.not-run"); n != 3 || m != 1 {
+			t.Errorf("%d retries and %d requests not run, want 3 and 1", n, m)
 		}
 	})
 }
+
+// Guards against settings out of their range, and errors that do not name them.
+func TestSettingsAreChecked(t *testing.T) {
+	ok := forward.Settings{Name: "e1", Key: "k"}
+	if _, err := ok.Check(); err != nil {
+		t.Error(err)
+	}
+	for name, change := range map[string]func(s *forward.Settings){
+		"Key":     func(s *forward.Settings) { s.Key = "" },
+		"Opening": func(s *forward.Settings) { s.Opening = time.Hour },
+		"Header":  func(s *forward.Settings) { s.Header = -1 },
+		"Slow":    func(s *forward.Settings) { s.Slow = time.Millisecond },
+		"Retry":   func(s *forward.Settings) { s.Retry = 2 },
+	} {
+		s := ok
+		change(&s)
+		if _, err := s.Check(); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
