internal/request/pool: bound the connections that ask about attempts

Cause: every request that waits 2 s for its response opened a connection to ask about it, which adds load to a target that is slow already. Change: at most two such connections per address; further questions wait.

--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -46,7 +46,15 @@
 
 // side uses a connection of its own, because those of the pool may be the silent ones.
 func (p *Pool) side(ctx context.Context, method, address, attempt string) State {
-	c, err := p.connect(ctx, p.path(address))
+	t := p.path(address)
+	// A target that makes hundreds of requests wait must not get as many connections on top.
+	select {
+	case t.side <- struct{}{}:
+		defer func() { <-t.side }()
+	case <-ctx.Done():
+		return Unreachable
+	}
+	c, err := p.connect(ctx, t)
 	if err != nil {
 		return Unreachable
 	}
--- a/internal/request/pool/path.go
+++ b/internal/request/pool/path.go
@@ -17,6 +17,7 @@
 	opening int
 	born    uint64
 	waiters []chan struct{}
+	side    chan struct{} // side holds a value per connection of its own for a question.
 }
 
 // take returns an unused connection, or the right to open one, or waits.
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -92,7 +92,9 @@
 	if v, ok := p.paths.Load(address); ok {
 		return v.(*path)
 	}
-	v, _ := p.paths.LoadOrStore(address, &path{address: address, open: make(map[*conn]bool)})
+	v, _ := p.paths.LoadOrStore(address, &path{
+		address: address, open: make(map[*conn]bool), side: make(chan struct{}, sideConns),
+	})
 	return v.(*path)
 }
 
--- a/internal/request/pool/pool_test.go
+++ b/internal/request/pool/pool_test.go
@@ -143,6 +143,27 @@
 	})
 }
 
+// Guards against questions about attempts that open a connection per waiting request.
+func TestQuestionsAreBounded(t *testing.T) {
+	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
+		p.mute.Store(1000)
+		within, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		done := make(chan pool.State)
+		for range 50 {
+			go func() { done <- c.Ask(within, "a", "1") }()
+		}
+		for range 50 {
+			if s := <-done; s != pool.Unreachable {
+				t.Errorf("state %v", s)
+			}
+		}
+		if n := p.dials.Load(); n > 4 {
+			t.Errorf("%d connections for 50 questions, want at most 2 at a time", n)
+		}
+	})
+}
+
 // Guards against a request that is reported as not written and arrives all the same.
 func TestNothingWrittenIsProof(t *testing.T) {
 	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
