internal/request/forward: send the owner's free slots with relayed answers

Cause: the steering takes a peer's free slots from relayed answers, because counts that come by gossip are several hundred milliseconds old. A relayed refusal for a passed deadline looked like a shed. Change: answers to entries carry the header Free, which Result hands on and callers never see. Refusals that say nothing about room end as Cancelled. Unexported names of the pool follow the usual terms. Conclusion: tested through two entries.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"tamarackspool/internal/request/pool"
@@ -63,7 +64,12 @@
 	if t.j.body.rest != nil {
 		out = t.j.body.rest.count.Load()
 	}
-	t.c.Done(Result{Kind: k, Latency: t.latency, Out: out, In: in})
+	r := Result{Kind: k, Latency: t.latency, Out: out, In: in}
+	if t.relay && t.resp != nil {
+		n, err := strconv.Atoi(t.resp.Header.Get(headerFree))
+		r.Free, r.Counted = n, err == nil && n >= 0
+	}
+	t.c.Done(r)
 }
 
 // request returns the HTTP request of the attempt.
--- a/internal/request/forward/check_test.go
+++ b/internal/request/forward/check_test.go
@@ -159,6 +159,9 @@
 		if r.orders.begun != 1 || !r.chooser.requests[1].Relayed {
 			t.Errorf("key was asked for %d times; owner chose by %+v", r.orders.begun, r.chooser.requests[1])
 		}
+		if l := r.chooser.last; !l.Counted || l.Free != 7 {
+			t.Errorf("the owner's free slots were not taken over: %+v", l)
+		}
 		var seen http.Header
 		r.replace(func(_ http.ResponseWriter, q *http.Request) { seen = q.Header })
 		r.chooser.relay = "gone"
--- a/internal/request/forward/dependencies.go
+++ b/internal/request/forward/dependencies.go
@@ -41,6 +41,8 @@
 	Kind    Kind
 	Latency time.Duration // Latency is the time until the response header arrived.
 	Out, In int64         // Out and In are the bytes of the bodies of request and response.
+	Counted bool          // Counted means that the other entry sent its count of free slots.
+	Free    int           // Free is that count.
 }
 
 // Choice is where an attempt goes. It holds a slot until Done, which is called exactly once.
@@ -118,10 +120,12 @@
 	Configuration Configuration
 	Links         Links                          // Links may be nil.
 	Home          func(caller netip.Addr) string // Home returns a caller's region; nil or an empty result means the entry's own.
-	Targets       *pool.Pool
-	Entries       *pool.Pool // Entries is the pool of connections to other entries; its Header must be that of PeerHeader.
-	Now           func() time.Time
-	Log           Log
-	Metrics       metrics.Registry
-	Seed          uint64
+	// Free returns this entry's free slots of a service, which relayed answers carry; it may be nil.
+	Free    func(service string) (int, bool)
+	Targets *pool.Pool
+	Entries *pool.Pool // Entries is the pool of connections to other entries; its Header must be that of PeerHeader.
+	Now     func() time.Time
+	Log     Log
+	Metrics metrics.Registry
+	Seed    uint64
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -72,6 +72,7 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(f.d.Now())))
 	defer cancel()
 	j.w, j.ctx = w, ctx
+	f.countFree(j)
 	if err := f.takeBody(j); err != nil {
 		f.tell(j, err)
 		return
@@ -100,6 +101,16 @@
 	f.deliver(j, a)
 }
 
+// countFree tells the entry that relayed a request how many slots are free here.
+func (f *Forwarder) countFree(j *job) {
+	if !j.relayed || f.d.Free == nil {
+		return
+	}
+	if n, ok := f.d.Free(j.service.Name()); ok {
+		j.w.Header().Set(headerFree, strconv.Itoa(n))
+	}
+}
+
 // noAgent keeps net/http from adding a header of its own.
 var noAgent = []string{""}
 
--- a/internal/request/forward/header.go
+++ b/internal/request/forward/header.go
@@ -22,6 +22,8 @@
 	headerHop       = "Hop"
 	headerHome      = "Home"
 	headerPeerKey   = "Peer-Key"
+	// headerFree is the answering entry's count of free slots; it stays between entries.
+	headerFree = "Free"
 	// headerGranted says that the home of the idempotency key has granted the
 	// run, so that the receiver forwards it and does not ask for the key again.
 	headerGranted = "Granted"
@@ -55,7 +57,7 @@
 // answerDrop holds the headers of a target's response that are not copied.
 var answerDrop = func() map[string]bool {
 	m := make(map[string]bool)
-	for _, h := range slices.Concat(hops, []string{headerVerdict, headerReason, headerServed, headerVia, headerShed}) {
+	for _, h := range slices.Concat(hops, []string{headerVerdict, headerReason, headerServed, headerVia, headerShed, headerFree}) {
 		m[h] = true
 	}
 	return m
@@ -93,7 +95,7 @@
 // values holds the values of headers that an attempt or an answer sets, in one
 // piece of memory instead of one per header.
 type values struct {
-	kept [8]string
+	kept [8]string // A relay sets the most headers.
 	n    int
 }
 
--- a/internal/request/forward/respond.go
+++ b/internal/request/forward/respond.go
@@ -23,10 +23,7 @@
 	if v == verdict.Ran {
 		return t.takeIn()
 	}
-	t.kind = Shed
-	if v == verdict.MayHaveRun {
-		t.kind = Failed
-	}
+	t.kind = refusal(v, verdict.Reason(h.Get(headerReason)))
 	t.discard()
 	e := verdict.New(v, verdict.Reason(h.Get(headerReason)), t.resp.StatusCode,
 		errors.New("forward: told by entry "+t.name))
@@ -36,6 +33,18 @@
 	return nil, e
 }
 
+// refusal returns what another entry's refusal says about its room.
+func refusal(v verdict.Verdict, r verdict.Reason) Kind {
+	switch {
+	case v == verdict.MayHaveRun:
+		return Failed
+	case r == verdict.ReasonDeadline, r == verdict.ReasonCancelled, r == verdict.ReasonInput, r == verdict.ReasonTenant:
+		return Cancelled
+	default:
+		return Shed
+	}
+}
+
 // takeIn reads a response of up to 64 KB completely, before anything goes to the caller.
 func (t *attempt) takeIn() (*answer, *verdict.Error) {
 	a := &t.answer
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -180,6 +180,7 @@
 	r.f, err = forward.New(s, forward.Dependencies{
 		Chooser: r.chooser, Peers: peers{}, Orders: r.orders, Configuration: r, Links: r.chooser,
 		Targets: r.targets, Entries: r.entries, Log: event.New(log.NewNopLogger()), Metrics: r.m, Seed: 1,
+		Free: func(string) (int, bool) { return 7, true },
 	})
 	if err != nil {
 		r.t.Fatal(err)
@@ -254,6 +255,7 @@
 	hops     int // hops is the number of relays after which targets are chosen.
 	held     int
 	kinds    []forward.Kind
+	last     forward.Result
 	out, in  int
 	requests []forward.Request
 }
@@ -295,6 +297,7 @@
 	defer c.c.mu.Unlock()
 	c.c.held--
 	c.c.kinds = append(c.c.kinds, r.Kind)
+	c.c.last = r
 }
 
 // Link paces nothing and counts the bytes.
--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -120,7 +120,7 @@
 
 // linger waits for the answer to an abandoned attempt, counts it and drops it.
 func (p *Pool) linger(c *conn, late Counter) bool {
-	if p.lingers.Add(1) > maxLingers || !p.goes() {
+	if p.lingers.Add(1) > maxLingers || !p.start() {
 		p.lingers.Add(-1)
 		return false
 	}
--- a/internal/request/pool/body.go
+++ b/internal/request/pool/body.go
@@ -7,16 +7,16 @@
 	"time"
 )
 
-var errGiven = errors.New("pool: body is not wanted")
+var errUnwanted = errors.New("pool: body is not wanted")
 
 // upload streams a request's body; it flushes what was written before it waits for more.
 type upload struct {
-	from  io.ReadCloser
-	flush func() error
-	go1   chan struct{} // go1 is closed when the body may be sent.
-	ended chan struct{} // ended is closed when the body is not wanted any more.
-	over  chan struct{} // over is closed when the request has been written or has failed.
-	err   error
+	from   io.ReadCloser
+	flush  func() error
+	wanted chan struct{} // wanted is closed when the body may be sent.
+	ended  chan struct{} // ended is closed when the body is not wanted any more.
+	over   chan struct{} // over is closed when the request has been written or has failed.
+	err    error
 
 	open, shut, end sync.Once
 }
@@ -24,7 +24,7 @@
 func newUpload(from io.ReadCloser, flush func() error, hold bool) *upload {
 	u := &upload{
 		from: from, flush: flush,
-		go1: make(chan struct{}), ended: make(chan struct{}), over: make(chan struct{}),
+		wanted: make(chan struct{}), ended: make(chan struct{}), over: make(chan struct{}),
 	}
 	if !hold {
 		u.release()
@@ -32,11 +32,11 @@
 	return u
 }
 
-func (u *upload) release() { u.open.Do(func() { close(u.go1) }) }
-func (u *upload) give()    { u.shut.Do(func() { close(u.ended) }) }
+func (u *upload) release() { u.open.Do(func() { close(u.wanted) }) }
+func (u *upload) abandon() { u.shut.Do(func() { close(u.ended) }) }
 
 // unwanted ends a body that is still held back; one that is on its way goes on.
-func (u *upload) unwanted() { u.open.Do(u.give) }
+func (u *upload) unwanted() { u.open.Do(u.abandon) }
 
 func (u *upload) finish(err error) {
 	u.end.Do(func() {
@@ -62,8 +62,8 @@
 	}
 	select {
 	case <-u.ended:
-		return 0, errGiven
-	case <-u.go1:
+		return 0, errUnwanted
+	case <-u.wanted:
 		return u.from.Read(p)
 	default:
 	}
@@ -71,8 +71,8 @@
 	defer t.Stop()
 	select {
 	case <-u.ended:
-		return 0, errGiven
-	case <-u.go1:
+		return 0, errUnwanted
+	case <-u.wanted:
 	case <-t.C:
 		u.release()
 	}
--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -58,7 +58,7 @@
 	if b, ok := r.Body.(Whole); ok && b.Whole() {
 		return e.write()
 	}
-	if !e.p.goes() {
+	if !e.p.start() {
 		return errClosed
 	}
 	e.body = newUpload(r.Body, e.c.bw.Flush, e.call.Hold)
@@ -69,14 +69,14 @@
 		e.body.finish(err)
 		if err != nil {
 			// The reader must not wait for a response to half a request.
-			_ = e.c.raw.SetReadDeadline(time.Now().Add(lastWords))
+			_ = e.c.raw.SetReadDeadline(time.Now().Add(finalWait))
 		}
 	}()
 	return nil
 }
 
-// lastWords is how long a response may still arrive after the body could not be sent.
-const lastWords = 100 * time.Millisecond
+// finalWait is how long a response may still arrive after the body could not be sent.
+const finalWait = 100 * time.Millisecond
 
 // Whole is implemented by bodies that are held in memory, which are sent before the response is awaited.
 type Whole interface{ Whole() bool }
@@ -192,7 +192,7 @@
 	kind := e.c.kindOf(e.ctx, err)
 	written := e.c.seal()
 	if e.body != nil {
-		e.body.give()
+		e.body.abandon()
 	}
 	switch {
 	case kind == Silent:
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -98,8 +98,8 @@
 	return v.(*path)
 }
 
-// goes reports whether a goroutine of the pool may start; the caller then calls wg.Done at its end.
-func (p *Pool) goes() bool {
+// start reports whether a goroutine of the pool may start; the caller then calls wg.Done at its end.
+func (p *Pool) start() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
