--- a/internal/request/forward/check_test.go
+++ b/internal/request/forward/check_test.go
@@ -130,23 +130,25 @@
 	})
 }
 
-func (r *rig) relayed(path, hop, key string) reply {
-	q := r.request("GET", path, nil, "Hop", hop, "Peer-Key", key)
-	q.URL.Host = passPort.String()
+func (r *rig) relayed(hop, key string) reply { return r.peer("GET", "/run/status/a", hop, key, "") }
+
+func (r *rig) peer(method, path, hop, key, id string) reply {
+	q := r.request(method, "", nil, "Hop", hop, "Peer-Key", key, "Attempt", id)
+	q.URL.Host, q.URL.Path = passPort.String(), path
 	return r.do(q)
 }
 
 // Guards against requests that go round between entries.
 func TestRelayLoop(t *testing.T) {
 	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
-		r.expect(r.relayed("status/a", "4", token), 503, verdict.NotRun, verdict.ReasonHops)
+		r.expect(r.relayed("4", token), 503, verdict.NotRun, verdict.ReasonHops)
 		r.chooser.relay, r.chooser.hops, r.chooser.targets = "e2", 9, nil
 		r.expect(r.do(r.request("POST", "status/a", text(1))), 503, verdict.NotRun, verdict.ReasonHops)
 		if q := r.chooser.requests; q[3].Hops != 3 {
 			t.Errorf("hops of the choices are %+v", q)
 		}
 		r.chooser.relay = "gone"
-		r.expect(r.relayed("status/a", "3", token), 503, verdict.NotRun, verdict.ReasonHops)
+		r.expect(r.relayed("3", token), 503, verdict.NotRun, verdict.ReasonHops)
 	})
 }
 
@@ -201,30 +203,23 @@
 // Guards against relays without the token of the entries.
 func TestForgedPeer(t *testing.T) {
 	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
-		r.expect(r.relayed("status/a", "1", token+"x"), 403, verdict.NotRun, verdict.ReasonInput)
-		r.expect(r.relayed("status/a", "1", ""), 403, verdict.NotRun, verdict.ReasonInput)
-		r.expect(r.relayed("status/a", "", token), 400, verdict.NotRun, verdict.ReasonInput)
-		r.expect(r.relayed("status/a", "1", token), 200, verdict.Ran, "")
+		r.expect(r.relayed("1", token+"x"), 403, verdict.NotRun, verdict.ReasonInput)
+		r.expect(r.relayed("1", ""), 403, verdict.NotRun, verdict.ReasonInput)
+		r.expect(r.relayed("", token), 400, verdict.NotRun, verdict.ReasonInput)
+		r.expect(r.relayed("1", token), 200, verdict.Ran, "")
 	})
 }
 
 // Guards against a relayed attempt that runs after it was cancelled, or twice.
 func TestRelayedAttemptArrivesLateOrTwice(t *testing.T) {
 	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
-		send := func(method, path, id string) reply {
-			q := r.request(method, "status/a", nil, "Hop", "1", "Peer-Key", token, "Attempt", id)
-			q.URL.Host = passPort.String()
-			if path != "" {
-				q.URL.Path = path
-			}
-			return r.do(q)
-		}
-		if got := send("DELETE", "/attempt/x", ""); got.body != `{"state":"dropped"}` {
+		get := func(id string) reply { return r.peer("GET", "/run/status/a", "1", token, id) }
+		if got := r.peer("DELETE", "/attempt/x", "1", token, ""); got.body != `{"state":"dropped"}` {
 			t.Errorf("DELETE: %s", got.body)
 		}
-		r.expect(send("GET", "", "x"), 503, verdict.NotRun, verdict.ReasonCancelled)
-		r.expect(send("GET", "", "y"), 200, verdict.Ran, "")
-		r.expect(send("GET", "", "y"), 502, verdict.MayHaveRun, verdict.ReasonRepeat)
+		r.expect(get("x"), 503, verdict.NotRun, verdict.ReasonCancelled)
+		r.expect(get("y"), 200, verdict.Ran, "")
+		r.expect(get("y"), 502, verdict.MayHaveRun, verdict.ReasonRepeat)
 		if r.runs() != 1 {
 			t.Errorf("%d runs, want 1", r.runs())
 		}
--- /dev/null
+++ b/internal/request/forward/promise_test.go
@@ -0,0 +1,62 @@
+package forward_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/request/forward"
+	"tamarackspool/internal/standin/target"
+)
+
+// Guards against an order that runs although its caller was told not-run, or
+// that runs twice, under changing faults and callers that give up.
+func TestVerdictsHoldUnderFaults(t *testing.T) {
+	kinds := make(map[string]int)
+	for seed := range uint64(8) {
+		run(t, forward.Settings{Spare: 1000}, func(t *testing.T, r *rig) {
+			told := make(map[string]string)
+			var mu sync.Mutex
+			var callers sync.WaitGroup
+			for c := range 8 {
+				callers.Go(func() {
+					own := rand.New(rand.NewPCG(seed, uint64(c)))
+					for i := range 40 {
+						key := fmt.Sprintf("k%d-%d", c, i)
+						got := r.order("Idempotency-Key", key, "Timeout", []string{"4", "20", "100", "5000"}[own.IntN(4)])
+						mu.Lock()
+						told[key] = got.verdict
+						mu.Unlock()
+					}
+				})
+			}
+			faults := rand.New(rand.NewPCG(seed, 100))
+			for range 400 {
+				time.Sleep(time.Duration(faults.IntN(50)) * time.Millisecond)
+				s := r.stand[[]string{"t1", "t2"}[faults.IntN(2)]]
+				s.Set([]target.Faults{{}, {}, {Cut: true}, {Shedding: true}, {Late: 30 * time.Millisecond}, {Late: 3 * time.Second}}[faults.IntN(6)])
+				if faults.IntN(10) == 0 {
+					s.Silence()
+				}
+			}
+			callers.Wait()
+			time.Sleep(time.Minute)
+			ran := make(map[string]int)
+			for _, x := range append(r.stand["t1"].Runs(), r.stand["t2"].Runs()...) {
+				ran[x.Key]++
+			}
+			for key, v := range told {
+				kinds[v]++
+				if n := ran[key]; n > 1 || (v == "not-run" && n != 0) || (v == "ran" && n != 1) {
+					t.Errorf("seed %d: order %s was told %q and ran %d times", seed, key, v, n)
+				}
+			}
+		})
+	}
+	if kinds["ran"] < 100 || kinds["not-run"] < 10 || kinds["may-have-run"] < 10 {
+		t.Errorf("verdicts %v, want some of each", kinds)
+	}
+	t.Logf("verdicts %v", kinds)
+}
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -40,12 +40,13 @@
 	n     *network
 	at    netip.AddrPort
 	conns chan net.Conn
-	once  sync.Once
-	done  chan struct{}
+	done  context.Context
+	stop  func()
 }
 
 func (n *network) listen(at netip.AddrPort) *memory {
-	m := &memory{n: n, at: at, conns: make(chan net.Conn), done: make(chan struct{})}
+	m := &memory{n: n, at: at, conns: make(chan net.Conn)}
+	m.done, m.stop = context.WithCancel(context.Background())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.servers[at.String()] = m.conns
@@ -56,18 +57,18 @@
 	select {
 	case c := <-m.conns:
 		return c, nil
-	case <-m.done:
+	case <-m.done.Done():
 		return nil, net.ErrClosed
 	}
 }
 
 func (m *memory) Close() error {
-	m.once.Do(func() {
-		m.n.mu.Lock()
-		defer m.n.mu.Unlock()
+	m.n.mu.Lock()
+	defer m.n.mu.Unlock()
+	if m.done.Err() == nil {
 		delete(m.n.servers, m.at.String())
-		close(m.done)
-	})
+	}
+	m.stop()
 	return nil
 }
 
@@ -129,15 +130,9 @@
 				document.NewService(document.ServiceFields{Name: "status", Timeout: 30 * time.Second, Ceiling: time.Minute, Body: 8 << 20}),
 				document.NewService(document.ServiceFields{Name: "gifts", Once: true, Timeout: 30 * time.Second, Ceiling: time.Minute, Body: 1 << 20}),
 			},
-			Tenants: []document.Tenant{
-				document.NewTenant("shop", digest("secret"), nil), document.NewTenant("open", "", []string{"status"}),
-			},
-			Regions: []document.Region{document.NewRegion(document.RegionFields{Name: "ege"}), document.NewRegion(document.RegionFields{Name: "marmara"})},
-			Zones:   []document.Zone{document.NewZone("ege-a", "ege"), document.NewZone("marmara-a", "marmara")},
-			Entries: []document.Entry{
-				document.NewEntry(document.EntryFields{Name: "e1", Zone: "ege-a"}),
-				document.NewEntry(document.EntryFields{Name: "e2", Zone: "marmara-a"}),
-			},
+			Tenants: []document.Tenant{document.NewTenant("shop", digest("secret"), nil), document.NewTenant("open", "", []string{"status"})},
+			Zones:   []document.Zone{document.NewZone("marmara-a", "marmara")},
+			Entries: []document.Entry{document.NewEntry(document.EntryFields{Name: "e2", Zone: "marmara-a"})},
 		})
 		ctx, stop := context.WithCancel(t.Context())
 		for i, name := range []string{"t1", "t2"} {
--- a/internal/request/pool/pool_test.go
+++ b/internal/request/pool/pool_test.go
@@ -82,11 +82,17 @@
 	return c.Do(ctx, pool.Call{Address: "a", Attempt: "1", Request: r})
 }
 
-func finish(t *testing.T, r *http.Response, err error) {
+func open(t *testing.T, c *pool.Pool) *http.Response {
 	t.Helper()
+	r, err := do(t.Context(), t, c)
 	if err != nil {
 		t.Fatal(err)
 	}
+	return r
+}
+
+func finish(t *testing.T, r *http.Response) {
+	t.Helper()
 	if _, err := io.ReadAll(r.Body); err != nil {
 		t.Fatal(err)
 	}
@@ -95,40 +101,24 @@
 // Guards against more connections than an address may have.
 func TestConnectionsPerAddressAreBounded(t *testing.T) {
 	run(t, pool.Settings{Conns: 4}, func(t *testing.T, p *peer, c *pool.Pool) {
-		a, err := do(t.Context(), t, c)
-		if err != nil {
-			t.Fatal(err)
-		}
-		b, err := do(t.Context(), t, c)
-		if err != nil {
-			t.Fatal(err)
-		}
+		a, b := open(t, c), open(t, c)
 		within, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		var f *pool.Failure
 		if _, err := do(within, t, c); !errors.As(err, &f) || f.Written() || p.dials.Load() != 2 {
 			t.Errorf("third of two connections: %v after %d dials", err, p.dials.Load())
 		}
-		time.AfterFunc(time.Second, func() { finish(t, a, nil) })
-		d, err := do(t.Context(), t, c)
-		finish(t, d, err)
-		finish(t, b, nil)
+		time.AfterFunc(time.Second, func() { finish(t, a) })
+		finish(t, open(t, c))
+		finish(t, b)
 	})
 }
 
 // Guards against a silence that leaves the older connections of the same address in use.
 func TestSilenceClosesOlderConnections(t *testing.T) {
 	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
-		var open []*http.Response
-		for range 3 {
-			r, err := do(t.Context(), t, c)
-			if err != nil {
-				t.Fatal(err)
-			}
-			open = append(open, r)
-		}
-		for _, r := range open {
-			finish(t, r, nil) // The newest connection is put back last and used first.
+		for _, r := range []*http.Response{open(t, c), open(t, c), open(t, c)} {
+			finish(t, r) // The newest connection is put back last and used first.
 		}
 		p.mute.Store(3)
 		var f *pool.Failure
@@ -138,8 +128,7 @@
 		if n := c.Open("a"); n != 0 {
 			t.Errorf("%d older connections stay open", n)
 		}
-		r, err := do(t.Context(), t, c)
-		finish(t, r, err)
+		finish(t, open(t, c))
 	})
 }
 
@@ -185,8 +174,8 @@
 	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
 		p.extra = "HTTP/1.1 500 Twice\r\nContent-Length: 0\r\n\r\n"
 		for range 2 {
-			r, err := do(t.Context(), t, c)
-			finish(t, r, err)
+			r := open(t, c)
+			finish(t, r)
 			synctest.Wait()
 			if r.StatusCode != 200 {
 				t.Errorf("status %d", r.StatusCode)
