internal/request/forward: save small allocations per request

Cause: the interrupt function, the list of tried targets and the empty body were made anew for each request. Change: the first is kept with the connection, the second begins inside the request, the third is shared.

--- a/internal/request/forward/body.go
+++ b/internal/request/forward/body.go
@@ -29,10 +29,13 @@
 	length int64   // length is -1 when it is not known beforehand.
 }
 
+// noBody is the body of all requests without one; nothing changes it.
+var noBody = &body{}
+
 // readBody takes in a small body before a slot is used for it, so that a slow caller holds no slot.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, slow time.Duration, until time.Time) (*body, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return &body{}, nil
+		return noBody, nil
 	}
 	src := &source{from: r.Body, control: http.NewResponseController(w), slow: slow, until: until, left: limit}
 	b := &body{rest: src, length: r.ContentLength}
--- a/internal/request/forward/check.go
+++ b/internal/request/forward/check.go
@@ -42,6 +42,7 @@
 	body     *body
 	counts   *counters
 	avoid    []string
+	tried    [4]string // tried is the first memory of avoid.
 }
 
 // read reports whether the request may be repeated although it may have run.
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -71,7 +71,7 @@
 	j.counts.budget.request()
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(f.d.Now())))
 	defer cancel()
-	j.w, j.ctx = w, ctx
+	j.w, j.ctx, j.avoid = w, ctx, j.tried[:0]
 	f.countFree(j)
 	if err := f.takeBody(j); err != nil {
 		f.tell(j, err)
--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -44,6 +44,8 @@
 	state    atomic.Int32
 	silent   atomic.Bool // silent is set when another connection of the path proved silent.
 
+	// cut is interrupt, kept as a value that is made once per connection.
+	cut     func()
 	control syscall.RawConn // control is nil for connections that are not sockets.
 	look    func(fd uintptr)
 	quiet   bool // quiet is what look found: open and without bytes.
@@ -51,6 +53,7 @@
 
 func newConn(raw net.Conn, p *path, born uint64, progress time.Duration) *conn {
 	c := &conn{raw: raw, path: p, born: born, progress: progress, left: -1}
+	c.cut = c.interrupt
 	c.br = bufio.NewReaderSize(reader{c}, bufferSize)
 	c.bw = bufio.NewWriterSize(writer{c}, bufferSize)
 	if s, ok := raw.(syscall.Conn); ok {
--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -39,7 +39,7 @@
 	c.begin(ctx)
 	e := &exchange{p: p, c: c, call: call, ctx: ctx}
 	c.exchange = e
-	e.stop = context.AfterFunc(ctx, c.interrupt)
+	e.stop = context.AfterFunc(ctx, c.cut)
 	if err := e.send(); err != nil {
 		return nil, e.fail(err)
 	}
