--- a/internal/steer/core/core_test.go
+++ b/internal/steer/core/core_test.go
@@ -262,3 +262,53 @@
 		ch.Done(decision.Result{Kind: decision.Answered, Latency: time.Millisecond})
 	}
 }
+
+// BenchmarkStep measures a tick for growing fleets; the time per tick should grow in proportion to the size.
+func BenchmarkStep(b *testing.B) {
+	for _, size := range []struct{ entries, sites int }{{12, 6}, {148, 19}, {296, 38}, {590, 75}} {
+		b.Run(fmt.Sprintf("entries=%d/sites=%d", size.entries, size.sites), func(b *testing.B) {
+			f := fleet(size.entries, size.sites)
+			e := f.Entries[0]
+			c := core.New(core.Settings{Entry: e.Name(), Region: document.New(f).RegionOf(e.Zone()), Zone: e.Zone()})
+			in := &table.Input{Document: document.New(f), Members: everyone(f), Confirmed: true}
+			for _, m := range in.Members {
+				in.Rooms = append(in.Rooms, table.Room{Entry: m.Name, Service: "s0", Free: 3, Slots: 6, At: start})
+			}
+			at := start
+			b.ReportAllocs()
+			for b.Loop() {
+				at = at.Add(100 * time.Millisecond)
+				c.Step(at, in)
+			}
+		})
+	}
+}
+
+// fleet returns a configuration of four regions with three zones each, three services and seven targets per site and service.
+func fleet(entries, sites int) document.Fields {
+	f := document.Fields{Version: 1}
+	var zones []string
+	for r := range 4 {
+		region := fmt.Sprintf("r%d", r)
+		f.Regions = append(f.Regions, document.NewRegion(document.RegionFields{Name: region, Keep: 0.5}))
+		for z := range 3 {
+			zones = append(zones, fmt.Sprintf("%s-z%d", region, z))
+			f.Zones = append(f.Zones, document.NewZone(zones[len(zones)-1], region))
+		}
+		for o := range r {
+			f.Links = append(f.Links, document.NewLink(region, fmt.Sprintf("r%d", o), 1e9))
+		}
+	}
+	for k := range 3 {
+		f.Services = append(f.Services, document.NewService(document.ServiceFields{Name: fmt.Sprintf("s%d", k), Shift: 400}))
+		for i := range sites * 7 {
+			f.Targets = append(f.Targets, document.NewTarget(document.TargetFields{
+				Name: fmt.Sprintf("s%d-%d", k, i), Service: fmt.Sprintf("s%d", k), Zone: zones[i/7%len(zones)], Slots: 6,
+			}))
+		}
+	}
+	for i := range entries {
+		f.Entries = append(f.Entries, document.NewEntry(document.EntryFields{Name: fmt.Sprintf("e%03d", i), Zone: zones[i%len(zones)]}))
+	}
+	return f
+}
