--- a/internal/measure/policy/ours.go
+++ b/internal/measure/policy/ours.go
@@ -236,7 +236,15 @@
 }
 
 func (o *ours) done(_ *world, _ *request, _ int, h *hop, x end) {
-	h.choice.Done(decision.Result{Kind: x.kind, Latency: x.latency})
+	h.choice.Done(decision.Result{Kind: x.kind, Latency: x.latency, Counted: h.peer >= 0 && x.counted, Free: x.free})
+}
+
+// free is the count of free slots that an owner sends along with a relayed response.
+func (o *ours) free(e, work int) int {
+	if s := o.brains[e].snapshot; s != nil {
+		return s.Rooms()[work].Free
+	}
+	return 0
 }
 
 func (o *ours) pace(w *world, e, from, to int, bytes int64, out bool) time.Duration {
--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -16,6 +16,8 @@
 // end is how an attempt ended.
 type end struct {
 	kind    decision.Kind
+	free    int // free is the relaying owner's count of free slots
+	counted bool
 	latency time.Duration
 }
 
@@ -289,6 +291,9 @@
 	r.hops = r.hops[:len(r.hops)-1]
 	x.latency = w.now - h.began
 	w.policy.done(w, r, h.entry, h, x)
+	if o, ok := w.policy.(*ours); ok && h.entry != r.origin {
+		x.free, x.counted = o.free(h.entry, r.arrival.work), true
+	}
 	if h.target >= 0 && x.kind != decision.Answered {
 		r.attempted++
 		r.avoid = append(r.avoid, w.targets[h.target].spec.Name())
--- a/internal/steer/core/core.go
+++ b/internal/steer/core/core.go
@@ -73,7 +73,7 @@
 	t.Take(in)
 	now = c.advance(now)
 	c.judge(now, in)
-	c.harvest()
+	c.harvest(now)
 	load.Hear(now, t)
 	drain.Update(now, t)
 	owner.Update(now, t)
--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -9,7 +9,7 @@
 )
 
 // harvest moves what the counters have seen since the last tick into the tables.
-func (c *Core) harvest() {
+func (c *Core) harvest(now time.Time) {
 	t := c.tables
 	t.InFlight = c.total.InFlight()
 	for i := range t.Targets {
@@ -24,6 +24,11 @@
 		p := &t.Peers[i]
 		n := entry(c.peers, p.Entry+"\x00"+p.Name).Harvest()
 		p.InFlight, p.Started, p.Refused = n.InFlight, n.Started, n.Shed
+		if n.Counted && now.After(p.Room.At) {
+			// A count that came with a relayed response is newer than those from gossip.
+			p.Room = table.Room{Entry: p.Entry, Service: p.Name, Free: n.Free, Slots: p.Room.Slots, At: now}
+			p.Heard = true
+		}
 	}
 	for i := range t.Shifts {
 		r := &t.Shifts[i]
--- a/internal/steer/decision/choice.go
+++ b/internal/steer/decision/choice.go
@@ -34,6 +34,8 @@
 	Kind    Kind
 	Latency time.Duration
 	In, Out int64 // In and Out are the bytes received and sent.
+	Counted bool  // Counted means that the peer's answer carried its count of free slots.
+	Free    int   // Free is that count.
 }
 
 // Choice is a slot that a request holds. It must not be copied after its first use.
@@ -60,6 +62,9 @@
 		return
 	}
 	c.gate.finish(r)
+	if r.Counted {
+		c.gate.hint.Store(int64(max(0, r.Free)) + 1)
+	}
 	if c.entry != "" && r.Kind == Shed {
 		// A peer that refused has no room until it reports again.
 		c.gate.SetLimit(min(c.gate.Limit(), c.gate.InFlight()))
--- a/internal/steer/decision/gate.go
+++ b/internal/steer/decision/gate.go
@@ -16,6 +16,7 @@
 	failed   atomic.Int64
 	silent   atomic.Int64
 	latency  atomic.Int64
+	hint     atomic.Int64 // hint is a peer's last count of free slots plus one, or 0 without one.
 }
 
 // Take occupies a slot if one is free.
@@ -53,11 +54,16 @@
 	Failed   int
 	Silent   int
 	Latency  time.Duration // Latency is the sum over the answered requests.
+	Counted  bool          // Counted means that a peer has told its count of free slots.
+	Free     int           // Free is that count.
 }
 
 // Harvest returns the counts since the last call and sets them back to zero.
 func (g *Gate) Harvest() Count {
+	hint := g.hint.Swap(0)
 	return Count{
+		Counted:  hint > 0,
+		Free:     int(hint) - 1,
 		InFlight: g.InFlight(),
 		Started:  int(g.started.Swap(0)),
 		Answered: int(g.answered.Swap(0)),
