--- a/internal/measure/policy/scenario.go
+++ b/internal/measure/policy/scenario.go
@@ -52,7 +52,7 @@
 		with("double", func(s *scenario) { s.load, s.factor = 0.7, 2 }),
 		with("burst", func(s *scenario) { s.load, s.factor, s.only = 0.4, 5, 1 }),
 		with("slow", func(s *scenario) { s.slow = true }),
-		with("two", func(s *scenario) { s.lost, s.lies, s.slow, s.length = true, true, false, 75*time.Second }),
+		with("two", func(s *scenario) { s.lost, s.slow, s.length = true, true, 75*time.Second }),
 	}
 }
 
