--- /dev/null
+++ b/internal/steer/core/fault_test.go
@@ -0,0 +1,116 @@
+package core_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/steer/core"
+	"tamarackspool/internal/steer/decision"
+	"tamarackspool/internal/steer/table"
+)
+
+func has(s *decision.Snapshot, n event.Number) bool {
+	return slices.ContainsFunc(s.Status().Events, func(e decision.Event) bool { return e.Number == n })
+}
+
+// Guards against a planned drain that empties a region whose other targets have failed.
+func TestDrainWaitsForFailedTargets(t *testing.T) {
+	f := fields(4, 2)
+	f.Entries = f.Entries[:1]
+	drained := f.Targets[:2]
+	f.Drains = []document.Drain{document.NewDrain(document.DrainFields{
+		Name: "weekly", Targets: []string{drained[0].Name(), drained[1].Name()}, Start: start.Add(6 * time.Second),
+	})}
+	c := newCore()
+	in := &table.Input{Document: document.New(f), Members: everyone(f), Confirmed: true}
+	at := start
+	delayed := false
+	for ; at.Before(start.Add(6200 * time.Millisecond)); at = at.Add(100 * time.Millisecond) {
+		s := c.Step(at, in)
+		delayed = delayed || has(s, event.DrainDelayed)
+		for draw := range uint64(8) {
+			ch, err := s.Choose(decision.Request{Service: "status", Now: at, Avoid: []string{drained[0].Name(), drained[1].Name()}}, draw)
+			if err == nil {
+				ch.Done(decision.Result{Kind: decision.Failed})
+			}
+		}
+	}
+	if !delayed {
+		t.Error("no event for a drain below the keep fraction")
+	}
+	for _, st := range c.Step(at, in).Status().Targets {
+		if st.Leaving != "" {
+			t.Errorf("%s leaves although the rest of the region has failed", st.Name)
+		}
+	}
+}
+
+// Guards against reports of an idle or a full target that close or overfill its gate.
+func TestFalseReportsKeepTheGate(t *testing.T) {
+	for _, busy := range []int{0, 4, -3, 1 << 40} {
+		f := fields(8, 4)
+		c := newCore()
+		in := &table.Input{Document: document.New(f), Members: everyone(f), Confirmed: true}
+		var s *decision.Snapshot
+		for at := start; at.Before(start.Add(20 * time.Second)); at = at.Add(100 * time.Millisecond) {
+			in.Reports = nil
+			for _, target := range f.Targets {
+				in.Reports = append(in.Reports, table.Report{Target: target.Name(), Busy: busy, Slots: 4, At: at})
+			}
+			s = c.Step(at, in)
+			for draw := range uint64(4) {
+				if ch, err := s.Choose(decision.Request{Service: "status", Now: at, Relayed: true}, draw); err == nil {
+					ch.Done(decision.Result{Kind: decision.Answered, Latency: time.Millisecond})
+				}
+			}
+		}
+		for _, st := range s.Status().Targets {
+			if st.Limit < 1 || st.Limit > 4 {
+				t.Errorf("reports of %d busy slots give %s a limit of %d of 4 slots", busy, st.Name, st.Limit)
+			}
+		}
+	}
+}
+
+// Guards against time that runs backwards or a pause leaving gates open.
+func TestClockAndPause(t *testing.T) {
+	f := fields(8, 4)
+	c := newCore()
+	in := &table.Input{Document: document.New(f), Members: everyone(f), Confirmed: true}
+	run(c, start, 5*time.Second, in)
+	if s := c.Step(start, in); !has(s, event.ClockBackwards) {
+		t.Error("no event for time that runs backwards")
+	}
+	in.Confirmed = false
+	s := c.Step(start.Add(8*time.Second), in)
+	if !has(s, event.TickGap) || !s.Status().Closed || s.Link("marmara").Rate() != 0 {
+		t.Error("an entry that was paused uses its gates or shares before a peer has confirmed it")
+	}
+	if s := core.New(core.Settings{Entry: "x"}).Step(start, nil); !has(s, event.InputMissing) {
+		t.Error("no event for a tick without a configuration")
+	}
+}
+
+// Guards against a loan that lets lender and borrower use the same share.
+func TestLoanNeverDoublesTheShare(t *testing.T) {
+	f := fields(8, 4)
+	lender := newCore()
+	borrower := core.New(core.Settings{Entry: "ege-b-0", Region: "ege", Zone: "ege-b"})
+	in := &table.Input{Document: document.New(f), Members: everyone(f), Confirmed: true, Loans: []table.Loan{{
+		From: "ege-a-0", To: "ege-b-0", A: "ege", B: "marmara", Rate: 4e5, Until: start.Add(5 * time.Second),
+	}}}
+	lent := false
+	for at := start; at.Before(start.Add(8 * time.Second)); at = at.Add(100 * time.Millisecond) {
+		a, b := lender.Step(at, in).Link("marmara").Rate(), borrower.Step(at, in).Link("marmara").Rate()
+		lent = lent || b > 1e6
+		if a+b > 2e6 {
+			t.Fatalf("lender %d and borrower %d pass the sum of their shares", a, b)
+		}
+	}
+	if !lent {
+		t.Error("the borrower never used the loan")
+	}
+}
