internal/steer/link: measure the use of shares and say what may be lent

Cause: a loan needs a lender that knows what it can spare and a borrower that knows that it is short. Change: buckets count the bytes charged, and the status of each link shows the spare rate and whether the share is nearly used.

--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -30,6 +30,11 @@
 			p.Heard = true
 		}
 	}
+	for i := range t.Links {
+		if b := c.buckets[t.Links[i].Region]; b != nil {
+			t.Links[i].Bytes = b.Used()
+		}
+	}
 	for i := range t.Shifts {
 		r := &t.Shifts[i]
 		served, refused := entry(c.meters, r.Name+"\x00"+r.Home).Harvest()
@@ -145,7 +150,7 @@
 		})
 	}
 	for _, r := range t.Links {
-		s.Links = append(s.Links, decision.LinkStatus{Region: r.Region, Share: r.Share, Rate: r.Rate})
+		s.Links = append(s.Links, decision.LinkStatus{Region: r.Region, Share: r.Share, Rate: r.Rate, Spare: r.Spare, Short: r.Short})
 	}
 	for _, e := range t.Events {
 		s.Events = append(s.Events, decision.Event{Number: e.Number, Keyvals: e.Keyvals})
--- a/internal/steer/decision/bucket.go
+++ b/internal/steer/decision/bucket.go
@@ -19,6 +19,9 @@
 // NewBucket returns a bucket without any rate.
 func NewBucket(now time.Time) *Bucket { return &Bucket{epoch: now} }
 
+// Used returns the bytes charged since the last call, in the direction with more of them.
+func (b *Bucket) Used() int64 { return max(b.out.used.Swap(0), b.in.used.Swap(0)) }
+
 // SetRate sets the bytes per second of each direction; 0 closes the bucket.
 func (b *Bucket) SetRate(rate int64) {
 	b.out.rate.Store(rate)
@@ -73,6 +76,7 @@
 type pacer struct {
 	rate atomic.Int64
 	due  atomic.Int64
+	used atomic.Int64
 }
 
 // closedWait is how long a stream waits when the rate is zero before it may ask again.
@@ -86,6 +90,7 @@
 	if rate <= 0 {
 		return closedWait
 	}
+	p.used.Add(n)
 	cost := int64(float64(n) / float64(rate) * float64(time.Second))
 	for {
 		old := p.due.Load()
--- a/internal/steer/decision/status.go
+++ b/internal/steer/decision/status.go
@@ -42,6 +42,8 @@
 	Region string
 	Share  int64 // Share is fixed by the configuration, in bytes per second and direction.
 	Rate   int64 // Rate is the share after loans.
+	Spare  int64 // Spare is the part of the rate that may be lent to a peer that is short.
+	Short  bool  // Short means that a loan from a peer would help.
 }
 
 // Event is a numbered event of the tick with its alternating keys and values.
--- a/internal/steer/link/link.go
+++ b/internal/steer/link/link.go
@@ -11,6 +11,13 @@
 // within the share in every second.
 const Safety = 0.95
 
+// Terms of loans.
+const (
+	fall     = 0.14 // part of the use forgotten per second
+	lendable = 0.5  // part of the unused rate that may be lent
+	near     = 0.9  // part of the rate above which an entry asks for a loan
+)
+
 // Grace is how much earlier the borrower stops than the lender resumes.
 const Grace = time.Second
 
@@ -28,7 +35,20 @@
 		if t.Closed {
 			r.Rate = 0
 		}
+		measure(t, r)
+	}
+}
+
+// measure says how much of the rate may be lent and whether a loan would help.
+func measure(t *table.Tables, r *table.Link) {
+	seconds := t.Elapsed.Seconds()
+	if seconds <= 0 {
+		return
 	}
+	// The use falls by half in about five seconds, longer than a burst lasts.
+	r.Used = max(float64(r.Bytes)/seconds, r.Used*(1-min(1, seconds*fall)))
+	r.Spare = max(0, int64(lendable*(float64(min(r.Rate, r.Share))-2*r.Used)))
+	r.Short = r.Used > near*float64(r.Rate)
 }
 
 func apply(now time.Time, t *table.Tables, l table.Loan) {
--- a/internal/steer/table/rebuild.go
+++ b/internal/steer/table/rebuild.go
@@ -111,6 +111,7 @@
 }
 
 func (t *Tables) rebuildLinks() {
+	old := keep(t.Links, func(l Link) string { return l.Region })
 	t.Links = nil
 	for _, r := range t.Document.Regions() {
 		l, ok := t.Document.Link(t.Region, r.Name())
@@ -126,7 +127,9 @@
 				n++
 			}
 		}
-		t.Links = append(t.Links, Link{Region: r.Name(), Share: max(0, l.Rate()) / max(1, n)})
+		row := old[r.Name()]
+		row.Region, row.Share = r.Name(), max(0, l.Rate())/max(1, n)
+		t.Links = append(t.Links, row)
 	}
 }
 
--- a/internal/steer/table/rows.go
+++ b/internal/steer/table/rows.go
@@ -97,8 +97,12 @@
 // Link is the row of the link to another region.
 type Link struct {
 	Region string
-	Share  int64 // Share is this entry's fixed part in bytes per second and direction.
-	Rate   int64 // Rate is the share after loans, in bytes per second and direction.
+	Share  int64   // Share is this entry's fixed part in bytes per second and direction.
+	Rate   int64   // Rate is the share after loans, in bytes per second and direction.
+	Bytes  int64   // Bytes were charged since the last tick.
+	Used   float64 // Used is the highest recent use in bytes per second; it falls slowly.
+	Spare  int64   // Spare is the part of the rate that may be lent.
+	Short  bool    // Short means that the use is near the rate and a loan would help.
 }
 
 // Entry is the row of a configured entry.
