internal/request/forward: prove nothing for an order before its home was asked

Cause: an entry without a configuration told a repeated order not-run, although the first attempt may have run through another entry. Change: refusals made before the home of the key was asked are may-have-run, unless the input itself is bad. Figures: TestRefusalBeforeTheHomeProvesNothing fails without the change (503 not-run) and passes with it. Conclusion: not-run for an order always speaks about its key.

--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -59,12 +59,23 @@
 func (f *Forwarder) ServeCaller(w http.ResponseWriter, r *http.Request) {
 	j, err := f.checkCaller(r)
 	if err != nil {
-		f.refuse(w, err)
+		f.refuse(w, beforeHome(r, err))
 		return
 	}
 	f.serve(r.Context(), w, j)
 }
 
+// beforeHome weakens the proof of a refusal that is made before the home of an
+// idempotency key was asked: an earlier attempt with the key may have run. Bad
+// input keeps its verdict, because no earlier attempt with it was let through.
+func beforeHome(r *http.Request, err *verdict.Error) *verdict.Error {
+	keyed := r.Header.Get(headerKey) != "" && r.Header.Get(headerGranted) == ""
+	if !keyed || err.Verdict() != verdict.NotRun || err.Reason() == verdict.ReasonInput || err.Reason() == verdict.ReasonTenant {
+		return err
+	}
+	return verdict.New(verdict.MayHaveRun, err.Reason(), err.Status(), err)
+}
+
 // serve carries a checked request to its end.
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	j.counts.requests.Inc(1)
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -75,3 +75,15 @@
 		}
 	}
 }
+
+// Guards against an entry that has just started and tells the caller of a
+// repeated order that it has not run, although it ran through another entry.
+func TestRefusalBeforeTheHomeProvesNothing(t *testing.T) {
+	run(t, forward.Settings{}, func(_ *testing.T, r *rig) {
+		r.doc = nil
+		order := r.do(r.request("POST", "gifts/coin", text(1), "Idempotency-Key", "k"))
+		r.expect(order, 503, verdict.MayHaveRun, verdict.ReasonIsolated)
+		read := r.do(r.request("GET", "status/a", nil))
+		r.expect(read, 503, verdict.NotRun, verdict.ReasonIsolated)
+	})
+}
--- a/internal/request/forward/order.go
+++ b/internal/request/forward/order.go
@@ -13,7 +13,7 @@
 // order lets the home of the request's key run it at most once.
 func (f *Forwarder) order(j *job) {
 	if f.d.Orders == nil {
-		f.tell(j, bad(503, verdict.ReasonIsolated, "orders are not served here"))
+		f.tell(j, beforeHome(j.r, bad(503, verdict.ReasonIsolated, "orders are not served here")))
 		return
 	}
 	g, err := f.d.Orders.Begin(j.ctx, Key{Tenant: j.tenant, Service: j.service.Name(), Text: j.key})
--- a/internal/request/forward/peer.go
+++ b/internal/request/forward/peer.go
@@ -67,7 +67,7 @@
 	}
 	j, err := f.checkPeer(r)
 	if err != nil {
-		f.refuse(w, err)
+		f.refuse(w, beforeHome(r, err))
 		return
 	}
 	id, err := single(r.Header, headerAttempt)
