--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"tamarackspool/internal/request/pool"
@@ -41,6 +42,11 @@
 	kind    Kind
 	resp    *http.Response
 	values
+
+	// What an attempt needs once lies here and not in allocations of its own.
+	req    http.Request
+	url    url.URL
+	answer answer
 }
 
 func (t *attempt) remaining() time.Duration {
@@ -58,13 +64,19 @@
 	if t.j.body.rest != nil {
 		out = t.j.body.rest.count.Load()
 	}
-	t.c.Done(Result{Kind: k, Latency: t.latency, Out: out, In: in})
+	r := Result{Kind: k, Latency: t.latency, Out: out, In: in}
+	if t.relay && t.resp != nil {
+		n, err := strconv.Atoi(t.resp.Header.Get(headerFree))
+		r.Free, r.Counted = n, err == nil && n >= 0
+	}
+	t.c.Done(r)
 }
 
 // request returns the HTTP request of the attempt.
 func (t *attempt) request() *http.Request {
 	j := t.j
-	u := &url.URL{Scheme: "http", Host: t.address, RawQuery: j.r.URL.RawQuery}
+	u := &t.url
+	*u = url.URL{Scheme: "http", Host: t.address, RawQuery: j.r.URL.RawQuery}
 	if t.relay {
 		u.Path, u.RawPath = j.r.URL.Path, j.r.URL.RawPath
 	} else {
@@ -73,11 +85,12 @@
 			u.Path = path
 		}
 	}
-	return &http.Request{
+	t.req = http.Request{
 		Method: j.r.Method, URL: u, Host: t.address, Header: t.headers(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: j.body.reader(j.ctx, t.pacer), ContentLength: j.body.length,
 	}
+	return &t.req
 }
 
 // run sends the request and takes in the response, or the beginning of a long one.
@@ -100,7 +113,7 @@
 	}
 	resp, err := t.pool.Do(t.j.ctx, pool.Call{
 		Address: t.address, Conns: t.conns, Attempt: t.id, Once: t.j.service.Once(),
-		Request: req, Hold: hold, Late: func() { t.j.counts.late.Inc(1) },
+		Request: req, Hold: hold, Late: t.j.counts.late,
 	})
 	t.latency = time.Since(t.start)
 	if err != nil {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -27,6 +27,7 @@
 	serial   atomic.Uint64
 	services sync.Map // services maps a service's name to its *counters.
 	attempts *attempts
+	reported reported
 }
 
 // New returns a forwarder, or an error that names the wrong setting.
@@ -58,19 +59,31 @@
 func (f *Forwarder) ServeCaller(w http.ResponseWriter, r *http.Request) {
 	j, err := f.checkCaller(r)
 	if err != nil {
-		f.refuse(w, err)
+		f.refuse(w, beforeHome(r, err))
 		return
 	}
 	f.serve(r.Context(), w, j)
 }
 
+// beforeHome weakens the proof of a refusal that is made before the home of an
+// idempotency key was asked: an earlier attempt with the key may have run. Bad
+// input keeps its verdict, because no earlier attempt with it was let through.
+func beforeHome(r *http.Request, err *verdict.Error) *verdict.Error {
+	keyed := r.Header.Get(headerKey) != "" && r.Header.Get(headerGranted) == ""
+	if !keyed || err.Verdict() != verdict.NotRun || err.Reason() == verdict.ReasonInput || err.Reason() == verdict.ReasonTenant {
+		return err
+	}
+	return verdict.New(verdict.MayHaveRun, err.Reason(), err.Status(), err)
+}
+
 // serve carries a checked request to its end.
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	j.counts.requests.Inc(1)
 	j.counts.budget.request()
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(f.d.Now())))
 	defer cancel()
-	j.w, j.ctx = w, ctx
+	j.w, j.ctx, j.avoid = w, ctx, j.tried[:0]
+	f.countFree(j)
 	if err := f.takeBody(j); err != nil {
 		f.tell(j, err)
 		return
@@ -99,6 +112,16 @@
 	f.deliver(j, a)
 }
 
+// countFree tells the entry that relayed a request how many slots are free here.
+func (f *Forwarder) countFree(j *job) {
+	if !j.relayed || f.d.Free == nil {
+		return
+	}
+	if n, ok := f.d.Free(j.service.Name()); ok {
+		j.w.Header().Set(headerFree, strconv.Itoa(n))
+	}
+}
+
 // noAgent keeps net/http from adding a header of its own.
 var noAgent = []string{""}
 
--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -46,7 +46,15 @@
 
 // side uses a connection of its own, because those of the pool may be the silent ones.
 func (p *Pool) side(ctx context.Context, method, address, attempt string) State {
-	c, err := p.connect(ctx, p.path(address))
+	t := p.path(address)
+	// A target that makes hundreds of requests wait must not get as many connections on top.
+	select {
+	case t.side <- struct{}{}:
+		defer func() { <-t.side }()
+	case <-ctx.Done():
+		return Unreachable
+	}
+	c, err := p.connect(ctx, t)
 	if err != nil {
 		return Unreachable
 	}
@@ -111,8 +119,8 @@
 }
 
 // linger waits for the answer to an abandoned attempt, counts it and drops it.
-func (p *Pool) linger(c *conn, late func()) bool {
-	if p.lingers.Add(1) > maxLingers || !p.goes() {
+func (p *Pool) linger(c *conn, late Counter) bool {
+	if p.lingers.Add(1) > maxLingers || !p.start() {
 		p.lingers.Add(-1)
 		return false
 	}
@@ -123,7 +131,7 @@
 		if c.lateByte(time.Now().Add(lingerTime)) {
 			p.late.Add(1)
 			if late != nil {
-				late()
+				late.Inc(1)
 			}
 		}
 	}()
