internal/entry/node, internal/entry/gateway: wire one entry

An entry joins the request path, the steering systems, membership and the configuration behind four listeners.

--- /dev/null
+++ b/internal/entry/node/listener.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"tamarackspool/internal/entry/setting"
+)
+
+// listener is an open port of the entry.
+type listener struct{ net.Listener }
+
+func (l listener) address() netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// listeners are the four ports of an entry.
+type listeners struct{ call, peer, pass, admin listener }
+
+func (l *listeners) open(ctx context.Context, s setting.Settings) error {
+	var config net.ListenConfig
+	for _, p := range []struct {
+		flag string
+		at   netip.AddrPort
+		to   *listener
+	}{
+		{"call", s.Call(), &l.call}, {"peer", s.Peer(), &l.peer}, {"pass", s.Pass(), &l.pass}, {"admin", s.Admin(), &l.admin},
+	} {
+		opened, err := config.Listen(ctx, "tcp", p.at.String())
+		if err != nil {
+			l.close()
+			return fmt.Errorf("node: --%s: %w", p.flag, err)
+		}
+		p.to.Listener = opened
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, one := range []listener{l.call, l.peer, l.pass, l.admin} {
+		if one.Listener != nil {
+			_ = one.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/node/operator.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/entry/operator"
+	"tamarackspool/internal/fleet/member"
+	"tamarackspool/internal/request/ticket"
+	"tamarackspool/internal/steer/decision"
+)
+
+// buildOperator makes the operators' API.
+func (n *Node) buildOperator() error {
+	var err error
+	n.operator, err = operator.New(n.s.Opkey(), operator.Dependencies{
+		Configuration: n.current, History: n.history, Reporter: reporter{n}, Announcer: announcer{n},
+		Metrics: n.metrics, Log: n.d.Events,
+	})
+	return err
+}
+
+// announcer pushes the adopted version to peers.
+type announcer struct{ n *Node }
+
+// Announce returns when the push was tried.
+func (a announcer) Announce(ctx context.Context) { a.n.gossip.Push(ctx) }
+
+// reporter gives the status of the entry to operators.
+type reporter struct{ n *Node }
+
+// Status returns the status at the time of the call.
+func (r reporter) Status() operator.Status {
+	n := r.n
+	members := n.gossip.Members()
+	s := operator.Status{
+		Entry: n.s.Name(), Region: n.s.Region(), Zone: n.s.Zone(), At: time.Now(), Version: n.Version(),
+		Floor: n.current.Floor(), Store: n.follower.Reachable(), Roster: -1,
+		Isolated: !n.follower.Reachable() && alone(members, n.s.Name()),
+	}
+	if v := n.vms.Load(); v != nil {
+		s.Roster = time.Since(v.at)
+	}
+	for _, m := range members {
+		s.Members = append(s.Members, operator.Member{
+			Name: m.Name(), Zone: m.Zone(), State: m.State().String(),
+			Incarnation: ticket.Incarnation(m.Incarnation()).String(), Version: m.Version(),
+		})
+	}
+	d, snapshot := n.current.Document(), n.snapshot.Load()
+	if d != nil && snapshot != nil {
+		r.steering(&s, d, snapshot.Status())
+	}
+	return s
+}
+
+// alone reports whether no other entry is heard from.
+func alone(members []member.Member, self string) bool {
+	for _, m := range members {
+		if m.Name() != self && (m.State() == member.Alive || m.State() == member.Leaving) {
+			return false
+		}
+	}
+	return true
+}
+
+// steering adds what the last tick decided.
+func (r reporter) steering(s *operator.Status, d *document.Document, now decision.Status) {
+	busy, open := make(map[string]int), make(map[string]bool)
+	for _, t := range now.Targets {
+		spec, ok := d.Target(t.Name)
+		if !ok {
+			continue
+		}
+		busy[t.Name] = t.InFlight
+		open[t.Name] = t.Leaving == ""
+		s.Targets = append(s.Targets, operator.Target{
+			Name: t.Name, Service: spec.Service(), Zone: spec.Zone(), Owner: r.n.s.Name(),
+			Busy: t.InFlight, Limit: t.Limit, Slots: spec.Slots(), Trust: t.Trust, Leaving: t.Leaving != "",
+		})
+	}
+	for _, l := range now.Links {
+		s.Links = append(s.Links, operator.Link{From: r.n.s.Region(), To: l.Region, Share: l.Rate})
+	}
+	s.Regions = r.regions(d, busy)
+	s.Drains = drains(d, busy, open, s.At)
+}
+
+// regions returns the use of each region as this entry knows it.
+func (r reporter) regions(d *document.Document, busy map[string]int) []operator.Region {
+	free := make(map[string]int)
+	for _, room := range r.n.gossip.Rooms() {
+		if e, ok := d.Entry(room.Entry()); ok {
+			free[d.RegionOf(e.Zone())] += room.Free()
+		}
+	}
+	var all []operator.Region
+	for _, g := range d.Regions() {
+		one := operator.Region{Name: g.Name(), Free: free[g.Name()]}
+		if g.Name() == r.n.s.Region() {
+			one.Limit = g.Limit()
+			for _, n := range busy {
+				one.Busy += n
+			}
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+// drains returns the progress of each planned drain at this entry. A drain is
+// quiet only after a tick has closed the gates of all its targets here.
+func drains(d *document.Document, busy map[string]int, open map[string]bool, now time.Time) []operator.Drain {
+	leaving := d.Leaving(now)
+	var all []operator.Drain
+	for _, dr := range d.Drains() {
+		one := operator.Drain{Name: dr.Name(), Active: dr.Active(now)}
+		closed := true
+		for target, name := range leaving {
+			if name == dr.Name() {
+				one.Targets = append(one.Targets, target)
+				one.Busy += busy[target]
+				closed = closed && !open[target]
+			}
+		}
+		slices.Sort(one.Targets)
+		one.Quiet = one.Active && closed && one.Busy == 0
+		all = append(all, one)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/entry/node/orders.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tamarackspool/internal/fleet/member"
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/claim"
+	"tamarackspool/internal/request/forward"
+	"tamarackspool/internal/request/order"
+	"tamarackspool/internal/request/ticket"
+	"tamarackspool/internal/request/verdict"
+)
+
+// orders lets the request path run each key once.
+type orders struct{ n *Node }
+
+// Begin says where the key runs or what its outcome was.
+func (o orders) Begin(ctx context.Context, k forward.Key) (forward.Grant, error) {
+	p, err := o.n.registry.Place(ctx, order.NewKey(k.Tenant, k.Service, k.Text), 0, time.Now())
+	switch {
+	case err != nil:
+		return forward.Grant{}, err
+	case p.Relay() != "":
+		return forward.Grant{Entry: p.Relay()}, nil
+	case p.Answer() != nil:
+		a := p.Answer()
+		return forward.Grant{Answer: &forward.Answer{Status: a.Status(), Header: a.Header(), Body: a.Body(), Whole: true}}, nil
+	default:
+		return forward.Grant{Run: permit{p.Permit()}}, nil
+	}
+}
+
+// permit is the right to dispatch an order once.
+type permit struct{ p *order.Permit }
+
+// Finish records the target's response; of one that is too long only the verdict is kept.
+func (p permit) Finish(a forward.Answer) {
+	if !a.Whole {
+		p.p.Finish(nil, time.Now())
+		return
+	}
+	p.p.Finish(order.NewAnswer(a.Status, a.Header, a.Body), time.Now())
+}
+
+// Fail records that the dispatch ended without a response.
+func (p permit) Fail(v verdict.Verdict) { p.p.Fail(v, time.Now()) }
+
+// homes tells where the home of a key is.
+type homes struct{ n *Node }
+
+// Holder returns the entry that runs as the incarnation, or one that holds its outcomes.
+func (h homes) Holder(i ticket.Incarnation) (string, bool) {
+	members := h.n.gossip.Members()
+	heirs := h.n.gossip.Heirs(i)
+	for _, m := range members {
+		if m.Incarnation() == i && m.State() != member.Dead && len(heirs) == 0 {
+			return m.Name(), true
+		}
+	}
+	for _, m := range members {
+		if m.State() == member.Alive && slices.Contains(heirs, m.Name()) {
+			return m.Name(), true
+		}
+	}
+	return "", false
+}
+
+// Keeper returns the live entry with the highest rendezvous rank for the key's range.
+func (h homes) Keeper(tenant, service, text string) (string, bool) {
+	number := claim.Range(tenant, service, text)
+	best, top := "", uint64(0)
+	for _, m := range h.n.gossip.Members() {
+		if !m.Live() {
+			continue
+		}
+		if rank := xxhash.Sum64String(fmt.Sprintf("claim/%02d\x00%s", number, m.Name())); best == "" || rank > top {
+			best, top = m.Name(), rank
+		}
+	}
+	return best, best != ""
+}
+
+// inherit takes over the ticket outcomes of a stopping peer.
+func (n *Node) inherit(_ context.Context, _ member.Member, data []byte) error {
+	_, err := n.estates.Add(data, time.Now())
+	return err
+}
+
+// handover closes the order table, sends its outcomes to other entries of the
+// region and announces them as heirs.
+func (n *Node) handover(ctx context.Context) {
+	data, err := n.orders.Export(n.incarnation, n.issuer.Floor(time.Now()))
+	var heirs []string
+	if err == nil {
+		heirs = n.gossip.Handover(ctx, data)
+	}
+	if len(heirs) == 0 {
+		n.d.Events.Log(event.HandoverLost, "entry", n.s.Name(), "err", err)
+		return
+	}
+	n.gossip.SetHeirs(heirs)
+	n.d.Events.Log(event.HandedOver, "entry", n.s.Name(), "heirs", fmt.Sprint(heirs))
+}
--- /dev/null
+++ b/internal/entry/node/tick.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/fleet/lookup"
+	"tamarackspool/internal/fleet/member"
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/steer/core"
+	"tamarackspool/internal/steer/decision"
+	"tamarackspool/internal/steer/table"
+)
+
+const (
+	// tick is the interval of the steering systems.
+	tick = 100 * time.Millisecond
+	// lookupTicks is how many ticks pass between two rebuilds of the look-up table.
+	lookupTicks = 5
+)
+
+// tickState belongs to the tick loop alone.
+type tickState struct {
+	last      time.Time
+	unsure    time.Time // unsure is when the process started or was last paused.
+	confirmed bool
+	count     int
+}
+
+// ticking runs the steering systems at each tick until ctx ends.
+func (n *Node) ticking(ctx context.Context) {
+	n.step(time.Now())
+	every(ctx, tick, func() { n.step(time.Now()) })
+}
+
+// step computes and publishes one snapshot.
+func (n *Node) step(now time.Time) {
+	st := &n.steps
+	if st.last.IsZero() || now.Sub(st.last) > core.Gap {
+		st.unsure, st.confirmed = now, false
+	}
+	st.last = now
+	members := n.gossip.Members()
+	in := n.input(members)
+	if in.Confirmed && !st.confirmed {
+		st.confirmed = true
+		n.d.Events.Log(event.Confirmed, "entry", n.s.Name())
+	}
+	s := n.core.Step(now, in)
+	n.snapshot.Store(s)
+	n.log(s.Status().Events)
+	n.gossip.SetRooms(n.rooms(s, now))
+	n.follower.SetWatching(n.gossip.Watches())
+	if st.count%lookupTicks == 0 {
+		n.updateLookups(now, members)
+	}
+	st.count++
+	n.waiting.All()
+}
+
+// input collects what the tick learns from outside.
+func (n *Node) input(members []member.Member) *table.Input {
+	in := &table.Input{Reports: n.reports.list(), Confirmed: n.gossip.Confirmed(n.steps.unsure)}
+	if n.current.Ready() {
+		in.Document = n.current.Document()
+	}
+	for _, m := range members {
+		in.Members = append(in.Members, table.Member{Name: m.Name(), State: stateOf(m.State())})
+	}
+	for _, r := range n.gossip.Rooms() {
+		in.Rooms = append(in.Rooms, table.Room{Entry: r.Entry(), Service: r.Service(), Free: r.Free(), At: r.At()})
+	}
+	if v := n.vms.Load(); v != nil {
+		in.Leaving = v.leaving
+	}
+	return in
+}
+
+func stateOf(s member.State) table.State {
+	switch s {
+	case member.Alive:
+		return table.Alive
+	case member.Suspect:
+		return table.Suspect
+	case member.Leaving:
+		return table.Leaving
+	default:
+		return table.Dead
+	}
+}
+
+func (n *Node) rooms(s *decision.Snapshot, now time.Time) []member.Room {
+	var rooms []member.Room
+	for _, r := range s.Rooms() {
+		rooms = append(rooms, member.NewRoom(n.s.Name(), r.Service, r.Free, now))
+	}
+	return rooms
+}
+
+func (n *Node) log(events []decision.Event) {
+	for _, e := range events {
+		// Before the first configuration every tick misses it; the start reports that once.
+		if e.Number != event.InputMissing {
+			n.d.Events.Log(e.Number, e.Keyvals...)
+		}
+	}
+}
+
+func (n *Node) updateLookups(now time.Time, members []member.Member) {
+	in := lookup.Input{Members: members, Rooms: n.gossip.Rooms(), Leaving: map[string]bool{}}
+	if n.current.Ready() {
+		in.Document = n.current.Document()
+	}
+	if v := n.vms.Load(); v != nil {
+		for _, name := range v.leaving {
+			in.Leaving[name] = true
+		}
+	}
+	n.lookups.Update(now, in)
+}
+
+// state is the node as the gateway sees it.
+type state struct{ n *Node }
+
+// Document returns the configuration in force, or nil.
+func (s state) Document() *document.Document { return s.n.current.Document() }
+
+// Ready reports whether the entry has a configuration that it may serve.
+func (s state) Ready() bool { return s.n.current.Ready() }
+
+// Leaving reports whether a graceful shutdown has begun.
+func (s state) Leaving() bool { return s.n.Leaving() }
