internal/demo/deployment: run a whole deployment in one process

All targets, 12 entries and callers of three services run with the delays and link limits of the deployment while a patch lands, a target is drained, an entry is lost and another is stopped as planned. The promises are checked from the targets' and the callers' records; eight faults show that each check finds its breach.

--- /dev/null
+++ b/internal/demo/deployment/machine.go
@@ -0,0 +1,149 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tamarackspool/internal/demo/promise"
+	"tamarackspool/internal/standin/target"
+)
+
+// The properties of the demo's targets: a cold one takes three times as long
+// for its first requests.
+const (
+	coldRequests = 20
+	chill        = 3
+	spread       = 0.3
+	connectCost  = time.Millisecond
+)
+
+// machine is a target VM with a record of when each request was there.
+type machine struct {
+	spot   spot
+	region string
+	target *target.Target
+	fault  atomic.Pointer[Fault]
+	server *http.Server
+	listen net.Listener
+	mu     sync.Mutex
+	stays  []promise.Run
+}
+
+func newMachine(s spot, region string, seed uint64) (*machine, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("deployment: %s: %w", s.name, err)
+	}
+	m := &machine{spot: s, region: region, listen: l, target: target.New(target.Settings{
+		Name: s.name, Slots: s.service.slots, Seed: seed, Mean: s.service.work, Spread: spread,
+		Cold: coldRequests, Chill: chill, Open: connectCost,
+	})}
+	m.server = &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
+	return m, nil
+}
+
+// serve answers until ctx ends.
+func (m *machine) serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = m.server.Close() })
+	defer stop()
+	if err := m.server.Serve(m.listen); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// ServeHTTP adds to the target's answer by what a caller knows it as its own.
+func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/load" || strings.HasPrefix(r.URL.Path, "/attempt/") {
+		m.target.ServeHTTP(w, r)
+		return
+	}
+	received, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	id := path.Base(r.URL.Path)
+	w.Header().Set("Served-Id", id)
+	w.Header().Set("Received", strconv.FormatInt(received, 10))
+	r.Body, r.ContentLength = http.NoBody, 0
+	answer := &watched{ResponseWriter: w}
+	stay := promise.Run{
+		Target: m.spot.name, Service: m.spot.service.name, Region: m.region,
+		ID: id, Key: r.Header.Get("Idempotency-Key"), Start: time.Now(),
+	}
+	if !m.misbehave(answer, r) {
+		m.target.ServeHTTP(answer, r)
+	}
+	if answer.status == http.StatusTooManyRequests {
+		return
+	}
+	stay.End = time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stays = append(m.stays, stay)
+}
+
+// misbehave answers falsely when a fault is set and reports whether it did.
+func (m *machine) misbehave(w *watched, r *http.Request) bool {
+	f := m.fault.Load()
+	if f == nil {
+		return false
+	}
+	switch *f {
+	case FaultLie:
+		m.target.ServeHTTP(httptest.NewRecorder(), r)
+		w.Header().Set("Shed", "1")
+		w.ResponseWriter.WriteHeader(http.StatusTooManyRequests)
+		return true
+	case FaultMixed:
+		w.Header().Set("Served-Id", "other")
+	case FaultShort:
+		r.URL.RawQuery = "size=1"
+	}
+	return false
+}
+
+// Stays returns when each answered request was at the target.
+func (m *machine) Stays() []promise.Run {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]promise.Run(nil), m.stays...)
+}
+
+// Runs returns the target's own record of what it ran.
+func (m *machine) Runs() []promise.Run {
+	var all []promise.Run
+	for _, r := range m.target.Runs() {
+		all = append(all, promise.Run{
+			Target: m.spot.name, Service: m.spot.service.name, Region: m.region,
+			ID: path.Base(r.Path), Key: r.Key, Start: r.At,
+		})
+	}
+	return all
+}
+
+// watched remembers the status of an answer.
+type watched struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader sends the status.
+func (w *watched) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *watched) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- a/internal/demo/deployment/plan.go
+++ b/internal/demo/deployment/plan.go
@@ -60,7 +60,7 @@
 				loads: []caller.Load{{Kind: caller.Order, Rate: 20, Body: 1 << 10, Answer: 512}},
 			},
 			{
-				name: "drawings", rank: 1, targets: 16, slots: 6, work: 200 * time.Millisecond, shift: 20, hot: 4,
+				name: "drawings", rank: 1, targets: 16, slots: 6, work: 200 * time.Millisecond, shift: 20, hot: 3,
 				loads: []caller.Load{
 					{Kind: caller.Upload, Rate: 12, Body: 512 << 10, Answer: 512},
 					{Kind: caller.Read, Rate: 16, Answer: 128 << 10},
@@ -86,7 +86,7 @@
 				loads: []caller.Load{{Kind: caller.Order, Rate: 20, Body: 1 << 10, Answer: 512}},
 			},
 			{
-				name: "photos", rank: 1, targets: 16, slots: 3, work: 200 * time.Millisecond, shift: 20, hot: 4,
+				name: "photos", rank: 1, targets: 16, slots: 3, work: 200 * time.Millisecond, shift: 20, hot: 3,
 				loads: []caller.Load{
 					{Kind: caller.Upload, Rate: 8, Body: 512 << 10, Answer: 512},
 					{Kind: caller.Read, Rate: 8, Answer: 256 << 10},
--- /dev/null
+++ b/internal/demo/deployment/reasons.go
@@ -0,0 +1,20 @@
+package deployment
+
+import "tamarackspool/internal/standin/caller"
+
+// reasons counts the attempts of each service that were not answered, by what the caller was told.
+func reasons(records []caller.Record) map[string]map[string]int {
+	all := make(map[string]map[string]int)
+	for _, r := range records {
+		for _, t := range r.Tries {
+			if t.Verdict == "ran" {
+				continue
+			}
+			if all[r.Service] == nil {
+				all[r.Service] = make(map[string]int)
+			}
+			all[r.Service][t.Verdict+" "+t.Reason]++
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/demo/deployment/site.go
@@ -0,0 +1,88 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tamarackspool/internal/entry/node"
+	"tamarackspool/internal/entry/setting"
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/standin/network"
+)
+
+// The tokens of the demo's processes.
+const (
+	peerKey     = "demo-peer-key"
+	operatorKey = "demo-operator-token"
+)
+
+// ttl is how long the demo's callers keep a look-up: short, so that a run of
+// 20 s shows several of them.
+const ttl = 2 * time.Second
+
+// site is one entry VM with the process that runs on it at the moment.
+type site struct {
+	name, zone, region string
+	node               *node.Node
+	cancel             context.CancelFunc
+	done               chan struct{}
+	err                error
+}
+
+// boot starts a new process of the entry.
+func (w *world) boot(ctx context.Context, name, zone string) (*site, error) {
+	const any = "127.0.0.1:0"
+	region := w.plan.regionOf(zone)
+	checked, err := setting.New(setting.Raw{
+		Name: name, Zone: zone, Region: region, Call: any, Peer: any, Pass: any, Admin: any,
+		Store: w.storeURL, Roster: w.rosterURL, Peers: w.peerAddresses(name),
+		Peerkey: peerKey, Opkey: operatorKey, Stop: time.Minute, TTL: ttl,
+		Retention: time.Hour, Keys: 100_000, Header: 32 << 10, Seed: w.settings.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	place := network.Place{Name: name, Zone: zone, Region: region}
+	n, err := node.New(ctx, checked, node.Dependencies{Dial: w.network.Dialer(place), Events: event.New(log.With(w.logger, "by", name))})
+	if err != nil {
+		return nil, fmt.Errorf("deployment: %w", err)
+	}
+	call, peer, pass, _ := n.Addresses()
+	for _, a := range []string{call, peer, pass} {
+		w.network.Bind(a, place)
+	}
+	w.list.Set(name, false)
+	run, cancel := context.WithCancel(ctx)
+	s := &site{name: name, zone: zone, region: region, node: n, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		s.err = n.Run(run)
+	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sites[name] = s
+	return s, nil
+}
+
+// kill ends the process at once, as the loss of its VM does.
+func (s *site) kill() {
+	s.cancel()
+	<-s.done
+}
+
+// peerAddresses returns the control addresses of the other running entries.
+func (w *world) peerAddresses(name string) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []string
+	for _, s := range w.sites {
+		if s.name != name {
+			_, peer, _, _ := s.node.Addresses()
+			all = append(all, peer)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/demo/deployment/summary.go
@@ -0,0 +1,145 @@
+package deployment
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"tamarackspool/internal/demo/promise"
+	"tamarackspool/internal/standin/caller"
+)
+
+// Summary is the outcome of a run.
+type Summary struct {
+	Deployment string           `json:"deployment"`
+	Seed       uint64           `json:"seed"`
+	Services   []Service        `json:"services"`
+	Links      []Usage          `json:"links"`
+	Regions    []Usage          `json:"regions"`
+	Drain      Drain            `json:"drain"`
+	Version    uint64           `json:"version"`
+	Force      float64          `json:"force"` // seconds until the version was in force on every entry
+	Lost       string           `json:"lost"`
+	Stop       Stop             `json:"stop"`
+	Twice      int              `json:"twice"` // orders run more than once
+	Broken     []promise.Breach `json:"broken"`
+}
+
+// Service is what the callers of a service saw.
+type Service struct {
+	Name     string         `json:"name"`
+	Requests int            `json:"requests"`
+	Median   float64        `json:"p50"` // milliseconds
+	Tail     float64        `json:"p99"` // milliseconds
+	NotRun   int            `json:"notrun"`
+	Unknown  int            `json:"unknown"`
+	Retried  int            `json:"retried"`
+	Told     map[string]int `json:"told"` // attempts without an answer by verdict and reason
+}
+
+// Usage is the peak use of a link direction or a region against its limit.
+type Usage struct {
+	Name  string  `json:"name"`
+	Unit  string  `json:"unit"`
+	Peak  float64 `json:"peak"`
+	Limit float64 `json:"limit"`
+}
+
+// Drain is the emptying of a target.
+type Drain struct {
+	Target string  `json:"target"`
+	Last   float64 `json:"last"`  // seconds until the last new work reached the target
+	Quiet  float64 `json:"quiet"` // seconds until its last work ended
+}
+
+// Stop is the planned stop of an entry.
+type Stop struct {
+	Entry string  `json:"entry"`
+	Time  float64 `json:"time"` // seconds
+}
+
+func (w *world) summary(records []caller.Record, runs, stays []promise.Run, n notes) Summary {
+	s := Summary{
+		Deployment: w.plan.name, Seed: w.settings.Seed, Version: n.patchVersion, Force: n.patchTime.Seconds(),
+		Lost: n.lost, Stop: Stop{n.stopped, n.stopEnd.Sub(n.stopStart).Seconds()}, Broken: []promise.Breach{},
+	}
+	counts, told := caller.Summarize(records), reasons(records)
+	for _, p := range w.plan.services {
+		if c, ok := counts[p.name]; ok {
+			one := service(c)
+			one.Told = told[p.name]
+			s.Services = append(s.Services, one)
+		}
+	}
+	for pair, u := range w.network.Uses() {
+		s.Links = append(s.Links, Usage{pair.From + " to " + pair.To, "MB/s", u.Peak / 1e6, w.linkLimit() / 1e6})
+	}
+	peaks := promise.Peaks(stays)
+	for _, r := range w.plan.regions {
+		s.Regions = append(s.Regions, Usage{r, "requests", float64(peaks[r]), float64(w.plan.limit(r))})
+	}
+	slices.SortFunc(s.Links, func(a, b Usage) int { return cmp.Compare(a.Name, b.Name) })
+	s.Drain = drainOf(stays, n)
+	s.Twice = promise.Twice(records, runs)
+	return s
+}
+
+func service(c *caller.Summary) Service {
+	return Service{
+		Name: c.Service, Requests: c.Requests, NotRun: c.NotRun, Unknown: c.Unknown, Retried: c.Retried,
+		Median: float64(c.Latency.ValueAtQuantile(50)) / 1000, Tail: float64(c.Latency.ValueAtQuantile(99)) / 1000,
+	}
+}
+
+// drainOf returns when the drained target received and ended its last work.
+func drainOf(stays []promise.Run, n notes) Drain {
+	d := Drain{Target: n.drained}
+	for _, x := range stays {
+		if x.Target == n.drained && x.End.After(n.drainStart) {
+			d.Last = max(d.Last, x.Start.Sub(n.drainStart).Seconds())
+			d.Quiet = max(d.Quiet, x.End.Sub(n.drainStart).Seconds())
+		}
+	}
+	return d
+}
+
+// Write prints the summary as text.
+func (s Summary) Write(out io.Writer) error {
+	t := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "\ndeployment %s, seed %d\n\n", s.Deployment, s.Seed)
+	fmt.Fprintln(t, "service\trequests\tp50 ms\tp99 ms\ttold not-run\tunknown\tretried")
+	for _, v := range s.Services {
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t%.1f\t%d\t%d\t%d\n", v.Name, v.Requests, v.Median, v.Tail, v.NotRun, v.Unknown, v.Retried)
+	}
+	fmt.Fprintln(t, "\nattempts without an answer")
+	for _, v := range s.Services {
+		for _, reason := range slices.Sorted(maps.Keys(v.Told)) {
+			fmt.Fprintf(t, "%s\t%d\t%s\n", v.Name, v.Told[reason], reason)
+		}
+	}
+	fmt.Fprintln(t, "\npeak use\tpeak\tlimit")
+	for _, u := range slices.Concat(s.Links, s.Regions) {
+		fmt.Fprintf(t, "%s\t%.1f\t%.1f %s\n", u.Name, u.Peak, u.Limit, u.Unit)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintf(t, "drain of %s\tlast new work after %s, quiet after %s\n", s.Drain.Target, seconds(s.Drain.Last), seconds(s.Drain.Quiet))
+	fmt.Fprintf(t, "version %d\tin force on every entry after %s\n", s.Version, seconds(s.Force))
+	fmt.Fprintf(t, "%s\tlost and replaced\n", s.Lost)
+	fmt.Fprintf(t, "%s\tstopped as planned in %s and replaced\n", s.Stop.Entry, seconds(s.Stop.Time))
+	fmt.Fprintf(t, "orders run more than once\t%d\n", s.Twice)
+	if len(s.Broken) == 0 {
+		fmt.Fprintln(t, "\nall promises held")
+	}
+	for _, b := range s.Broken {
+		fmt.Fprintf(t, "\nBROKEN %s (%d times)\n  %s\n", b.Promise, b.Count, b.Example)
+	}
+	return t.Flush()
+}
+
+func seconds(s float64) string {
+	return time.Duration(s * float64(time.Second)).Round(time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/demo/deployment/world.go
@@ -0,0 +1,171 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tamarackspool/internal/config/history"
+	storeclient "tamarackspool/internal/platform/store"
+	"tamarackspool/internal/standin/network"
+	"tamarackspool/internal/standin/roster"
+	"tamarackspool/internal/standin/store"
+)
+
+// The limits of the platform's key-value service.
+const (
+	storeReads  = 2000
+	storeWrites = 400
+	listLag     = time.Second
+	storeKey    = ""
+)
+
+// world holds all parts of a running deployment.
+type world struct {
+	settings  Settings
+	plan      plan
+	network   *network.Network
+	list      *roster.Server
+	storeURL  string
+	rosterURL string
+	history   *history.History
+	machines  map[string]*machine
+	logger    log.Logger
+	wg        sync.WaitGroup
+	mu        sync.Mutex
+	sites     map[string]*site
+	failed    error
+}
+
+func newWorld(s Settings) *world {
+	p := plans()[s.Deployment]
+	rates := make(map[network.Pair]float64)
+	for _, a := range p.regions {
+		for _, b := range p.regions {
+			if a != b && !s.has(FaultFlood) {
+				rates[network.Pair{From: a, To: b}] = float64(p.rate)
+			}
+		}
+	}
+	out := s.Log
+	if out == nil {
+		out = io.Discard
+	}
+	return &world{
+		settings: s, plan: p,
+		network: network.New(network.Settings{
+			Zones: p.zones, Regions: p.between, Clients: p.clients, Jitter: 0.3, Loss: 0.002, Rates: rates, Seed: s.Seed,
+		}),
+		list:     roster.New(listLag, nil),
+		machines: make(map[string]*machine),
+		sites:    make(map[string]*site),
+		logger:   log.With(log.NewLogfmtLogger(log.NewSyncWriter(out)), "at", log.DefaultTimestampUTC),
+	}
+}
+
+// own runs f until it returns; its error ends up in the result of the run.
+func (w *world) own(f func() error) {
+	w.wg.Go(func() {
+		if err := f(); err != nil {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.failed == nil {
+				w.failed = err
+			}
+		}
+	})
+}
+
+// build starts the platform, the targets and the entries.
+func (w *world) build(ctx context.Context) error {
+	if err := w.startPlatform(ctx); err != nil {
+		return err
+	}
+	data, err := w.startTargets(ctx)
+	if err != nil {
+		return err
+	}
+	w.history = history.New(history.Settings{Store: storeclient.New(w.storeURL, storeKey, http.DefaultClient)})
+	if _, err := w.history.Create(ctx, data, nil); err != nil {
+		return fmt.Errorf("deployment: %w", err)
+	}
+	for _, r := range w.plan.regions {
+		for _, z := range zoneNames(r) {
+			for _, e := range entryNames(z) {
+				if _, err := w.boot(ctx, e, z); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) startPlatform(ctx context.Context) error {
+	runner, err := store.Listen(ctx, "127.0.0.1:0", store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites}))
+	if err != nil {
+		return fmt.Errorf("deployment: %w", err)
+	}
+	w.storeURL = runner.URL()
+	w.own(func() error { return runner.Run(ctx) })
+	w.network.Bind(w.storeURL[len("http://"):], network.Place{Name: "store", Zone: zoneNames(w.plan.store)[0], Region: w.plan.store})
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return fmt.Errorf("deployment: %w", err)
+	}
+	w.rosterURL = "http://" + l.Addr().String()
+	server := &http.Server{Handler: w.list, ReadHeaderTimeout: time.Minute}
+	w.own(func() error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(l); ctx.Err() == nil {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// startTargets starts all targets and returns the configuration that names them.
+func (w *world) startTargets(ctx context.Context) ([]byte, error) {
+	addresses := make(map[string]netip.AddrPort)
+	for i, s := range w.plan.spots() {
+		region := w.plan.regionOf(s.zone)
+		m, err := newMachine(s, region, w.settings.Seed+uint64(i))
+		if err != nil {
+			return nil, err
+		}
+		w.machines[s.name] = m
+		address := m.listen.Addr().(*net.TCPAddr).AddrPort()
+		addresses[s.name] = address
+		w.network.Bind(address.String(), network.Place{Name: s.name, Zone: s.zone, Region: region})
+		w.list.Set(s.name, false)
+		w.own(func() error { return m.serve(ctx) })
+	}
+	return w.plan.document(addresses)
+}
+
+// all returns the present sites.
+func (w *world) all() []*site {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*site
+	for _, s := range w.sites {
+		all = append(all, s)
+	}
+	return all
+}
+
+func (w *world) site(name string) *site {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sites[name]
+}
