--- a/cmd/tamarackspool/client.go
+++ b/cmd/tamarackspool/client.go
@@ -4,99 +4,65 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
-	"syscall"
 	"time"
 )
 
-// answerTime is how long a command waits for an entry.
-const answerTime = 15 * time.Second
+// answerTime is how long a look-up waits for an entry.
+const answerTime = 5 * time.Second
 
-// admin are the flags of the commands that talk to an entry's operators' API.
-type admin struct {
-	Admin netip.AddrPort `help:"Operators' address of an entry." placeholder:"IP:PORT" required:""`
-	Key   string         `name:"operator-key" help:"Token of the operators." required:""`
+type lookupCommand struct {
+	Call    netip.AddrPort `help:"Callers' address of an entry." placeholder:"IP:PORT" required:""`
+	Client  string         `help:"Address of the client. Default: this machine's."`
+	Service string         `arg:"" help:"Name of the service."`
 }
 
-// call sends a request to the operators' API and prints the response.
-func (a admin) call(ctx context.Context, s *streams, method, path string, query url.Values, body any) error {
-	var content io.Reader = http.NoBody
-	if body != nil {
-		data, err := json.Marshal(body)
+// Run prints the look-up.
+func (c *lookupCommand) Run(ctx context.Context, s *streams) error {
+	q := url.Values{"service": {c.Service}}
+	if c.Client != "" {
+		client, err := netip.ParseAddr(c.Client)
 		if err != nil {
-			return err
+			return fail(exitUsage, "--client: %q is not an IP address", c.Client)
 		}
-		content = bytes.NewReader(data)
+		q.Set("client", client.String())
 	}
-	target := url.URL{Scheme: "http", Host: a.Admin.String(), Path: path, RawQuery: query.Encode()}
-	return fetch(ctx, s, method, target.String(), a.Key, content)
-}
-
-// fetch sends one request, prints the response body and turns its status into an exit status.
-func fetch(ctx context.Context, s *streams, method, target, key string, content io.Reader) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, target, content)
+	target := url.URL{Scheme: "http", Host: c.Call.String(), Path: "/lookup", RawQuery: q.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return fail(exitUsage, "%v", err)
-	}
-	if key != "" {
-		req.Header.Set("Authorization", "Bearer "+key)
+		return err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return fail(lostCode(method, err), "%v", err)
+		return fail(exitUnavailable, "%v", err)
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return fail(lostCode(method, err), "the response ended early: %v", err)
-	}
-	print(s.out, data)
-	return status(resp.StatusCode)
-}
-
-// print writes JSON with indentation and anything else as it is.
-func print(out io.Writer, data []byte) {
-	var pretty bytes.Buffer
-	if json.Indent(&pretty, data, "", "  ") == nil {
-		data = pretty.Bytes()
-	}
-	fmt.Fprintln(out, string(bytes.TrimRight(data, "\n")))
-}
-
-// lostCode returns the exit status for a request without a response: a change
-// that was sent may have taken effect, a connection that was refused proves
-// that it has not.
-func lostCode(method string, err error) int {
-	var op *net.OpError
-	refused := errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial")
-	if method == http.MethodGet || refused {
-		return exitUnavailable
+		return fail(exitUnavailable, "the response ended early: %v", err)
 	}
-	return exitUnknown
+	return show(s, resp.StatusCode, data)
 }
 
-// status turns an HTTP status of the operators' API into an error with an exit status.
-func status(code int) error {
+// show prints the response and turns its status into an exit status.
+func show(s *streams, status int, data []byte) error {
 	switch {
-	case code == http.StatusAccepted || code == http.StatusGatewayTimeout:
-		return fail(exitUnknown, "the outcome is not known; ask again with the same id")
-	case code < 300:
-		return nil
-	case code == http.StatusConflict:
-		return fail(exitRefused, "refused")
-	case code == http.StatusServiceUnavailable || code == http.StatusBadGateway:
-		return fail(exitUnavailable, "not available")
-	case code < 500:
-		return fail(exitUsage, "the entry answered %d %s", code, http.StatusText(code))
+	case status == http.StatusOK:
+		var pretty bytes.Buffer
+		if err := json.Indent(&pretty, bytes.TrimSpace(data), "", "  "); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(s.out, pretty.String())
+		return err
+	case status >= http.StatusInternalServerError:
+		return fail(exitUnavailable, "%d: %s", status, bytes.TrimSpace(data))
 	default:
-		return fail(exitInternal, "the entry answered %d %s", code, http.StatusText(code))
+		return fail(exitUsage, "%d: %s", status, bytes.TrimSpace(data))
 	}
 }
--- a/cmd/tamarackspool/operator.go
+++ b/cmd/tamarackspool/operator.go
@@ -2,26 +2,65 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"os"
 	"os/user"
-	"strconv"
 	"time"
 
-	"github.com/google/uuid"
+	"tamarackspool/internal/entry/console"
 )
 
-type patchCommand struct {
-	admin
-	Base uint64 `help:"Version that the patch was made for." required:""`
+// admin are the flags of the commands that talk to the operators' API.
+type admin struct {
+	Admin []netip.AddrPort `help:"Operators' addresses of entries; the next one is asked when one does not answer." placeholder:"IP:PORT" required:""`
+	Key   string           `name:"operator-key" help:"Token of the operators." required:""`
+	JSON  bool             `help:"Print the API's responses as JSON."`
+}
+
+func (a admin) console(s *streams) *console.Console {
+	var bases []string
+	for _, address := range a.Admin {
+		bases = append(bases, "http://"+address.String())
+	}
+	return &console.Console{Client: console.NewClient(bases, a.Key, http.DefaultClient), Out: s.out, JSON: a.JSON}
+}
+
+// ended turns a failure of the console into one with its exit status.
+func ended(err error) error {
+	if f, ok := errors.AsType[*console.Failure](err); ok {
+		return &failure{f.ExitCode(), err}
+	}
+	return err
+}
+
+// change are the flags of the commands that change the configuration.
+type change struct {
+	Base uint64 `help:"Version that the change was made for. Default: the version in force."`
 	ID   string `help:"Identity of the change; the same id is applied at most once. Default: a new one."`
 	Who  string `help:"Who makes the change. Default: the user's name."`
 	Why  string `help:"Reason for the audit trail." required:""`
+}
+
+func (c change) console() console.Change {
+	return console.Change{Base: c.Base, ID: c.ID, Who: author(c.Who), Why: c.Why}
+}
+
+func author(who string) string {
+	if who != "" {
+		return who
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+type patchCommand struct {
+	admin
+	change
 	File string `arg:"" optional:"" default:"-" help:"File with the JSON patch; - reads standard input."`
 }
 
@@ -31,13 +70,7 @@
 	if err != nil {
 		return fail(exitUsage, "%v", err)
 	}
-	if !json.Valid(data) {
-		return fail(exitUsage, "%s is not JSON", c.File)
-	}
-	id := identity(s, c.ID)
-	return c.call(ctx, s, http.MethodPost, "/patch", nil, map[string]any{
-		"base": c.Base, "id": id, "who": author(c.Who), "why": c.Why, "patch": json.RawMessage(data),
-	})
+	return ended(c.admin.console(s).Patch(ctx, c.change.console(), data, nil))
 }
 
 func (c *patchCommand) read(s *streams) ([]byte, error) {
@@ -47,37 +80,16 @@
 	return os.ReadFile(c.File)
 }
 
-// identity returns the id, or prints a new one so that an unknown outcome can be asked for again.
-func identity(s *streams, id string) string {
-	if id == "" {
-		id = uuid.NewString()
-		fmt.Fprintln(s.problems, "id:", id)
-	}
-	return id
-}
-
-func author(who string) string {
-	if who != "" {
-		return who
-	}
-	if u, err := user.Current(); err == nil {
-		return u.Username
-	}
-	return "unknown"
-}
-
 type drainCommand struct {
 	admin
-	Base   uint64    `help:"Version that the drain is planned for. Default: the version in force at the entry."`
-	ID     string    `help:"Identity of the change; the same id is applied at most once. Default: a new one."`
-	Who    string    `help:"Who makes the change. Default: the user's name."`
-	Why    string    `help:"Reason for the audit trail." required:""`
+	change
 	Name   string    `arg:"" help:"Name of the drain."`
 	Target []string  `help:"Target to empty; may be repeated." xor:"what"`
 	Zone   string    `help:"Availability zone to empty." xor:"what"`
 	Region string    `help:"Region to empty." xor:"what"`
 	Start  time.Time `help:"When the drain starts (RFC 3339). Default: now."`
 	End    time.Time `help:"When the targets return (RFC 3339). Default: never."`
+	Follow bool      `help:"Wait until nothing is in flight at the targets; needs the addresses of all their owners."`
 }
 
 // Run plans the drain.
@@ -85,63 +97,31 @@
 	if len(c.Target) == 0 && c.Zone == "" && c.Region == "" {
 		return fail(exitUsage, "one of --target, --zone and --region is needed")
 	}
-	if c.Start.IsZero() {
-		c.Start = time.Now()
-	}
-	body := map[string]any{
-		"id": identity(s, c.ID), "who": author(c.Who), "why": c.Why, "name": c.Name,
-		"start": c.Start.UTC().Format(time.RFC3339Nano),
-	}
-	optional(body, "targets", c.Target, len(c.Target) > 0)
-	optional(body, "base", c.Base, c.Base > 0)
-	optional(body, "zone", c.Zone, c.Zone != "")
-	optional(body, "region", c.Region, c.Region != "")
-	optional(body, "end", c.End.UTC().Format(time.RFC3339Nano), !c.End.IsZero())
-	return c.call(ctx, s, http.MethodPost, "/drain", nil, body)
-}
-
-func optional(body map[string]any, key string, value any, set bool) {
-	if set {
-		body[key] = value
-	}
+	return ended(c.admin.console(s).Drain(ctx, c.change.console(), console.Drain{
+		Name: c.Name, Targets: c.Target, Zone: c.Zone, Region: c.Region, Start: c.Start, End: c.End, Follow: c.Follow,
+	}))
 }
 
 type configCommand struct{ admin }
 
 // Run prints the configuration.
 func (c *configCommand) Run(ctx context.Context, s *streams) error {
-	return c.call(ctx, s, http.MethodGet, "/config", nil, nil)
+	return ended(c.console(s).Config(ctx))
 }
 
 type statusCommand struct{ admin }
 
 // Run prints the status.
 func (c *statusCommand) Run(ctx context.Context, s *streams) error {
-	return c.call(ctx, s, http.MethodGet, "/status", nil, nil)
+	return ended(c.console(s).Status(ctx))
 }
 
 type auditCommand struct {
 	admin
-	From uint64 `help:"Number of the first record." default:"0"`
+	From uint64 `help:"Version of the first record." default:"0"`
 }
 
 // Run prints the audit trail.
 func (c *auditCommand) Run(ctx context.Context, s *streams) error {
-	return c.call(ctx, s, http.MethodGet, "/audit", url.Values{"from": {strconv.FormatUint(c.From, 10)}}, nil)
-}
-
-type lookupCommand struct {
-	Call    netip.AddrPort `help:"Callers' address of an entry." placeholder:"IP:PORT" required:""`
-	Client  netip.Addr     `help:"Address of the client; default: this machine's."`
-	Service string         `arg:"" help:"Name of the service."`
-}
-
-// Run prints the look-up.
-func (c *lookupCommand) Run(ctx context.Context, s *streams) error {
-	q := url.Values{"service": {c.Service}}
-	if c.Client.IsValid() {
-		q.Set("client", c.Client.String())
-	}
-	target := url.URL{Scheme: "http", Host: c.Call.String(), Path: "/lookup", RawQuery: q.Encode()}
-	return fetch(ctx, s, http.MethodGet, target.String(), "", http.NoBody)
+	return ended(c.console(s).Audit(ctx, c.From))
 }
--- a/cmd/tamarackspool/serve.go
+++ b/cmd/tamarackspool/serve.go
@@ -2,56 +2,101 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"net/netip"
+	"os"
 	"time"
-)
-
-type entryCommand struct {
-	Name      string        `help:"Name of this entry in the configuration." required:""`
-	Zone      string        `help:"Availability zone of this entry." required:""`
-	Region    string        `help:"Region of this entry." required:""`
-	Call      string        `help:"Address to listen on for callers." default:"127.0.0.1:0"`
-	Peer      string        `help:"Address to listen on for control messages of entries." default:"127.0.0.1:0"`
-	Pass      string        `help:"Address to listen on for relayed requests." default:"127.0.0.1:0"`
-	Admin     string        `help:"Address to listen on for operators." default:"127.0.0.1:0"`
-	Store     string        `help:"Base address of the key-value service." placeholder:"http://IP:PORT"`
-	StoreKey  string        `help:"Token of the key-value service."`
-	Roster    string        `help:"Base address of the VM list." placeholder:"http://IP:PORT"`
-	Peers     []string      `help:"Control addresses of other entries, asked at the start." placeholder:"IP:PORT"`
-	PeerKey   string        `help:"Token that entries share." required:""`
-	OpKey     string        `name:"operator-key" help:"Token of the operators." required:""`
-	StopLimit time.Duration `help:"Longest time of a graceful shutdown." default:"10m"`
-	TTL       time.Duration `name:"lookup-ttl" help:"How long callers keep a look-up." default:"10s"`
-	Retention time.Duration `help:"How long caller-chosen keys are remembered." default:"24h"`
-	Keys      int           `help:"Most order keys held in memory." default:"200000"`
-	Header    int           `name:"header-limit" help:"Largest accepted request header in bytes." default:"32768"`
-	Seed      uint64        `help:"Seed of random choices; 0 takes a random one." default:"0"`
-}
 
-// Run runs the entry until a signal stops it.
-func (c *entryCommand) Run(ctx context.Context, s *streams) error { return nil }
-
-type demoCommand struct {
-	Deployment string        `help:"Deployment to run: ${enum}." enum:"letters,cartridge" default:"letters"`
-	Duration   time.Duration `help:"How long callers send requests, from 5s to 10m." default:"20s"`
-	Seed       uint64        `help:"Seed of the traffic and the network." default:"1"`
-	JSON       bool          `help:"Print the summary as JSON."`
-	Fault      string        `help:"Make a part break a promise: ${enum}." enum:",twice,lie" default:""`
-}
+	"golang.org/x/sync/errgroup"
 
-// Run runs the demo.
-func (c *demoCommand) Run(ctx context.Context, s *streams) error { return nil }
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/history"
+	storeclient "tamarackspool/internal/platform/store"
+	"tamarackspool/internal/standin/roster"
+	"tamarackspool/internal/standin/store"
+	"tamarackspool/internal/standin/target"
+)
 
 type storeCommand struct {
-	Listen netip.AddrPort `help:"Address to listen on." default:"127.0.0.1:9000"`
+	Listen netip.AddrPort `help:"Address of the key-value service." default:"127.0.0.1:9000"`
+	Roster netip.AddrPort `help:"Address of the VM list." default:"127.0.0.1:9001"`
+	Config string         `help:"File with the configuration to begin with." required:""`
+	Lag    time.Duration  `help:"How old the VM list is." default:"1s"`
+	Key    string         `name:"store-key" help:"Token that clients send; empty accepts all."`
+	Reads  int            `help:"Most reads per second; 0 means no limit." default:"2000"`
+	Writes int            `help:"Most writes per second; 0 means no limit." default:"400"`
 }
 
 // Run runs the stand-in until a signal stops it.
-func (c *storeCommand) Run(ctx context.Context, s *streams) error { return nil }
+func (c *storeCommand) Run(ctx context.Context, s *streams) error {
+	data, err := os.ReadFile(c.Config)
+	if err != nil {
+		return fail(exitUsage, "--config: %v", err)
+	}
+	d, err := codec.Decode(data)
+	if err != nil {
+		return fail(exitUsage, "--config: %v", err)
+	}
+	runner, err := store.Listen(ctx, c.Listen.String(), store.New(store.Settings{Key: c.Key, Reads: c.Reads, Writes: c.Writes}))
+	if err != nil {
+		return fail(exitUsage, "--listen: %v", err)
+	}
+	list := roster.New(c.Lag, nil)
+	for _, t := range d.Targets() {
+		list.Set(t.Name(), false)
+	}
+	for _, e := range d.Entries() {
+		list.Set(e.Name(), false)
+	}
+	l, err := net.Listen("tcp", c.Roster.String())
+	if err != nil {
+		return fail(exitUsage, "--roster: %v", err)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return runner.Run(ctx) })
+	g.Go(func() error { return serveUntil(ctx, l, list) })
+	g.Go(func() error {
+		r, err := history.New(history.Settings{Store: storeclient.New(runner.URL(), c.Key, http.DefaultClient)}).Create(ctx, data, nil)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "store %s roster http://%s version %d\n", runner.URL(), l.Addr(), r.Version())
+		return nil
+	})
+	return g.Wait()
+}
+
+// serveUntil serves HTTP on the listener until ctx ends.
+func serveUntil(ctx context.Context, l net.Listener, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
 
 type targetCommand struct {
-	Listen netip.AddrPort `help:"Address to listen on." default:"127.0.0.1:9100"`
+	Listen netip.AddrPort `help:"Address to listen on." required:"" placeholder:"IP:PORT"`
+	Name   string         `help:"Name of the target in the configuration." required:""`
+	Slots  int            `help:"Number of requests that run at once, from 1 to 10000." default:"6"`
+	Mean   time.Duration  `help:"Mean service time." default:"20ms"`
+	Seed   uint64         `help:"Seed of the service times." default:"1"`
 }
 
 // Run runs the stand-in until a signal stops it.
-func (c *targetCommand) Run(ctx context.Context, s *streams) error { return nil }
+func (c *targetCommand) Run(ctx context.Context, s *streams) error {
+	if c.Slots < 1 || c.Slots > 10_000 {
+		return fail(exitUsage, "--slots %d is out of range; the range is 1 to 10000", c.Slots)
+	}
+	l, err := net.Listen("tcp", c.Listen.String())
+	if err != nil {
+		return fail(exitUsage, "--listen: %v", err)
+	}
+	fmt.Fprintf(s.out, "target %s %s\n", c.Name, l.Addr())
+	return target.New(target.Settings{Name: c.Name, Slots: c.Slots, Seed: c.Seed, Mean: c.Mean}).Serve(ctx, l)
+}
