--- /dev/null
+++ b/internal/entry/gateway/gateway_test.go
@@ -0,0 +1,116 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/entry/gateway"
+	"tamarackspool/internal/fleet/lookup"
+	"tamarackspool/internal/request/verdict"
+)
+
+// entry is a state that a test changes.
+type entry struct{ ready, leaving bool }
+
+func (e *entry) Ready() bool   { return e.ready }
+func (e *entry) Leaving() bool { return e.leaving }
+
+func (e *entry) Document() *document.Document {
+	return document.New(document.Fields{
+		Services: []document.Service{
+			document.NewService(document.ServiceFields{Name: "status"}),
+			document.NewService(document.ServiceFields{Name: "gifts", Once: true}),
+		},
+		Tenants: []document.Tenant{
+			document.NewTenant("parents", "", nil),
+			// The digest is that of the key "secret".
+			document.NewTenant("teachers", "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b", nil),
+			document.NewTenant("readers", "", []string{"status"}),
+		},
+	})
+}
+
+// Answer refuses every look-up, as an entry without any live peer does.
+func (e *entry) Answer(lookup.Query, time.Time) (lookup.Answer, error) {
+	return lookup.Answer{}, verdict.New(verdict.NotRun, verdict.ReasonRoom, http.StatusServiceUnavailable, nil).WithRetryAfter(time.Second)
+}
+
+// Issue returns as many tickets as were asked for.
+func (e *entry) Issue(_, _ string, count int, _ time.Time) []string { return make([]string, count) }
+
+func ask(e *entry, method, path string, header http.Header) *http.Response {
+	g := gateway.New(gateway.Dependencies{
+		Entry: e, Directory: e, Issuer: e, Name: "e1", TTL: 10 * time.Second,
+		Forward: func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) },
+	})
+	r := httptest.NewRequest(method, path, nil)
+	r.Header = header
+	w := httptest.NewRecorder()
+	g.ServeHTTP(w, r)
+	return w.Result()
+}
+
+// Guards against tickets for a foreign tenant, for a service that takes none or beyond the bound, and against
+// a refusal without a verdict, which callers would have to take for may-have-run.
+func TestTicketRefusals(t *testing.T) {
+	for _, c := range []struct {
+		path        string
+		tenant, key string
+		leaving     bool
+		status      int
+	}{
+		{"/ticket?service=gifts&count=100", "parents", "", false, http.StatusOK},
+		{"/ticket?service=gifts", "teachers", "secret", false, http.StatusOK},
+		{"/ticket?service=gifts", "teachers", "wrong", false, http.StatusForbidden},
+		{"/ticket?service=gifts", "strangers", "", false, http.StatusUnauthorized},
+		{"/ticket?service=gifts", "readers", "", false, http.StatusForbidden},
+		{"/ticket?service=gifts&count=101", "parents", "", false, http.StatusBadRequest},
+		{"/ticket?service=gifts&count=x", "parents", "", false, http.StatusBadRequest},
+		{"/ticket?service=status", "parents", "", false, http.StatusBadRequest},
+		{"/ticket?service=none", "parents", "", false, http.StatusNotFound},
+		{"/ticket?service=gifts", "parents", "", true, http.StatusServiceUnavailable},
+	} {
+		header := http.Header{"Tenant": {c.tenant}, "Tenant-Key": {c.key}}
+		got := ask(&entry{ready: true, leaving: c.leaving}, http.MethodPost, c.path, header)
+		if got.StatusCode != c.status {
+			t.Errorf("%s by %s: status %d, want %d", c.path, c.tenant, got.StatusCode, c.status)
+		}
+		if c.status != http.StatusOK && got.Header.Get("Verdict") != "not-run" {
+			t.Errorf("%s by %s: verdict %q, want not-run", c.path, c.tenant, got.Header.Get("Verdict"))
+		}
+	}
+}
+
+// Guards against an entry without a configuration that answers anything but 503 not-run.
+func TestNotReady(t *testing.T) {
+	for _, path := range []string{"/lookup?service=status", "/run/status/x"} {
+		got := ask(&entry{}, http.MethodGet, path, http.Header{})
+		if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Verdict") != "not-run" || got.Header.Get("Reason") != "isolated" {
+			t.Errorf("%s: status %d, header %v", path, got.StatusCode, got.Header)
+		}
+	}
+	if got := ask(&entry{ready: true, leaving: true}, http.MethodGet, "/healthz", nil); got.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("health of a leaving entry: status %d", got.StatusCode)
+	}
+}
+
+// Guards against a look-up with a malformed client that is answered for another one, and against a refusal
+// that loses its advice when to come back.
+func TestLookupRefusals(t *testing.T) {
+	if got := ask(&entry{ready: true}, http.MethodGet, "/lookup?service=status&client=x", nil); got.StatusCode != http.StatusBadRequest {
+		t.Errorf("malformed client: status %d", got.StatusCode)
+	}
+	got := ask(&entry{ready: true}, http.MethodGet, "/lookup?service=status", nil)
+	if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Retry-After") != "1" {
+		t.Errorf("refused: status %d, header %v", got.StatusCode, got.Header)
+	}
+	var out struct{ Tickets []string }
+	count := ask(&entry{ready: true}, http.MethodPost, "/ticket?service=gifts&count=7", http.Header{"Tenant": {"parents"}})
+	if json.NewDecoder(count.Body).Decode(&out) != nil || len(out.Tickets) != 7 {
+		t.Errorf("%d tickets, want 7", len(out.Tickets))
+	}
+}
