--- /dev/null
+++ b/internal/fleet/block/part.go
@@ -0,0 +1,78 @@
+package block
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"tamarackspool/internal/config/document"
+)
+
+// PartBytes is the largest part: the store holds values of at most 1 MB.
+const PartBytes = 1 << 20
+
+var errPart = errors.New("block: part is malformed")
+
+// Encode writes blocks as parts of at most PartBytes. A block is a length and the zone's name, then a length and
+// the binary form of netip.Prefix; an empty name stands for the zone of the block before it.
+func Encode(blocks []document.Block) ([][]byte, error) {
+	var parts [][]byte
+	var part []byte
+	zone := ""
+	for _, b := range blocks {
+		prefix, err := b.Prefix().MarshalBinary()
+		if err != nil || b.Zone() == "" || len(b.Zone()) > 255 {
+			return nil, fmt.Errorf("block: %v in zone %q cannot be encoded", b.Prefix(), b.Zone())
+		}
+		if len(part)+2+len(b.Zone())+len(prefix) > PartBytes {
+			parts, part, zone = append(parts, part), nil, ""
+		}
+		name := b.Zone()
+		if name == zone {
+			name = ""
+		}
+		zone = b.Zone()
+		part = append(append(part, byte(len(name))), name...)
+		part = append(append(part, byte(len(prefix))), prefix...)
+	}
+	if len(part) > 0 {
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+// Decode reads the blocks of parts in their order.
+func Decode(parts [][]byte) ([]document.Block, error) {
+	var blocks []document.Block
+	for _, part := range parts {
+		zone := ""
+		for len(part) > 0 {
+			name, rest, err := field(part)
+			if err != nil {
+				return nil, err
+			}
+			if len(name) > 0 && string(name) != zone {
+				zone = string(name)
+			}
+			data, rest, err := field(rest)
+			if err != nil {
+				return nil, err
+			}
+			var prefix netip.Prefix
+			if err := prefix.UnmarshalBinary(data); err != nil || !prefix.IsValid() || zone == "" {
+				return nil, errPart
+			}
+			blocks = append(blocks, document.NewBlock(prefix, zone))
+			part = rest
+		}
+	}
+	return blocks, nil
+}
+
+func field(data []byte) (value, rest []byte, err error) {
+	if len(data) == 0 || len(data) < 1+int(data[0]) {
+		return nil, nil, errPart
+	}
+	n := 1 + int(data[0])
+	return data[1:n], data[n:], nil
+}
--- a/internal/fleet/gossip/pace.go
+++ b/internal/fleet/gossip/pace.go
@@ -3,7 +3,7 @@
 import "time"
 
 // smoothing is the weight of the newest round in the mean of bytes per round.
-const smoothing = 0.1
+const smoothing = 0.05
 
 // pace lengthens the interval and bounds the heartbeats per message so that the bytes sent stay under the budget.
 type pace struct {
@@ -24,10 +24,8 @@
 func (p *pace) update(sent int64, members int) {
 	round := float64(sent - p.last)
 	p.last = sent
-	if p.bytes == 0 {
-		p.bytes = round
-	}
 	p.bytes += smoothing * (round - p.bytes)
+	// The mean starts at zero, so that the greetings of a start do not lengthen the first intervals.
 	// A tenth is kept free for greetings and records.
 	need := time.Duration(p.bytes / (0.9 * p.budget) * float64(time.Second))
 	p.interval = min(max(need, p.shortest), maxInterval)
