--- a/internal/steer/shift/shift.go
+++ b/internal/steer/shift/shift.go
@@ -15,8 +15,9 @@
 const (
 	window = 10                     // steps in which requests are counted against the allowance
 	memory = 500 * time.Millisecond // time constant of the baseline
-	safety = 0.8
-	refill = time.Minute // how long a region that returned is refilled under the cap at most
+	safety = 0.8                    // part of the share used for growth
+	pace   = 1.5                    // requests of one step as a multiple of the mean
+	refill = time.Minute            // how long a region that returned is refilled under the cap at most
 )
 
 // Update sets how many requests of each service and home region this entry may
@@ -43,6 +44,8 @@
 	r.Allow = min(r.Allow+float64(r.Share)*t.Elapsed.Seconds(), r.Base+growth(r.Share))
 	r.Open = r.Home == t.Region && !refilling(now, t, r)
 	r.Left = max(0, int(math.Floor(r.Allow+1e-9))-recent)
+	// An even pace keeps seconds that begin within a step close to those counted.
+	r.Left = min(r.Left, 1+int(math.Ceil(pace*r.Allow/window)))
 	if t.Closed {
 		r.Left = 0
 	}
