internal/entry/node: load client blocks and use them for look-ups and homes

The configuration names parts with client blocks, which nothing read. The entry loads them when their names change and keeps the table before while the store is away. A test adds a block by a patch and sees the client's look-up name its region's entry alone.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -75,6 +75,7 @@
 
 	snapshot atomic.Pointer[decision.Snapshot]
 	vms      atomic.Pointer[vmList]
+	near     atomic.Pointer[nearness]
 	reports  *reports
 	flight   atomic.Int64
 	leaving  atomic.Bool
@@ -189,7 +190,7 @@
 	n.forward, err = forward.New(forward.Settings{
 		Name: n.s.Name(), Region: n.s.Region(), Key: n.s.Peerkey(), Header: n.s.Header(),
 	}, forward.Dependencies{
-		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: n.current, Links: links{n},
+		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: n.current, Links: links{n}, Home: n.home,
 		Targets: n.targets, Entries: n.entries, Log: n.d.Events, Metrics: n.metrics, Seed: n.s.Seed(),
 	})
 	return err
--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -59,11 +60,17 @@
 			document.NewService(document.ServiceFields{Name: "status", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "gifts", Once: true, Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 		},
-		Regions: []document.Region{document.NewRegion(document.RegionFields{Name: "ege"})},
-		Zones:   []document.Zone{document.NewZone("ege-a", "ege"), document.NewZone("ege-b", "ege")},
+		Regions: []document.Region{
+			document.NewRegion(document.RegionFields{Name: "ege"}), document.NewRegion(document.RegionFields{Name: "marmara"}),
+		},
+		Links: []document.Link{document.NewLink("ege", "marmara", 1_000_000)},
+		Zones: []document.Zone{
+			document.NewZone("ege-a", "ege"), document.NewZone("ege-b", "ege"), document.NewZone("marmara-a", "marmara"),
+		},
 		Entries: []document.Entry{
 			document.NewEntry(document.EntryFields{Name: "e1", Zone: "ege-a"}),
 			document.NewEntry(document.EntryFields{Name: "e2", Zone: "ege-b"}),
+			document.NewEntry(document.EntryFields{Name: "m1", Zone: "marmara-a"}),
 		},
 		Tenants: []document.Tenant{document.NewTenant("parents", "", nil)},
 	}
@@ -114,7 +121,7 @@
 	s.t.Helper()
 	const any = "127.0.0.1:0"
 	checked, err := setting.New(setting.Raw{
-		Name: name, Zone: zone, Region: "ege", Call: any, Peer: any, Pass: any, Admin: any, Store: s.url, Peers: s.peers,
+		Name: name, Zone: zone, Region: strings.TrimSuffix(zone, zone[len(zone)-2:]), Call: any, Peer: any, Pass: any, Admin: any, Store: s.url, Peers: s.peers,
 		Peerkey: "peer-secret", Opkey: "operator-secret-token", Stop: time.Minute, TTL: time.Second,
 		Retention: time.Hour, Keys: 1000, Header: 32 << 10, Seed: 1,
 	})
@@ -301,6 +308,36 @@
 	})
 }
 
+// Guards against client blocks that the configuration names and look-ups do not use.
+func TestLookupFollowsClientBlocks(t *testing.T) {
+	s := newSite(t)
+	a := s.start("e1", "ege-a")
+	m := s.start("m1", "marmara-a")
+	s.serving(a)
+	parts, err := codec.EncodeBlocks([]document.Block{document.NewBlock(netip.MustParsePrefix("203.0.113.0/24"), "marmara-a")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := json.Marshal(map[string]any{
+		"base": 1, "id": "b", "who": "w", "why": "w", "blocks": parts,
+		"patch": []map[string]any{{"op": "add", "path": "/blocks/-", "value": codec.Name(parts[0])}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, _, admin := a.Addresses()
+	if out := s.operate("POST", "http://"+admin+"/patch", string(body)); !strings.Contains(out, `"applied"`) {
+		t.Fatalf("patch: %s", out)
+	}
+	s.eventually("the client's look-up names its region's entry alone", func() bool {
+		near := s.send("GET", a.url("/lookup?service=status&client=203.0.113.9"), "").body
+		return strings.Contains(near, m.call) && !strings.Contains(near, a.call)
+	})
+	if far := s.send("GET", a.url("/lookup?service=status&client=198.51.100.1"), "").body; !strings.Contains(far, a.call) {
+		t.Errorf("look-up of another client: %s", far)
+	}
+}
+
 // operate sends a request to the operators' API and returns the response's body.
 func (s *site) operate(method, url, body string) string {
 	s.t.Helper()
--- a/internal/entry/node/run.go
+++ b/internal/entry/node/run.go
@@ -35,6 +35,7 @@
 	g.Go(func() error { n.polling(ctx); return nil })
 	g.Go(func() error { n.reading(ctx); return nil })
 	g.Go(func() error { n.expiring(ctx); return nil })
+	g.Go(func() error { n.locating(ctx); return nil })
 	g.Go(func() error {
 		select {
 		case <-n.drained:
--- a/internal/entry/node/tick.go
+++ b/internal/entry/node/tick.go
@@ -117,6 +117,9 @@
 			in.Leaving[name] = true
 		}
 	}
+	if near := n.near.Load(); near != nil {
+		in.Blocks = near.table
+	}
 	n.lookups.Update(now, in)
 }
 
