--- /dev/null
+++ b/internal/measure/capacity/doc.go
@@ -0,0 +1,2 @@
+// Package capacity measures how the cost of a node grows with the size of the fleet.
+package capacity
--- /dev/null
+++ b/internal/measure/capacity/fleet.go
@@ -0,0 +1,201 @@
+package capacity
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"tamarackspool/internal/fleet/gossip"
+	"tamarackspool/internal/fleet/member"
+	"tamarackspool/internal/record/event"
+)
+
+// The times of one measurement and the layout of the fleet.
+const (
+	settle  = 15 * time.Second
+	window  = 10 * time.Second
+	patient = 15 * time.Second
+	regions = 4
+)
+
+// Gossip measures the exchange between entries that all run in this process, over TCP on loopback.
+type Gossip struct{ Seed uint64 }
+
+// Name returns the name of the role.
+func (Gossip) Name() string { return "gossip" }
+
+type holder struct {
+	mu      sync.Mutex
+	version uint64
+	hash    [32]byte
+	data    []byte
+	at      time.Time
+}
+
+// Raw returns the held configuration.
+func (h *holder) Raw() (uint64, [32]byte, []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.version, h.hash, h.data
+}
+
+// Adopt takes over a higher version and notes the time.
+func (h *holder) Adopt(version uint64, hash [32]byte, data []byte) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if version <= h.version {
+		return false, nil
+	}
+	h.version, h.hash, h.data, h.at = version, hash, data, time.Now()
+	return true, nil
+}
+
+// Raise is of no use here: nothing in the measurement serves requests.
+func (h *holder) Raise(uint64) {}
+
+type silent struct{}
+
+// Log drops the event.
+func (silent) Log(event.Number, ...any) {}
+
+type entry struct {
+	*gossip.Service
+	holder *holder
+}
+
+type fleet struct {
+	entries []entry
+	wait    sync.WaitGroup
+	cancel  context.CancelFunc
+}
+
+// Measure runs a fleet of the given size for about 40 s.
+func (g Gossip) Measure(ctx context.Context, nodes int) (map[string]float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	before := heap()
+	f := &fleet{cancel: cancel}
+	defer f.stop()
+	if err := f.start(ctx, nodes, g.Seed); err != nil {
+		return nil, err
+	}
+	time.Sleep(settle)
+	out := map[string]float64{"memory-MB": (heap() - before) / float64(nodes) / 1e6}
+	f.steady(out)
+	f.propagate(ctx, out)
+	return out, nil
+}
+
+func (f *fleet) start(ctx context.Context, nodes int, seed uint64) error {
+	var listeners []net.Listener
+	var seeds []netip.AddrPort
+	for range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("capacity: %w", err)
+		}
+		listeners = append(listeners, l)
+		seeds = append(seeds, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	var dialer net.Dialer
+	for i, l := range listeners {
+		h := &holder{}
+		region := fmt.Sprintf("region-%d", i%regions)
+		self := member.New(member.Fields{
+			Name: fmt.Sprintf("entry-%d", i), Incarnation: [16]byte{1, byte(i), byte(i >> 8)},
+			Zone: region + "-a", Region: region, Peer: seeds[i], Call: seeds[i], Pass: seeds[i],
+		})
+		s := gossip.New(gossip.Settings{Self: self, Key: []byte("capacity"), Seeds: seeds}, gossip.Dependencies{
+			Dial: dialer.DialContext, Holder: h, Now: time.Now, Seed: seed + uint64(i), Events: silent{},
+		})
+		s.SetRooms([]member.Room{member.NewRoom(self.Name(), "status", i%9, time.Now()), member.NewRoom(self.Name(), "gifts", i%5, time.Now())})
+		f.entries = append(f.entries, entry{s, h})
+		f.wait.Go(func() { _ = s.Serve(ctx, l) })
+		f.wait.Go(func() { _ = s.Run(ctx) })
+	}
+	return nil
+}
+
+func (f *fleet) stop() {
+	f.cancel()
+	f.wait.Wait()
+}
+
+// steady measures the cost per node without any change.
+func (f *fleet) steady(out map[string]float64) {
+	sent, messages := f.totals()
+	busy := processor()
+	time.Sleep(window)
+	used := processor() - busy
+	sentAfter, messagesAfter := f.totals()
+	n, seconds := float64(len(f.entries)), window.Seconds()
+	out["sent-bytes/s"] = float64(sentAfter-sent) / n / seconds
+	out["messages/s"] = float64(messagesAfter-messages) / n / seconds
+	out["core-percent"] = 100 * used.Seconds() / n / seconds
+	alive := 0
+	for _, e := range f.entries {
+		for _, m := range e.Members() {
+			if m.State() == member.Alive {
+				alive++
+			}
+		}
+	}
+	out["alive-percent"] = 100 * float64(alive) / n / n
+	out["interval-s"] = f.entries[0].Interval().Seconds()
+}
+
+func (f *fleet) totals() (sent, messages int64) {
+	for _, e := range f.entries {
+		c := e.Counts()
+		sent += c.Sent
+		messages += c.Messages
+	}
+	return sent, messages
+}
+
+// propagate measures how long a new version takes from one entry to all; an entry not reached counts the whole wait.
+func (f *fleet) propagate(ctx context.Context, out map[string]float64) {
+	data := make([]byte, 64<<10)
+	start := time.Now()
+	_, _ = f.entries[0].holder.Adopt(2, sha256.Sum256(data), data)
+	f.entries[0].Push(ctx)
+	var times []float64
+	for _, e := range f.entries {
+		for v, _, _ := e.holder.Raw(); v < 2 && time.Since(start) < patient; v, _, _ = e.holder.Raw() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		e.holder.mu.Lock()
+		took := patient.Seconds()
+		if e.holder.version == 2 {
+			took = e.holder.at.Sub(start).Seconds()
+		}
+		e.holder.mu.Unlock()
+		times = append(times, took)
+	}
+	slices.Sort(times)
+	out["propagation-p50-s"] = times[len(times)/2]
+	out["propagation-p99-s"] = times[len(times)*99/100]
+	out["propagation-max-s"] = times[len(times)-1]
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// processor returns the processor time that this process has used, the kernel's work for it included.
+func processor() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
