internal/fleet/gossip: test repeated answers

Cause: a repeated answer must not be taken for the answer to another call.

Change: a test whose accepting ends write every message twice.

Conclusion: the repeated answers are dropped and counted as late.

--- a/internal/fleet/gossip/fault_test.go
+++ b/internal/fleet/gossip/fault_test.go
@@ -236,3 +236,23 @@
 		}
 	})
 }
+
+// Guards against a repeated answer that is taken for the answer to another call.
+func TestRepeatedAnswersAreDroppedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, 2)
+		defer f.stop()
+		f.net.mu.Lock()
+		f.net.repeat = true
+		f.net.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if got := f.states(member.Alive); got != 36 {
+			t.Errorf("%d of 36 records are alive", got)
+		}
+		for _, n := range f.nodes {
+			if n.Counts().Late == 0 {
+				t.Errorf("%s counted no repeated answer", n.address)
+			}
+		}
+	})
+}
--- a/internal/fleet/gossip/network_test.go
+++ b/internal/fleet/gossip/network_test.go
@@ -26,6 +26,7 @@
 	conns     []*faulty
 	cut       func(from, to string) bool
 	delay     func() time.Duration
+	repeat    bool
 }
 
 func newNetwork() *network { return &network{listeners: make(map[string]*listener)} }
@@ -75,6 +76,23 @@
 	return n.cut != nil && n.cut(from, to)
 }
 
+// answering is the accepting end of a connection.
+type answering struct {
+	net.Conn
+	n *network
+}
+
+// Write sends each message twice while answers are repeated.
+func (a *answering) Write(p []byte) (int, error) {
+	a.n.mu.Lock()
+	repeat := a.n.repeat
+	a.n.mu.Unlock()
+	if n, err := a.Conn.Write(p); err != nil || !repeat {
+		return n, err
+	}
+	return a.Conn.Write(p)
+}
+
 // lag returns how long the next write takes.
 func (n *network) lag() time.Duration {
 	n.mu.Lock()
@@ -109,7 +127,8 @@
 		if l == nil || n.isCut(from, to) {
 			return nil, errCut
 		}
-		near, far := net.Pipe()
+		near, end := net.Pipe()
+		far := &answering{end, n}
 		select {
 		case l.conns <- far:
 		case <-l.done:
