internal/steer/split: take the slots of near peers from the ownership

Cause: the bound for relays to a peer needed its slots, which the headroom records between entries do not carry, and counted targets that were leaving.

--- a/internal/steer/drain/drain.go
+++ b/internal/steer/drain/drain.go
@@ -31,6 +31,7 @@
 	}
 	reports(now, t)
 	for i := range t.Targets {
+		t.Moved = t.Moved || (t.Targets[i].Leaving == "") != (before[i] == "")
 		announce(t, &t.Targets[i], before[i])
 	}
 }
--- a/internal/steer/split/split.go
+++ b/internal/steer/split/split.go
@@ -21,6 +21,9 @@
 			}
 		}
 	}
+	if t.Changed || t.Moved {
+		owned(t)
+	}
 	spilled := make([]int, len(t.Services))
 	for i := range t.Peers {
 		p := &t.Peers[i]
@@ -34,17 +37,36 @@
 	smooth(t, spilled)
 }
 
+// owned counts the slots of each peer of the region that take requests, which
+// follow from the owners of the targets.
+func owned(t *table.Tables) {
+	type key struct {
+		entry   string
+		service int
+	}
+	slots := make(map[key]int)
+	for i := range t.Targets {
+		r := &t.Targets[i]
+		if r.Leaving == "" {
+			slots[key{r.Owner, r.Service}] += max(0, r.Spec.Slots())
+		}
+	}
+	for i := range t.Peers {
+		t.Peers[i].Slots = slots[key{t.Peers[i].Entry, t.Peers[i].Service}]
+	}
+}
+
 // near lets relays for half of a peer's slots through whatever its count says:
 // the count is older than a request takes, and a full peer lets requests wait.
 // A peer without a current count gets one, so that it is tried.
 func near(now time.Time, p *table.Peer) int {
-	if !reachable(p.State) {
+	if !reachable(p.State) || p.Slots <= 0 {
 		return 0
 	}
 	if !p.Heard || now.Sub(p.Room.At) > stale {
 		return 1
 	}
-	return max(1, p.Room.Slots/2, count(p, p.Room.Free))
+	return max(1, p.Slots/2, count(p, p.Room.Free))
 }
 
 func far(now time.Time, p *table.Peer, others int) int {
--- a/internal/steer/table/rows.go
+++ b/internal/steer/table/rows.go
@@ -76,6 +76,7 @@
 	Heard    bool
 	Used     time.Time // Used is the time of the room that Limit was set from.
 	Limit    int       // Limit bounds InFlight.
+	Slots    int       // Slots is the slots of the service that a peer of this region owns.
 }
 
 // Shift is the row of a service and a home region, served in this region.
--- a/internal/steer/table/tables.go
+++ b/internal/steer/table/tables.go
@@ -18,6 +18,7 @@
 	Input    *Input
 	Document *document.Document
 	Elapsed  time.Duration // Elapsed is the time since the previous tick, at most MaxElapsed.
+	Moved    bool          // Moved means that a target began or ceased to leave in this tick.
 	Closed   bool          // Closed means that this entry must not use its gates or shares.
 	Changed  bool          // Changed means that the configuration or the live entries differ from the last tick.
 	Returned bool          // Returned means that this entry started while its whole region was away.
@@ -58,7 +59,7 @@
 func (t *Tables) Take(in *Input) {
 	t.Input = in
 	t.Events = nil
-	t.Changed = false
+	t.Changed, t.Moved = false, false
 	if in.Document != t.Document {
 		t.Document = in.Document
 		t.rebuild()
