--- a/internal/steer/core/core.go
+++ b/internal/steer/core/core.go
@@ -45,6 +45,11 @@
 	retries map[string]*decision.Retries
 	buckets map[string]*decision.Bucket
 	total   *decision.Gate
+
+	// The counters of the rows, by index; bind sets them when the rows change.
+	targetGates []*decision.Gate
+	peerGates   []*decision.Gate
+	rowMeters   []*decision.Meter
 }
 
 // New returns a core without any configuration.
--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -11,10 +11,13 @@
 // harvest moves what the counters have seen since the last tick into the tables.
 func (c *Core) harvest(now time.Time) {
 	t := c.tables
+	if t.Changed {
+		c.bind()
+	}
 	t.InFlight = c.total.InFlight()
 	for i := range t.Targets {
 		r := &t.Targets[i]
-		n := entry(c.gates, r.Spec.Name()).Harvest()
+		n := c.targetGates[i].Harvest()
 		r.Seen = table.Observation{
 			InFlight: n.InFlight, Answered: n.Answered, Shed: n.Shed,
 			Failed: n.Failed, Silent: n.Silent, Latency: n.Latency,
@@ -22,7 +25,7 @@
 	}
 	for i := range t.Peers {
 		p := &t.Peers[i]
-		n := entry(c.peers, p.Entry+"\x00"+p.Name).Harvest()
+		n := c.peerGates[i].Harvest()
 		p.InFlight, p.Started, p.Refused = n.InFlight, n.Started, n.Shed
 		if n.Counted && now.After(p.Room.At) {
 			// A count that came with a relayed response is newer than those from gossip.
@@ -37,12 +40,27 @@
 	}
 	for i := range t.Shifts {
 		r := &t.Shifts[i]
-		served, refused := entry(c.meters, r.Name+"\x00"+r.Home).Harvest()
+		served, refused := c.rowMeters[i].Harvest()
 		r.Refused = refused
 		shift.Count(r, served, c.steps)
 	}
 }
 
+// bind finds the counter of each row.
+func (c *Core) bind() {
+	t := c.tables
+	c.targetGates, c.peerGates, c.rowMeters = c.targetGates[:0], c.peerGates[:0], c.rowMeters[:0]
+	for i := range t.Targets {
+		c.targetGates = append(c.targetGates, entry(c.gates, t.Targets[i].Spec.Name()))
+	}
+	for i := range t.Peers {
+		c.peerGates = append(c.peerGates, entry(c.peers, t.Peers[i].Entry+"\x00"+t.Peers[i].Name))
+	}
+	for i := range t.Shifts {
+		c.rowMeters = append(c.rowMeters, entry(c.meters, t.Shifts[i].Name+"\x00"+t.Shifts[i].Home))
+	}
+}
+
 // publish sets the limits of the counters and makes the snapshot.
 func (c *Core) publish(now time.Time) *decision.Snapshot {
 	t := c.tables
@@ -60,7 +78,7 @@
 	c.routes(f.Services, f.Buckets)
 	for i := range t.Shifts {
 		r := &t.Shifts[i]
-		m := entry(c.meters, r.Name+"\x00"+r.Home)
+		m := c.rowMeters[i]
 		m.Set(r.Left, r.Open)
 		f.Services[r.Service].Meters = append(f.Services[r.Service].Meters, m)
 	}
@@ -99,7 +117,7 @@
 	t := c.tables
 	for i := range t.Targets {
 		r := &t.Targets[i]
-		g := entry(c.gates, r.Spec.Name())
+		g := c.targetGates[i]
 		if t.Closed {
 			r.Limit = 0
 		}
@@ -119,7 +137,7 @@
 func (c *Core) routes(services []decision.Service, buckets map[string]*decision.Bucket) {
 	for i := range c.tables.Peers {
 		p := &c.tables.Peers[i]
-		g := entry(c.peers, p.Entry+"\x00"+p.Name)
+		g := c.peerGates[i]
 		g.SetLimit(p.Limit)
 		s := &services[p.Service]
 		route := decision.Route{Entry: p.Entry, Region: p.Region, Gate: g}
