--- a/cmd/tamarackspool/main.go
+++ b/cmd/tamarackspool/main.go
@@ -21,7 +21,7 @@
 	Target targetCommand `cmd:"" help:"Run the stand-in of a target."`
 	Patch  patchCommand  `cmd:"" help:"Submit a JSON patch (RFC 6902) to the configuration."`
 	Config configCommand `cmd:"" help:"Print the configuration in force at an entry."`
-	Status statusCommand `cmd:"" help:"Print the status of an entry."`
+	Status statusCommand `cmd:"" help:"Print the status of the fleet as one entry collects it."`
 	Drain  drainCommand  `cmd:"" help:"Plan the emptying of targets."`
 	Audit  auditCommand  `cmd:"" help:"Print the audit trail."`
 	Lookup lookupCommand `cmd:"" help:"Ask an entry which entries a caller should use."`
--- a/cmd/tamarackspool/operator.go
+++ b/cmd/tamarackspool/operator.go
@@ -89,7 +89,7 @@
 	Region string    `help:"Region to empty." xor:"what"`
 	Start  time.Time `help:"When the drain starts (RFC 3339). Default: now."`
 	End    time.Time `help:"When the targets return (RFC 3339). Default: never."`
-	Follow bool      `help:"Wait until nothing is in flight at the targets; needs the addresses of all their owners."`
+	Follow bool      `help:"Wait until nothing is in flight at the targets."`
 }
 
 // Run plans the drain.
@@ -109,11 +109,14 @@
 	return ended(c.console(s).Config(ctx))
 }
 
-type statusCommand struct{ admin }
+type statusCommand struct {
+	admin
+	Region []string `help:"Region to show; may be repeated. Default: all."`
+}
 
 // Run prints the status.
 func (c *statusCommand) Run(ctx context.Context, s *streams) error {
-	return ended(c.console(s).Status(ctx))
+	return ended(c.console(s).Status(ctx, c.Region...))
 }
 
 type auditCommand struct {
--- a/internal/config/document/document.go
+++ b/internal/config/document/document.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		for _, t := range d.f.Targets {
-			if d.drains(dr, t) {
+			if d.Drained(dr, t) {
 				leaving[t.Name()] = dr.Name()
 			}
 		}
@@ -132,7 +132,8 @@
 	return leaving
 }
 
-func (d *Document) drains(dr Drain, t Target) bool {
+// Drained reports whether the drain covers the target.
+func (d *Document) Drained(dr Drain, t Target) bool {
 	return slices.Contains(dr.f.Targets, t.Name()) ||
 		(dr.f.Zone != "" && dr.f.Zone == t.Zone()) ||
 		(dr.f.Region != "" && dr.f.Region == d.RegionOf(t.Zone()))
--- a/internal/entry/console/console_test.go
+++ b/internal/entry/console/console_test.go
@@ -39,6 +39,7 @@
 	current   *current.Current
 	status    operator.Status
 	announced int
+	now       time.Time
 	url       string
 	lines     bytes.Buffer
 }
@@ -48,7 +49,7 @@
 
 func start(t *testing.T) *node {
 	t.Helper()
-	n := &node{store: standin.New(standin.Settings{}), current: current.New()}
+	n := &node{store: standin.New(standin.Settings{}), current: current.New(), now: time.Now()}
 	h := history.New(history.Settings{Store: store.New("http://store", "", &http.Client{Transport: n.store.Transport()})})
 	data, err := os.ReadFile("../../../examples/letters.json")
 	if err != nil {
@@ -65,7 +66,7 @@
 	metrics.GetOrRegisterCounter("requests", registry).Inc(7)
 	api, err := operator.New(token, operator.Dependencies{
 		Configuration: n.current, History: h, Reporter: n, Announcer: n, Metrics: registry,
-		Log: event.New(log.NewLogfmtLogger(&n.lines)),
+		Log: event.New(log.NewLogfmtLogger(&n.lines)), Now: func() time.Time { return n.now },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -80,7 +81,9 @@
 	return &console.Console{
 		Client: console.NewClient(append(bases, n.url), token, nil), Out: out,
 		Wait: func(context.Context, time.Duration) error {
-			n.status.Drains[0].Quiet, n.status.Drains[0].Busy = true, 0
+			n.now = n.now.Add(time.Second)
+			n.status.Targets[0].Busy = max(0, n.status.Targets[0].Busy-3)
+			n.status.Targets[0].Leaving = true
 			return nil
 		},
 	}
@@ -150,10 +153,16 @@
 // Guards against a drain that ends its command before the owners are quiet.
 func TestDrainFollow(t *testing.T) {
 	n := start(t)
-	n.status = operator.Status{Entry: "ege-a-1", Version: 2, Drains: []operator.Drain{{Name: "weekly", Active: true, Busy: 3}}}
+	n.status = operator.Status{
+		Entry: "ege-a-1", Region: "ege", Version: 2, Regions: []operator.Region{{Name: "ege"}},
+		Plan:    []operator.Target{{Name: "status-1", Region: "ege"}},
+		Targets: []operator.Target{{Name: "status-1", Region: "ege", Owned: true, Busy: 6, Limit: 6}},
+		// The asked entry's own view is quiet, which must not end the command.
+		Drains: []operator.Drain{{Name: "weekly", Active: true, Quiet: true, Targets: []string{"status-1"}}},
+	}
 	var out bytes.Buffer
 	err := n.console(&out).Drain(t.Context(), console.Change{Who: "ayla"}, console.Drain{Name: "weekly", Zone: "ege-a", Follow: true})
-	if err != nil || !strings.Contains(out.String(), "3 in flight") || !strings.Contains(out.String(), "quiet") {
+	if err != nil || !strings.Contains(out.String(), "6 in flight") || !strings.Contains(out.String(), "3 in flight") || !strings.Contains(out.String(), "quiet") {
 		t.Errorf("drain: %v\n%s", err, out.String())
 	}
 	if leaving := n.current.Document().Leaving(time.Now()); len(leaving) == 0 {
@@ -169,17 +178,18 @@
 func TestPrint(t *testing.T) {
 	n := start(t)
 	n.status = operator.Status{
-		Entry: "ege-a-1", Version: 1, Roster: 1500 * time.Millisecond,
-		Targets: []operator.Target{{Name: "status-2", Service: "status", Owner: "ege-a-1", Busy: 2, Limit: 5, Slots: 6}},
+		Entry: "ege-a-1", Region: "ege", Version: 1, Roster: 1500 * time.Millisecond,
+		Plan:    []operator.Target{{Name: "status-2", Service: "status", Region: "ege", Slots: 6}},
+		Targets: []operator.Target{{Name: "status-2", Service: "status", Region: "ege", Owned: true, Busy: 2, Limit: 5, Slots: 6}},
 		Regions: []operator.Region{{Name: "ege", Free: 4}},
 		Links:   []operator.Link{{From: "ege", To: "marmara", Used: 1, Share: 62_500_000}},
-		Members: []operator.Member{{Name: "ege-b-1", Zone: "ege-b", State: "suspect", Version: 1}},
+		Members: []operator.Member{{Name: "ege-b-1", Zone: "ege-b", Region: "ege", State: "suspect", Version: 1}},
 	}
 	var table, plain, config bytes.Buffer
 	if err := n.console(&table).Status(t.Context()); err != nil {
 		t.Error(err)
 	}
-	for _, want := range []string{"status-2", "ege-marmara", "62500000", "suspect", "1.5 s"} {
+	for _, want := range []string{"status-2", "ege-marmara", "62500000", "suspect", "1.5 s", "no: "} {
 		if !strings.Contains(table.String(), want) {
 			t.Errorf("no %q in\n%s", want, table.String())
 		}
--- a/internal/entry/console/drain.go
+++ b/internal/entry/console/drain.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
+	"strings"
 	"time"
 )
 
@@ -22,18 +24,19 @@
 	Follow  bool      // Follow waits until nothing is in flight at the drained targets.
 }
 
-// progress is the state of a drain over all asked entries.
+// progress is the state of a drain in the fleet.
 type progress struct {
-	Name    string `json:"name"`
-	Busy    int    `json:"busy"`
-	Ready   int    `json:"ready"`   // entries that have the drain in force
-	Entries int    `json:"entries"` // entries that were asked
-	Quiet   bool   `json:"quiet"`
-	Delayed string `json:"delayed,omitempty"`
+	Name    string   `json:"name"`
+	Busy    int      `json:"busy"`
+	Closed  int      `json:"closed"`  // targets whose owners admit nothing more
+	Targets int      `json:"targets"` // drained targets
+	Quiet   bool     `json:"quiet"`
+	Delayed string   `json:"delayed,omitempty"`
+	Missing []string `json:"missing"` // entries that did not answer
 }
 
-// Drain starts a drain and, with Follow, waits until it is quiet. A target's requests are known to its
-// owner only, so the client needs the addresses of all entries that own drained targets.
+// Drain starts a drain and, with Follow, waits until it is quiet. The asked entry collects the state of the
+// targets from their owners, so the address of one entry is enough.
 func (c *Console) Drain(ctx context.Context, ch Change, d Drain) error {
 	if err := c.complete(ctx, &ch); err != nil {
 		return err
@@ -61,7 +64,7 @@
 	return c.follow(ctx, d.Name, version)
 }
 
-// Follow waits until the drain with the given name is quiet at all asked entries.
+// Follow waits until the drain with the given name is quiet in the fleet.
 func (c *Console) Follow(ctx context.Context, name string) error { return c.follow(ctx, name, 0) }
 
 func (c *Console) follow(ctx context.Context, name string, version uint64) error {
@@ -83,29 +86,23 @@
 	}
 }
 
-// progress asks all entries; the drain is quiet when each has it in force and nothing in flight.
+// progress asks the entries in turn until one answers with at least the given version.
 func (c *Console) progress(ctx context.Context, name string, version uint64) progress {
-	list, _ := c.all(ctx)
-	p := progress{Name: name, Entries: len(c.Client.bases)}
-	quiet := 0
-	for _, s := range list {
+	p := progress{Name: name, Missing: []string{}}
+	for _, base := range c.Client.bases {
+		var s status
+		r, err := c.Client.call(ctx, base, http.MethodGet, "/status", nil)
+		if err != nil || r.code != http.StatusOK || json.Unmarshal(r.data, &s) != nil || s.Version < version {
+			continue
+		}
+		p.Missing = s.Missing
 		for _, d := range s.Drains {
-			if d.Name != name || s.Version < version {
-				continue
-			}
-			p.Busy += d.Busy
-			if d.Active {
-				p.Ready++
-			}
-			if d.Quiet {
-				quiet++
-			}
-			if d.Delayed != "" {
-				p.Delayed = d.Delayed
+			if d.Name == name {
+				p.Busy, p.Closed, p.Targets, p.Quiet, p.Delayed = d.Busy, d.Closed, len(d.Targets), d.Quiet, d.Delayed
 			}
 		}
+		return p
 	}
-	p.Quiet = quiet == p.Entries && quiet > 0
 	return p
 }
 
@@ -114,7 +111,12 @@
 	if p.Quiet {
 		state = "quiet"
 	}
-	fmt.Fprintf(w, "%s\t%s\t%d in flight\tin force at %d of %d entries\t%s\n", p.Name, state, p.Busy, p.Ready, p.Entries, p.Delayed)
+	missing := ""
+	if len(p.Missing) > 0 {
+		missing = "no answer from " + strings.Join(p.Missing, " ")
+	}
+	fmt.Fprintf(w, "%s\t%s\t%d in flight\t%d of %d targets closed\t%s\t%s\n",
+		p.Name, state, p.Busy, p.Closed, p.Targets, p.Delayed, missing)
 }
 
 func (c *Console) wait(ctx context.Context) error {
--- a/internal/entry/console/status.go
+++ b/internal/entry/console/status.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
+	"net/url"
+	"strings"
 )
 
-// status is the part of an entry's status that the commands read.
+// status is the part of the fleet's status that the commands read.
 type status struct {
 	Entry    string  `json:"entry"`
 	Region   string  `json:"region"`
@@ -18,13 +19,18 @@
 	Store    bool    `json:"store"`
 	Roster   float64 `json:"roster"`
 	Targets  []struct {
-		Name    string `json:"name"`
-		Service string `json:"service"`
-		Owner   string `json:"owner"`
-		Busy    int    `json:"busy"`
-		Limit   int    `json:"limit"`
-		Slots   int    `json:"slots"`
-		Leaving bool   `json:"leaving"`
+		Name    string  `json:"name"`
+		Service string  `json:"service"`
+		Owner   string  `json:"owner"`
+		Busy    int     `json:"busy"`
+		Limit   int     `json:"limit"`
+		Slots   int     `json:"slots"`
+		Load    float64 `json:"load"`
+		Leaving bool    `json:"leaving"`
+		Quiet   bool    `json:"quiet"`
+		Claims  []struct {
+			Entry string `json:"entry"`
+		} `json:"claims"`
 	} `json:"targets"`
 	Regions []struct {
 		Name  string `json:"name"`
@@ -37,14 +43,20 @@
 		To    string `json:"to"`
 		Used  int64  `json:"used"`
 		Share int64  `json:"share"`
+		Limit int64  `json:"limit"`
 	} `json:"links"`
 	Drains  []drainStatus `json:"drains"`
-	Members []struct {
-		Name    string `json:"name"`
-		Zone    string `json:"zone"`
-		State   string `json:"state"`
-		Version uint64 `json:"version"`
-	} `json:"members"`
+	Entries []struct {
+		Name     string  `json:"name"`
+		Zone     string  `json:"zone"`
+		State    string  `json:"state"`
+		Version  uint64  `json:"version"`
+		Age      float64 `json:"age"`
+		Isolated bool    `json:"isolated"`
+		Answered bool    `json:"answered"`
+		Problem  string  `json:"problem"`
+	} `json:"entries"`
+	Missing []string `json:"missing"`
 }
 
 type drainStatus struct {
@@ -54,11 +66,17 @@
 	Active  bool     `json:"active"`
 	Quiet   bool     `json:"quiet"`
 	Delayed string   `json:"delayed"`
+	Closed  int      `json:"closed"`
+	Silent  []string `json:"silent"`
 }
 
-// Status prints the status of the first entry that answers.
-func (c *Console) Status(ctx context.Context) error {
-	data, err := c.get(ctx, "/status")
+// Status prints the status of the fleet as the first entry that answers collected it; without regions all are shown.
+func (c *Console) Status(ctx context.Context, regions ...string) error {
+	path := "/status"
+	if len(regions) > 0 {
+		path += "?" + url.Values{"region": regions}.Encode()
+	}
+	data, err := c.get(ctx, path)
 	if err != nil {
 		return err
 	}
@@ -67,46 +85,46 @@
 		return failf(CodeInternal, "%v", err)
 	}
 	return c.print(data, func(w io.Writer) {
-		fmt.Fprintf(w, "ENTRY\tREGION\tVERSION\tFLOOR\tISOLATED\tSTORE\tVM LIST AGE\n")
+		fmt.Fprintf(w, "ASKED\tREGION\tVERSION\tFLOOR\tISOLATED\tSTORE\tVM LIST AGE\n")
 		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\t%v\t%.1f s\n\n", s.Entry, s.Region, s.Version, s.Floor, s.Isolated, s.Store, s.Roster)
 		s.use(w)
-		fmt.Fprintf(w, "\nDRAIN\tACTIVE\tBUSY\tQUIET\tDELAYED\n")
+		fmt.Fprintf(w, "\nDRAIN\tACTIVE\tBUSY\tCLOSED\tQUIET\tDELAYED\tNO ANSWER FOR\n")
 		for _, d := range s.Drains {
-			fmt.Fprintf(w, "%s\t%v\t%d\t%v\t%s\n", d.Name, d.Active, d.Busy, d.Quiet, d.Delayed)
+			fmt.Fprintf(w, "%s\t%v\t%d\t%d of %d\t%v\t%s\t%s\n",
+				d.Name, d.Active, d.Busy, d.Closed, len(d.Targets), d.Quiet, d.Delayed, strings.Join(d.Silent, " "))
 		}
-		fmt.Fprintf(w, "\nMEMBER\tZONE\tSTATE\tVERSION\n")
-		for _, m := range s.Members {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", m.Name, m.Zone, m.State, m.Version)
+		fmt.Fprintf(w, "\nENTRY\tZONE\tSTATE\tVERSION\tAGE\tISOLATED\tANSWERED\n")
+		for _, e := range s.Entries {
+			answered := "yes"
+			if !e.Answered {
+				answered = "no: " + e.Problem
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.0f s\t%v\t%s\n", e.Name, e.Zone, e.State, e.Version, e.Age, e.Isolated, answered)
 		}
 	})
 }
 
 // use writes the tables of targets, regions and links.
 func (s status) use(w io.Writer) {
-	fmt.Fprintf(w, "TARGET\tSERVICE\tOWNER\tBUSY\tLIMIT\tSLOTS\tLEAVING\n")
+	fmt.Fprintf(w, "TARGET\tSERVICE\tOWNER\tBUSY\tLIMIT\tSLOTS\tLOAD\tLEAVING\tQUIET\n")
 	for _, t := range s.Targets {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%v\n", t.Name, t.Service, t.Owner, t.Busy, t.Limit, t.Slots, t.Leaving)
+		owner := t.Owner
+		if owner == "" {
+			owner = "(no answer)"
+		}
+		for _, claim := range t.Claims {
+			if claim.Entry != t.Owner {
+				owner += " " + claim.Entry
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t%v\t%v\n", t.Name, t.Service, owner, t.Busy, t.Limit, t.Slots, t.Load, t.Leaving, t.Quiet)
 	}
 	fmt.Fprintf(w, "\nREGION\tBUSY\tLIMIT\tFREE\n")
 	for _, r := range s.Regions {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\n", r.Name, r.Busy, r.Limit, r.Free)
 	}
-	fmt.Fprintf(w, "\nLINK\tUSED\tSHARE\n")
+	fmt.Fprintf(w, "\nLINK\tUSED\tSHARE\tLIMIT\n")
 	for _, l := range s.Links {
-		fmt.Fprintf(w, "%s-%s\t%d\t%d\n", l.From, l.To, l.Used, l.Share)
-	}
-}
-
-// all asks every entry for its status and returns those that answered and the number that did not.
-func (c *Console) all(ctx context.Context) (list []status, missing int) {
-	for _, base := range c.Client.bases {
-		var s status
-		r, err := c.Client.call(ctx, base, http.MethodGet, "/status", nil)
-		if err != nil || r.code != http.StatusOK || json.Unmarshal(r.data, &s) != nil {
-			missing++
-			continue
-		}
-		list = append(list, s)
+		fmt.Fprintf(w, "%s-%s\t%d\t%d\t%d\n", l.From, l.To, l.Used, l.Share, l.Limit)
 	}
-	return list, missing
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -46,6 +46,7 @@
 	s           setting.Settings
 	d           Dependencies
 	incarnation ticket.Incarnation
+	began       time.Time
 	metrics     metrics.Registry
 	listeners   listeners
 	client      *http.Client
@@ -93,7 +94,7 @@
 		d.Dial = (&net.Dialer{Timeout: dialTime}).DialContext
 	}
 	n := &Node{
-		s: s, d: d, metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
+		s: s, d: d, began: time.Now(), metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
 		reports: newReports(), push: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	if _, err := rand.Read(n.incarnation[:]); err != nil {
@@ -152,7 +153,7 @@
 		gossip.Settings{Self: self, Key: []byte(n.s.Peerkey()), Seeds: n.s.Peers()},
 		gossip.Dependencies{
 			Dial: n.d.Dial, Holder: n.current, Now: time.Now, Seed: n.s.Seed(), Events: n.d.Events,
-			Tickets: n.inherit,
+			Tickets: n.inherit, Status: n.part,
 		},
 	)
 	n.lookups = lookup.New(lookup.Settings{
--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -294,18 +294,34 @@
 	s.serving(a)
 	s.serving(b)
 	_, _, _, admin := a.Addresses()
-	out := s.operate("POST", "http://"+admin+"/drain", `{"id":"d","who":"w","why":"w","name":"d","targets":["status-1"]}`)
+	out := s.operate("POST", "http://"+admin+"/drain", `{"id":"d","who":"w","why":"w","name":"d","targets":["status-1","gifts-1"]}`)
 	if !strings.Contains(out, `"applied"`) {
 		t.Fatalf("drain: %s", out)
 	}
-	s.eventually("the drain is quiet", func() bool {
-		status := s.operate("GET", "http://"+admin+"/status", "")
-		quiet := strings.Contains(status, `"quiet":true`)
-		if quiet && !strings.Contains(status, `"leaving":true`) {
-			t.Errorf("quiet with an open gate: %s", status)
-		}
-		return quiet
-	})
+	// The drained targets have different owners; each entry must show both.
+	for _, e := range []running{a, b} {
+		_, _, _, admin = e.Addresses()
+		s.eventually("the drain is quiet at "+e.Name(), func() bool {
+			var status struct {
+				Drains  []struct{ Quiet bool }
+				Targets []struct {
+					Owner   string
+					Leaving bool
+				}
+			}
+			text := s.operate("GET", "http://"+admin+"/status", "")
+			if err := json.Unmarshal([]byte(text), &status); err != nil {
+				t.Fatal(err)
+			}
+			quiet := len(status.Drains) == 1 && status.Drains[0].Quiet
+			for _, one := range status.Targets {
+				if quiet && (!one.Leaving || one.Owner == "") {
+					t.Errorf("quiet with an open gate: %s", text)
+				}
+			}
+			return quiet && len(status.Targets) == 2
+		})
+	}
 }
 
 // Guards against client blocks that the configuration names and look-ups do not use.
--- a/internal/entry/node/operator.go
+++ b/internal/entry/node/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 func (n *Node) buildOperator() error {
 	var err error
 	n.operator, err = operator.New(n.s.Opkey(), operator.Dependencies{
-		Configuration: n.current, History: n.history, Reporter: reporter{n}, Announcer: announcer{n},
+		Configuration: n.current, History: n.history, Reporter: reporter{n}, Announcer: announcer{n}, Fleet: fleet{n},
 		Metrics: n.metrics, Log: n.d.Events,
 	})
 	return err
@@ -28,6 +29,28 @@
 // Announce returns when the push was tried.
 func (a announcer) Announce(ctx context.Context) { a.n.gossip.Push(ctx) }
 
+// fleet asks other entries for their parts of the status.
+type fleet struct{ n *Node }
+
+// Ask returns the part of the named entry.
+func (f fleet) Ask(ctx context.Context, entry string) ([]byte, error) {
+	for _, m := range f.n.gossip.Members() {
+		if m.Name() == entry && m.Peer().IsValid() {
+			return f.n.gossip.Status(ctx, m.Peer())
+		}
+	}
+	return nil, fmt.Errorf("node: the address of %s is not known", entry)
+}
+
+// part returns this entry's part of the fleet's status.
+func (n *Node) part() []byte {
+	data, err := operator.EncodePart(reporter{n}.Status())
+	if err != nil {
+		return nil // A number that JSON lacks; the asking entry reports a malformed answer.
+	}
+	return data
+}
+
 // reporter gives the status of the entry to operators.
 type reporter struct{ n *Node }
 
@@ -37,7 +60,7 @@
 	members := n.gossip.Members()
 	s := operator.Status{
 		Entry: n.s.Name(), Region: n.s.Region(), Zone: n.s.Zone(), At: time.Now(), Version: n.Version(),
-		Floor: n.current.Floor(), Store: n.follower.Reachable(), Roster: -1,
+		Floor: n.current.Floor(), Store: n.follower.Reachable(), Roster: -1, Age: time.Since(n.began),
 		Isolated: !n.follower.Reachable() && alone(members, n.s.Name()),
 	}
 	if v := n.vms.Load(); v != nil {
@@ -45,17 +68,41 @@
 	}
 	for _, m := range members {
 		s.Members = append(s.Members, operator.Member{
-			Name: m.Name(), Zone: m.Zone(), State: m.State().String(),
+			Name: m.Name(), Zone: m.Zone(), Region: m.Region(), State: m.State().String(),
 			Incarnation: ticket.Incarnation(m.Incarnation()).String(), Version: m.Version(),
 		})
 	}
 	d, snapshot := n.current.Document(), n.snapshot.Load()
+	if d != nil {
+		r.plan(&s, d)
+		s.Regions = r.regions(d, nil)
+	}
 	if d != nil && snapshot != nil {
 		r.steering(&s, d, snapshot.Status())
 	}
 	return s
 }
 
+// plan adds what is configured: all targets, and entries that were never heard of.
+func (r reporter) plan(s *operator.Status, d *document.Document) {
+	for _, t := range d.Targets() {
+		s.Plan = append(s.Plan, operator.Target{
+			Name: t.Name(), Service: t.Service(), Zone: t.Zone(), Region: d.RegionOf(t.Zone()), Slots: t.Slots(),
+		})
+	}
+	heard := make(map[string]bool, len(s.Members))
+	for _, m := range s.Members {
+		heard[m.Name] = true
+	}
+	for _, e := range d.Entries() {
+		if !heard[e.Name()] {
+			s.Members = append(s.Members, operator.Member{
+				Name: e.Name(), Zone: e.Zone(), Region: d.RegionOf(e.Zone()), State: "unknown",
+			})
+		}
+	}
+}
+
 // alone reports whether no other entry is heard from.
 func alone(members []member.Member, self string) bool {
 	for _, m := range members {
@@ -77,12 +124,17 @@
 		busy[t.Name] = t.InFlight
 		open[t.Name] = t.Leaving == ""
 		s.Targets = append(s.Targets, operator.Target{
-			Name: t.Name, Service: spec.Service(), Zone: spec.Zone(), Owner: r.n.s.Name(),
-			Busy: t.InFlight, Limit: t.Limit, Slots: spec.Slots(), Trust: t.Trust, Leaving: t.Leaving != "",
+			Name: t.Name, Service: spec.Service(), Zone: spec.Zone(), Region: d.RegionOf(spec.Zone()), Owner: r.n.s.Name(),
+			Owned: t.Owned, Busy: t.InFlight, Limit: t.Limit, Slots: spec.Slots(), Load: t.Load, Trust: t.Trust,
+			Leaving: t.Leaving != "", Cause: t.Leaving, Quiet: t.Quiet,
 		})
 	}
 	for _, l := range now.Links {
-		s.Links = append(s.Links, operator.Link{From: r.n.s.Region(), To: l.Region, Share: l.Rate})
+		one := operator.Link{From: r.n.s.Region(), To: l.Region, Used: l.Used, Share: l.Rate}
+		if spec, ok := d.Link(one.From, one.To); ok {
+			one.Limit = spec.Rate()
+		}
+		s.Links = append(s.Links, one)
 	}
 	s.Regions = r.regions(d, busy)
 	s.Drains = drains(d, busy, open, s.At)
@@ -113,16 +165,15 @@
 // drains returns the progress of each planned drain at this entry. A drain is
 // quiet only after a tick has closed the gates of all its targets here.
 func drains(d *document.Document, busy map[string]int, open map[string]bool, now time.Time) []operator.Drain {
-	leaving := d.Leaving(now)
 	var all []operator.Drain
 	for _, dr := range d.Drains() {
 		one := operator.Drain{Name: dr.Name(), Active: dr.Active(now)}
 		closed := true
-		for target, name := range leaving {
-			if name == dr.Name() {
-				one.Targets = append(one.Targets, target)
-				one.Busy += busy[target]
-				closed = closed && !open[target]
+		for _, t := range d.Targets() {
+			if d.Drained(dr, t) {
+				one.Targets = append(one.Targets, t.Name())
+				one.Busy += busy[t.Name()]
+				closed = closed && !open[t.Name()]
 			}
 		}
 		slices.Sort(one.Targets)
--- /dev/null
+++ b/internal/entry/operator/fleet.go
@@ -0,0 +1,220 @@
+package operator
+
+import (
+	"slices"
+	"time"
+)
+
+// fleetWire is the status of the fleet as the asked entry collected it.
+type fleetWire struct {
+	Entry    string            `json:"entry"`
+	Region   string            `json:"region"`
+	Zone     string            `json:"zone"`
+	At       time.Time         `json:"at"`
+	Version  uint64            `json:"version"`
+	Floor    uint64            `json:"floor"`
+	Isolated bool              `json:"isolated"`
+	Store    bool              `json:"store"`
+	Roster   float64           `json:"roster"` // seconds
+	Shown    []string          `json:"shown"`  // regions
+	Targets  []fleetTargetWire `json:"targets"`
+	Regions  []regionWire      `json:"regions"`
+	Links    []linkWire        `json:"links"`
+	Drains   []fleetDrainWire  `json:"drains"`
+	Entries  []fleetEntryWire  `json:"entries"`
+	Missing  []string          `json:"missing"` // entries that did not answer
+}
+
+// fleetTargetWire sums the claims. Owner is empty when no owner answered.
+type fleetTargetWire struct {
+	targetWire
+	Claims []claimWire `json:"claims,omitempty"` // set when several entries use the target, as during a takeover
+}
+
+type claimWire struct {
+	Entry   string `json:"entry"`
+	Owned   bool   `json:"owned"`
+	Busy    int    `json:"busy"`
+	Limit   int    `json:"limit"`
+	Leaving bool   `json:"leaving"`
+}
+
+type fleetDrainWire struct {
+	quietWire
+	Closed int      `json:"closed"` // targets whose owners admit nothing more
+	Silent []string `json:"silent"` // targets whose owner did not answer
+}
+
+type fleetEntryWire struct {
+	memberWire
+	Age      float64 `json:"age"` // seconds
+	Isolated bool    `json:"isolated"`
+	Answered bool    `json:"answered"`
+	Problem  string  `json:"problem,omitempty"`
+}
+
+// reply is the answer of one member.
+type reply struct {
+	member Member
+	part   statusWire
+	err    error
+}
+
+// merge makes one status of the asked entry's own and the replies, its own included.
+func merge(own Status, shown []string, replies []reply) fleetWire {
+	out := fleetWire{
+		Entry: own.Entry, Region: own.Region, Zone: own.Zone, At: own.At, Version: own.Version, Floor: own.Floor,
+		Isolated: own.Isolated, Store: own.Store, Roster: own.Roster.Seconds(), Shown: shown, Missing: []string{},
+	}
+	var parts []statusWire
+	dark := make(map[string]bool) // regions with an entry that may use targets and did not answer
+	for _, r := range replies {
+		out.Entries = append(out.Entries, entryOf(r))
+		if r.err == nil {
+			parts = append(parts, r.part)
+			continue
+		}
+		out.Missing = append(out.Missing, r.member.Name)
+		if asked(r.member) {
+			dark[r.member.Region] = true
+		}
+	}
+	out.Targets = mergeTargets(own.Plan, shown, parts)
+	out.Regions = mergeRegions(own.Regions, shown, parts)
+	out.Links = mergeLinks(parts)
+	out.Drains = mergeDrains(own.Drains, out.Targets, parts, dark)
+	return out
+}
+
+func entryOf(r reply) fleetEntryWire {
+	e := fleetEntryWire{memberWire: memberWire(r.member), Answered: r.err == nil}
+	if r.err != nil {
+		e.Problem = r.err.Error()
+		return e
+	}
+	e.Version, e.Age, e.Isolated = r.part.Version, r.part.Age, r.part.Isolated
+	return e
+}
+
+// mergeTargets returns every configured target of the regions, whether or not an owner answered.
+func mergeTargets(plan []Target, shown []string, parts []statusWire) []fleetTargetWire {
+	claims := make(map[string][]targetWire)
+	for _, p := range parts {
+		for _, t := range p.Targets {
+			t.Owner = p.Entry
+			claims[t.Name] = append(claims[t.Name], t)
+		}
+	}
+	out := []fleetTargetWire{}
+	for _, t := range plan {
+		if slices.Contains(shown, t.Region) {
+			out = append(out, mergeTarget(targetWire(t), claims[t.Name]))
+		}
+	}
+	return out
+}
+
+// mergeTarget sums the claims. The owner is the claimant with the highest gate limit: during a takeover that
+// is the entry which serves, because the new owner holds.
+func mergeTarget(t targetWire, claims []targetWire) fleetTargetWire {
+	out := fleetTargetWire{targetWire: t}
+	out.Owner, out.Owned = "", false
+	top, closed := -1, true
+	for _, c := range claims {
+		out.Busy += c.Busy
+		out.Limit += c.Limit
+		out.Load = max(out.Load, c.Load)
+		out.Leaving = out.Leaving || c.Leaving
+		closed = closed && c.Leaving
+		if out.Cause == "" {
+			out.Cause = c.Cause
+		}
+		if c.Owned && (c.Limit > top || (c.Limit == top && c.Owner < out.Owner)) {
+			top, out.Owner, out.Owned, out.Trust = c.Limit, c.Owner, true, c.Trust
+		}
+		if len(claims) > 1 {
+			out.Claims = append(out.Claims, claimWire{c.Owner, c.Owned, c.Busy, c.Limit, c.Leaving})
+		}
+	}
+	out.Quiet = out.Owned && closed && out.Busy == 0
+	return out
+}
+
+// mergeRegions sums the requests in flight; the free slots are those that the asked entry knows.
+func mergeRegions(own []Region, shown []string, parts []statusWire) []regionWire {
+	out := []regionWire{}
+	for _, g := range own {
+		if !slices.Contains(shown, g.Name) {
+			continue
+		}
+		one := regionWire{Name: g.Name, Free: g.Free}
+		for _, p := range parts {
+			for _, r := range p.Regions {
+				if r.Name == g.Name {
+					one.Busy += r.Busy
+					one.Limit = max(one.Limit, r.Limit)
+				}
+			}
+		}
+		out = append(out, one)
+	}
+	return out
+}
+
+// mergeLinks sums use and share by the region that starts the relays.
+func mergeLinks(parts []statusWire) []linkWire {
+	out := []linkWire{}
+	for _, p := range parts {
+		for _, l := range p.Links {
+			i := slices.IndexFunc(out, func(o linkWire) bool { return o.From == l.From && o.To == l.To })
+			if i < 0 {
+				out = append(out, l)
+				continue
+			}
+			out[i].Used += l.Used
+			out[i].Share += l.Share
+			out[i].Limit = max(out[i].Limit, l.Limit)
+		}
+	}
+	slices.SortFunc(out, func(a, b linkWire) int { return compareText(a.From, b.From, a.To, b.To) })
+	return out
+}
+
+// mergeDrains follows each drain of the asked entry's configuration. It is quiet when the owner of every target
+// answered with a closed gate, nothing is in flight and no entry of those regions failed to answer.
+func mergeDrains(own []Drain, targets []fleetTargetWire, parts []statusWire, dark map[string]bool) []fleetDrainWire {
+	known := make(map[string]fleetTargetWire, len(targets))
+	for _, t := range targets {
+		known[t.Name] = t
+	}
+	out := []fleetDrainWire{}
+	for _, d := range own {
+		w := fleetDrainWire{quietWire: quietWire(d), Silent: []string{}}
+		w.Busy, w.Quiet = 0, d.Active
+		for _, name := range d.Targets {
+			t := known[name]
+			w.Busy += t.Busy
+			w.Quiet = w.Quiet && t.Quiet && !dark[t.Region]
+			switch {
+			case !t.Owned:
+				w.Silent = append(w.Silent, name)
+			case t.Quiet || closed(t):
+				w.Closed++
+			}
+		}
+		for _, p := range parts {
+			for _, o := range p.Drains {
+				if o.Name == d.Name && w.Delayed == "" {
+					w.Delayed = o.Delayed
+				}
+			}
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// closed reports whether every entry that uses the target lets it run empty.
+func closed(t fleetTargetWire) bool {
+	return t.Leaving && !slices.ContainsFunc(t.Claims, func(c claimWire) bool { return !c.Leaving })
+}
--- /dev/null
+++ b/internal/entry/operator/fleet_test.go
@@ -0,0 +1,217 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tamarackspool/internal/entry/operator"
+	"tamarackspool/internal/record/event"
+)
+
+const token = "0123456789abcdef"
+
+// crew is a fleet of one asked entry and others that answer as a test says.
+type crew struct {
+	own   operator.Status
+	says  map[string]func(ctx context.Context) ([]byte, error)
+	mu    sync.Mutex
+	asked []string
+}
+
+func (c *crew) Status() operator.Status {
+	s := c.own
+	s.At = time.Now()
+	return s
+}
+
+func (c *crew) Ask(ctx context.Context, entry string) ([]byte, error) {
+	c.mu.Lock()
+	c.asked = append(c.asked, entry)
+	c.mu.Unlock()
+	return c.says[entry](ctx)
+}
+
+func part(s operator.Status) func(context.Context) ([]byte, error) {
+	return func(context.Context) ([]byte, error) { return operator.EncodePart(s) }
+}
+
+// newCrew returns entry a in region ege, which owns nothing; b is in ege too and c in marmara.
+func newCrew() *crew {
+	return &crew{
+		own: operator.Status{
+			Entry: "a", Region: "ege", Version: 4, Regions: []operator.Region{{Name: "ege", Free: 3}, {Name: "marmara"}},
+			Plan:   []operator.Target{{Name: "t1", Region: "ege", Slots: 6}, {Name: "t2", Region: "marmara", Slots: 3}},
+			Drains: []operator.Drain{{Name: "d", Active: true, Quiet: true, Targets: []string{"t1"}}},
+			Members: []operator.Member{
+				{Name: "a", Region: "ege", State: "alive"},
+				{Name: "b", Region: "ege", State: "alive"},
+				{Name: "c", Region: "marmara", State: "alive"},
+			},
+		},
+		says: map[string]func(context.Context) ([]byte, error){
+			"b": part(operator.Status{
+				Entry: "b", Version: 4, Age: time.Minute, Regions: []operator.Region{{Name: "ege", Busy: 2, Limit: 40}},
+				Targets: []operator.Target{{Name: "t1", Region: "ege", Owned: true, Leaving: true, Cause: "d"}},
+				Links:   []operator.Link{{From: "ege", To: "marmara", Used: 5, Share: 10, Limit: 100}},
+			}),
+			"c": part(operator.Status{
+				Entry: "c", Version: 3, Isolated: true,
+				Targets: []operator.Target{{Name: "t2", Region: "marmara", Owned: true, Busy: 1, Limit: 3}},
+			}),
+		},
+	}
+}
+
+type answer struct {
+	Targets []struct {
+		Name, Owner string
+		Busy, Limit int
+		Quiet       bool
+		Claims      []struct{ Entry string }
+	}
+	Regions []struct {
+		Name              string
+		Busy, Limit, Free int
+	}
+	Drains []struct {
+		Quiet  bool
+		Busy   int
+		Silent []string
+	}
+	Entries []struct {
+		Name               string
+		Version            uint64
+		Answered, Isolated bool
+		Problem            string
+	}
+	Missing []string
+}
+
+func (c *crew) api(t *testing.T) *operator.API {
+	t.Helper()
+	api, err := operator.New(token, operator.Dependencies{
+		Reporter: c, Fleet: c, Log: event.New(log.NewNopLogger()), Now: time.Now,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return api
+}
+
+func get(t *testing.T, api *operator.API, path string) answer {
+	t.Helper()
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Header.Set("Authorization", "Bearer "+token)
+	w := httptest.NewRecorder()
+	api.ServeHTTP(w, r)
+	var out answer
+	if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil || w.Code != http.StatusOK {
+		t.Fatalf("%s: %d %s", path, w.Code, w.Body)
+	}
+	return out
+}
+
+// Guards against a status that leaves a silent, late or malformed entry out without a word, or that calls a
+// drain quiet while the owner or another entry of the region has not answered.
+func TestMissingEntriesAreListed(t *testing.T) {
+	for name, c := range map[string]struct {
+		say  func(ctx context.Context) ([]byte, error)
+		want string
+	}{
+		"silent": {func(context.Context) ([]byte, error) { return nil, errors.New("connection refused") }, "refused"},
+		"late":   {func(ctx context.Context) ([]byte, error) { <-ctx.Done(); return nil, ctx.Err() }, "within 1s"},
+		"too late": {func(context.Context) ([]byte, error) {
+			time.Sleep(2 * time.Second)
+			return []byte(`{"entry":"b"}`), nil
+		}, "within 1s"},
+		"malformed": {func(context.Context) ([]byte, error) { return []byte(`{"entry":`), nil }, "malformed"},
+		"mistyped":  {func(context.Context) ([]byte, error) { return []byte(`{"entry":"b","targets":7}`), nil }, "malformed"},
+		"empty":     {func(context.Context) ([]byte, error) { return nil, nil }, "malformed"},
+		"another's": {part(operator.Status{Entry: "c"}), "comes from"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrew()
+				api := f.api(t)
+				if s := get(t, api, "/status"); len(s.Missing) != 0 || !s.Drains[0].Quiet || s.Targets[0].Owner != "b" {
+					t.Fatalf("before: %+v", s)
+				}
+				time.Sleep(time.Second)
+				f.says["b"] = c.say
+				s := get(t, api, "/status")
+				if len(s.Missing) != 1 || s.Missing[0] != "b" || s.Entries[1].Answered || !strings.Contains(s.Entries[1].Problem, c.want) {
+					t.Errorf("missing %v, entries %+v", s.Missing, s.Entries)
+				}
+				if s.Drains[0].Quiet || len(s.Drains[0].Silent) != 1 || len(s.Targets) != 2 || s.Targets[0].Owner != "" {
+					t.Errorf("drains %+v, targets %+v", s.Drains, s.Targets)
+				}
+				if e := s.Entries[2]; !e.Answered || e.Version != 3 || !e.Isolated {
+					t.Errorf("entry c = %+v", e)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a takeover in which one of two claims is dropped: the drain would be quiet while the former
+// owner still has requests in flight, or the target would seem to have no owner.
+func TestTwoOwnersDuringTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrew()
+		f.own.Targets = []operator.Target{{Name: "t1", Region: "ege", Owned: true, Busy: 4, Limit: 6}}
+		f.says["b"] = part(operator.Status{Entry: "b", Targets: []operator.Target{{Name: "t1", Owned: true, Leaving: true, Quiet: true}}})
+		api := f.api(t)
+		s := get(t, api, "/status")
+		if one := s.Targets[0]; one.Owner != "a" || one.Busy != 4 || one.Limit != 6 || len(one.Claims) != 2 || one.Quiet || s.Drains[0].Quiet {
+			t.Errorf("both serve: %+v, drain %+v", one, s.Drains[0])
+		}
+		time.Sleep(time.Second)
+		f.own.Targets[0] = operator.Target{Name: "t1", Region: "ege", Busy: 1, Leaving: true}
+		if s = get(t, api, "/status"); s.Targets[0].Owner != "b" || s.Drains[0].Quiet || s.Drains[0].Busy != 1 {
+			t.Errorf("former owner finishes: %+v, drain %+v", s.Targets[0], s.Drains[0])
+		}
+		time.Sleep(time.Second)
+		f.own.Targets = nil
+		if s = get(t, api, "/status"); !s.Drains[0].Quiet {
+			t.Errorf("after the takeover: %+v", s.Drains[0])
+		}
+	})
+}
+
+// Guards against a click that asks the whole fleet each time, or entries of regions that are not shown.
+func TestStatusIsKeptAndLimitedToRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrew()
+		api := f.api(t)
+		for range 5 {
+			get(t, api, "/status")
+		}
+		if len(f.asked) != 2 {
+			t.Errorf("5 calls asked %v", f.asked)
+		}
+		f.asked = nil
+		s := get(t, api, "/status?region=marmara")
+		if len(f.asked) != 1 || f.asked[0] != "c" || len(s.Targets) != 1 || s.Drains[0].Quiet {
+			t.Errorf("marmara asked %v: %+v", f.asked, s)
+		}
+		f.own.Members[2].State = "dead"
+		if s = get(t, api, "/status?region=ege"); len(s.Regions) != 1 || s.Regions[0].Busy != 2 || s.Regions[0].Limit != 40 || s.Regions[0].Free != 3 {
+			t.Errorf("regions %+v", s.Regions)
+		}
+		time.Sleep(time.Second)
+		f.asked = nil
+		if s = get(t, api, "/status"); len(f.asked) != 1 || len(s.Missing) != 1 || !strings.Contains(s.Entries[2].Problem, "dead") {
+			t.Errorf("a dead entry: asked %v, entries %+v", f.asked, s.Entries)
+		}
+	})
+}
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -54,6 +54,7 @@
 	History       History
 	Reporter      Reporter
 	Announcer     Announcer // Announcer may be nil.
+	Fleet         Fleet     // Fleet may be nil; then the status has only this entry's part.
 	Metrics       metrics.Registry
 	Log           Logger
 	Now           func() time.Time
@@ -64,6 +65,7 @@
 	d     Dependencies
 	token [32]byte // SHA-256 of the token, so that a comparison takes the same time for every length
 	app   *iris.Application
+	fleet *collector
 }
 
 // New returns the API behind the given token, which has at least 16 bytes.
@@ -75,6 +77,7 @@
 		d.Now = time.Now
 	}
 	a := &API{d: d, token: sha256.Sum256([]byte(token)), app: iris.New()}
+	a.fleet = &collector{d: d, views: make(map[string]*view)}
 	a.app.Logger().SetLevel("disable") // the event log is the only log
 	a.app.UseRouter(a.authorize)
 	a.app.Get("/config", a.config)
--- a/internal/entry/operator/read.go
+++ b/internal/entry/operator/read.go
@@ -27,9 +27,6 @@
 	_, _ = c.Write(data)
 }
 
-// status answers GET /status.
-func (a *API) status(c iris.Context) { a.send(c, http.StatusOK, wireStatus(a.d.Reporter.Status())) }
-
 // audit answers GET /audit?from=V with the records of versions from V on and the last refusals.
 func (a *API) audit(c iris.Context) {
 	from, err := strconv.ParseUint(c.URLParamDefault("from", "0"), 10, 64)
--- a/internal/entry/operator/report.go
+++ b/internal/entry/operator/report.go
@@ -1,6 +1,10 @@
 package operator
 
-import "time"
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
 
 type statusWire struct {
 	Entry    string       `json:"entry"`
@@ -12,23 +16,29 @@
 	Isolated bool         `json:"isolated"`
 	Store    bool         `json:"store"`
 	Roster   float64      `json:"roster"` // seconds
+	Age      float64      `json:"age"`    // seconds
 	Targets  []targetWire `json:"targets"`
 	Regions  []regionWire `json:"regions"`
 	Links    []linkWire   `json:"links"`
 	Drains   []quietWire  `json:"drains"`
-	Members  []memberWire `json:"members"`
+	Members  []memberWire `json:"members,omitempty"`
 }
 
 type targetWire struct {
 	Name    string  `json:"name"`
 	Service string  `json:"service"`
 	Zone    string  `json:"zone"`
+	Region  string  `json:"region"`
 	Owner   string  `json:"owner"`
+	Owned   bool    `json:"owned"`
 	Busy    int     `json:"busy"`
 	Limit   int     `json:"limit"`
 	Slots   int     `json:"slots"`
+	Load    float64 `json:"load"`
 	Trust   float64 `json:"trust"`
 	Leaving bool    `json:"leaving"`
+	Cause   string  `json:"cause,omitempty"`
+	Quiet   bool    `json:"quiet"`
 }
 
 type regionWire struct {
@@ -43,6 +53,7 @@
 	To    string `json:"to"`
 	Used  int64  `json:"used"`  // bytes/s
 	Share int64  `json:"share"` // bytes/s
+	Limit int64  `json:"limit"` // bytes/s
 }
 
 type quietWire struct {
@@ -57,6 +68,7 @@
 type memberWire struct {
 	Name        string `json:"name"`
 	Zone        string `json:"zone"`
+	Region      string `json:"region"`
 	State       string `json:"state"`
 	Incarnation string `json:"incarnation"`
 	Version     uint64 `json:"version"`
@@ -65,7 +77,7 @@
 func wireStatus(s Status) statusWire {
 	return statusWire{
 		Entry: s.Entry, Region: s.Region, Zone: s.Zone, At: s.At, Version: s.Version, Floor: s.Floor,
-		Isolated: s.Isolated, Store: s.Store, Roster: s.Roster.Seconds(),
+		Isolated: s.Isolated, Store: s.Store, Roster: s.Roster.Seconds(), Age: s.Age.Seconds(),
 		Targets: each(s.Targets, func(t Target) targetWire { return targetWire(t) }),
 		Regions: each(s.Regions, func(r Region) regionWire { return regionWire(r) }),
 		Links:   each(s.Links, func(l Link) linkWire { return linkWire(l) }),
@@ -81,3 +93,21 @@
 	}
 	return out
 }
+
+// EncodePart returns the entry's part of the fleet's status, which another entry merges with its own.
+func EncodePart(s Status) ([]byte, error) {
+	s.Members = nil
+	return json.Marshal(wireStatus(s))
+}
+
+// decodePart reads the part of the named entry.
+func decodePart(entry string, data []byte) (statusWire, error) {
+	var w statusWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return w, fmt.Errorf("operator: malformed answer: %w", err)
+	}
+	if w.Entry != entry {
+		return w, fmt.Errorf("operator: malformed answer: it comes from %q", w.Entry)
+	}
+	return w, nil
+}
--- a/internal/entry/operator/status.go
+++ b/internal/entry/operator/status.go
@@ -13,11 +13,13 @@
 	Isolated bool          // Isolated means that neither the store nor a peer can be reached.
 	Store    bool          // Store reports whether the last call to the store had a response.
 	Roster   time.Duration // Roster is the age of the VM list; negative means that it was never read.
-	Targets  []Target      // Targets are those that this entry owns.
+	Age      time.Duration // Age is how long this incarnation has been running.
+	Targets  []Target      // Targets are those that this entry owns or still has requests in flight at.
 	Regions  []Region
 	Links    []Link
 	Drains   []Drain
 	Members  []Member
+	Plan     []Target // Plan is every configured target, with its name, service, zone, region and slots alone.
 }
 
 // Target is a target as its owner sees it.
@@ -25,12 +27,17 @@
 	Name    string
 	Service string
 	Zone    string
+	Region  string
 	Owner   string
+	Owned   bool    // Owned is false at a former owner whose last requests are in flight.
 	Busy    int     // Busy is the number of this entry's requests in flight.
 	Limit   int     // Limit is the gate's limit now.
 	Slots   int     // Slots is the configured limit.
+	Load    float64 // Load is the estimate of the requests at the target.
 	Trust   float64 // Trust weighs the target's own reports, from 0 to 1.
 	Leaving bool
+	Cause   string // Cause says why the target leaves.
+	Quiet   bool   // Quiet means that the target is leaving and this entry has nothing in flight at it.
 }
 
 // Region is a region's use as this entry knows it.
@@ -46,6 +53,7 @@
 	From, To string
 	Used     int64 // Used is this entry's use in bytes per second.
 	Share    int64 // Share is this entry's limit in bytes per second.
+	Limit    int64 // Limit is the configured limit of the whole link in bytes per second.
 }
 
 // Drain is the progress of a planned drain or of a leaving VM at this entry.
@@ -62,7 +70,8 @@
 type Member struct {
 	Name        string
 	Zone        string
-	State       string
+	Region      string
+	State       string // State is "unknown" for a configured entry that was never heard of.
 	Incarnation string
 	Version     uint64
 }
--- a/internal/fleet/gossip/network_test.go
+++ b/internal/fleet/gossip/network_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,6 +218,7 @@
 	holder  *holder
 	journal *journal
 	address string
+	status  atomic.Pointer[func() []byte]
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 }
@@ -259,6 +261,7 @@
 	n.Service = gossip.New(gossip.Settings{Self: self, Key: []byte(key), Seeds: f.seeds, Interval: f.interval}, gossip.Dependencies{
 		Dial: f.net.dialer(n.address), Holder: n.holder, Now: time.Now, Seed: uint64(i + 1), Events: n.journal,
 		Tickets: func(context.Context, member.Member, []byte) error { return nil },
+		Status:  func() []byte { return (*n.status.Load())() },
 	})
 	l := &listener{conns: make(chan net.Conn), done: make(chan struct{})}
 	f.net.mu.Lock()
--- a/internal/fleet/gossip/server.go
+++ b/internal/fleet/gossip/server.go
@@ -100,6 +100,8 @@
 		return answer(r, func(versionForm) (any, error) { return s.configuration(), nil })
 	case "push":
 		return answer(r, func(m versionForm) (any, error) { return s.pushed(x.peer, m), nil })
+	case "status":
+		return answer(r, func(statusForm) (any, error) { return s.ownStatus() })
 	case "tickets":
 		return answer(r, func(m ticketsForm) (any, error) { return true, s.takeTickets(ctx, x.peer, m.Data) })
 	}
--- a/internal/fleet/gossip/settings.go
+++ b/internal/fleet/gossip/settings.go
@@ -24,8 +24,9 @@
 	watchers    = 3
 	wantAgain   = 5 * time.Second // an unknown digest is asked for again after this time
 	maxInterval = 10 * time.Second
-	maxFrame    = 32 << 20 // bytes of one message; the largest is a configuration
-	maxGreeting = 4 << 10  // bytes of one message before the peer has proved the key
+	maxFrame    = 32 << 20  // bytes of one message; the largest is a configuration
+	maxGreeting = 4 << 10   // bytes of one message before the peer has proved the key
+	maxStatus   = 256 << 10 // bytes of a peer's status; an entry's part of the fleet's status is a few KB
 )
 
 // Settings are the fixed values of a service.
@@ -76,4 +77,6 @@
 	Events Logger
 	// Tickets takes over the tickets of a stopping peer; nil refuses them.
 	Tickets func(ctx context.Context, from member.Member, data []byte) error
+	// Status returns this entry's part of the fleet's status as bytes that only the callers understand; nil refuses.
+	Status func() []byte
 }
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -59,6 +59,9 @@
 	ticketsForm struct {
 		Data []byte `json:"data"`
 	}
+	statusForm struct {
+		Data []byte `json:"data,omitempty"`
+	}
 )
 
 func formOf(m member.Member) memberForm {
--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -69,12 +69,12 @@
 		At: now, Region: t.Region, Total: c.total, Closed: t.Closed,
 		Buckets:  c.links(now),
 		Services: c.services(),
-		Status:   c.status(now),
 	}
 	for _, r := range t.Document.Regions() {
 		f.Regions = append(f.Regions, r.Name())
 	}
 	c.slots(f.Services)
+	f.Status = c.status(now)
 	c.routes(f.Services, f.Buckets)
 	for i := range t.Shifts {
 		r := &t.Shifts[i]
@@ -154,11 +154,16 @@
 func (c *Core) status(now time.Time) decision.Status {
 	t := c.tables
 	s := decision.Status{At: now, Closed: t.Closed}
-	for _, i := range t.Owned {
+	for i := range t.Targets {
 		r := &t.Targets[i]
+		// Read after the gates have their limits: a leaving target without requests in flight then stays without.
+		flight := c.targetGates[i].InFlight()
+		if !r.Mine && flight == 0 {
+			continue
+		}
 		s.Targets = append(s.Targets, decision.TargetStatus{
-			Name: r.Spec.Name(), Limit: r.Limit, InFlight: r.Seen.InFlight, Load: r.Load, Trust: r.Trust,
-			Leaving: r.Leaving, Quiet: r.Leaving != "" && r.Seen.InFlight == 0,
+			Name: r.Spec.Name(), Owned: r.Mine, Limit: r.Limit, InFlight: flight, Load: r.Load, Trust: r.Trust,
+			Leaving: r.Leaving, Quiet: r.Leaving != "" && flight == 0,
 		})
 	}
 	for i := range t.Shifts {
@@ -168,7 +173,7 @@
 		})
 	}
 	for _, r := range t.Links {
-		s.Links = append(s.Links, decision.LinkStatus{Region: r.Region, Share: r.Share, Rate: r.Rate, Spare: r.Spare, Short: r.Short})
+		s.Links = append(s.Links, decision.LinkStatus{Region: r.Region, Share: r.Share, Rate: r.Rate, Used: int64(r.Used), Spare: r.Spare, Short: r.Short})
 	}
 	for _, e := range t.Events {
 		s.Events = append(s.Events, decision.Event{Number: e.Number, Keyvals: e.Keyvals})
--- a/internal/steer/decision/status.go
+++ b/internal/steer/decision/status.go
@@ -16,9 +16,10 @@
 	Events  []Event
 }
 
-// TargetStatus is the state of an owned target.
+// TargetStatus is the state of a target that the entry owns or still has requests in flight at.
 type TargetStatus struct {
 	Name     string
+	Owned    bool // Owned is false at a former owner whose last requests are in flight.
 	Limit    int
 	InFlight int
 	Load     float64
@@ -42,6 +43,7 @@
 	Region string
 	Share  int64 // Share is fixed by the configuration, in bytes per second and direction.
 	Rate   int64 // Rate is the share after loans.
+	Used   int64 // Used is the highest recent use in bytes per second.
 	Spare  int64 // Spare is the part of the rate that may be lent to a peer that is short.
 	Short  bool  // Short means that a loan from a peer would help.
 }
