internal/steer/core: give shares back after a pause only when a peer confirms

Cause: 3 s after a pause the entry used its shares of links and shifts without a confirmation, although another incarnation may use them by then, and a confirmation that was older than the pause opened the gates at once. Change: without a peer only the gates open after 3 s; the tick that finds the pause ignores the confirmation. The pause test covers both.

--- a/internal/steer/core/core.go
+++ b/internal/steer/core/core.go
@@ -36,8 +36,9 @@
 	tables   *table.Tables
 	last     time.Time
 	unsure   time.Time // unsure is when the entry last started or was paused.
-	sure     bool
-	steps    int // steps is the number of count steps that the tick moves on by.
+	paused   bool      // paused means that a pause is not yet followed by a confirmation.
+	sure     bool      // sure means that the shares may be used.
+	steps    int       // steps is the number of count steps that the tick moves on by.
 
 	gates   map[string]*decision.Gate
 	peers   map[string]*decision.Gate
@@ -115,7 +116,7 @@
 	gap := now.Sub(c.last)
 	if gap > Gap {
 		t.Emit(event.TickGap, "gap", gap)
-		c.unsure, c.sure = now, false
+		c.unsure, c.paused, c.sure = now, true, false
 	}
 	t.Elapsed = min(gap, table.MaxElapsed)
 	c.steps = int(now.Sub(t.Began)/shift.Step - c.last.Sub(t.Began)/shift.Step)
@@ -139,10 +140,18 @@
 	return elsewhere
 }
 
-// judge decides whether this entry may use its gates and shares.
+// judge decides whether this entry may use its gates and shares. After a start
+// without any peer it uses both in the end; after a pause it gets its shares
+// back only from a peer, because another process may use them by then.
 func (c *Core) judge(now time.Time, in *table.Input) {
-	if in.Confirmed || now.Sub(c.unsure) >= Alone {
+	since := now.Sub(c.unsure)
+	switch {
+	case in.Confirmed && (since > 0 || !c.paused):
+		// A confirmation seen in the tick of the pause itself may be older than it.
+		c.sure, c.paused = true, false
+	case since >= Alone && !c.paused:
 		c.sure = true
 	}
-	c.tables.Closed = !c.sure
+	c.tables.Idle = !c.sure
+	c.tables.Closed = !c.sure && since < Alone
 }
--- a/internal/steer/core/fault_test.go
+++ b/internal/steer/core/fault_test.go
@@ -89,6 +89,17 @@
 	if !has(s, event.TickGap) || !s.Status().Closed || s.Link("marmara").Rate() != 0 {
 		t.Error("an entry that was paused uses its gates or shares before a peer has confirmed it")
 	}
+	s = run(c, start.Add(8100*time.Millisecond), 4*time.Second, in)
+	if s.Status().Closed || s.Link("marmara").Rate() != 0 {
+		t.Error("after 3 s without a peer the gates are closed or the shares in use")
+	}
+	in.Confirmed = true
+	if s = c.Step(start.Add(12200*time.Millisecond), in); s.Link("marmara").Rate() == 0 {
+		t.Error("a confirmed entry does not use its shares")
+	}
+	if s = c.Step(start.Add(15*time.Second), in); !s.Status().Closed {
+		t.Error("a confirmation from before the pause opens the gates")
+	}
 	if s := core.New(core.Settings{Entry: "x"}).Step(start, nil); !has(s, event.InputMissing) {
 		t.Error("no event for a tick without a configuration")
 	}
--- a/internal/steer/link/link.go
+++ b/internal/steer/link/link.go
@@ -32,7 +32,7 @@
 	for i := range t.Links {
 		r := &t.Links[i]
 		r.Rate = int64(Safety * float64(max(0, r.Rate)))
-		if t.Closed {
+		if t.Closed || t.Idle {
 			r.Rate = 0
 		}
 		measure(t, r)
--- a/internal/steer/shift/shift.go
+++ b/internal/steer/shift/shift.go
@@ -46,7 +46,7 @@
 	r.Left = max(0, int(math.Floor(r.Allow+1e-9))-recent)
 	// An even pace keeps seconds that begin within a step close to those counted.
 	r.Left = min(r.Left, 1+int(math.Ceil(pace*r.Allow/window)))
-	if t.Closed {
+	if t.Closed || t.Idle {
 		r.Left = 0
 	}
 	if r.Refused > 0 && now.Sub(r.Since) > 10*time.Second {
--- a/internal/steer/table/input.go
+++ b/internal/steer/table/input.go
@@ -55,11 +55,12 @@
 
 // Input is everything that a tick learns from outside.
 type Input struct {
-	Document  *document.Document
-	Members   []Member
-	Rooms     []Room
-	Leaving   []string // Leaving names the VMs that the platform's list shows as leaving.
-	Reports   []Report
-	Loans     []Loan
-	Confirmed bool // Confirmed means that a peer has confirmed this entry's incarnation.
+	Document *document.Document
+	Members  []Member
+	Rooms    []Room
+	Leaving  []string // Leaving names the VMs that the platform's list shows as leaving.
+	Reports  []Report
+	Loans    []Loan
+	// Confirmed means that a peer has confirmed this entry's incarnation within the last second.
+	Confirmed bool
 }
--- a/internal/steer/table/tables.go
+++ b/internal/steer/table/tables.go
@@ -20,6 +20,7 @@
 	Elapsed  time.Duration // Elapsed is the time since the previous tick, at most MaxElapsed.
 	Moved    bool          // Moved means that a target began or ceased to leave in this tick.
 	Closed   bool          // Closed means that this entry must not use its gates or shares.
+	Idle     bool          // Idle means that this entry must not use its shares of links and shifts.
 	Changed  bool          // Changed means that the configuration or the live entries differ from the last tick.
 	Returned bool          // Returned means that this entry started while its whole region was away.
 	Began    time.Time     // Began is the time of the first tick.
