internal/steer/decision: let only requests that start earn retries

Cause: a waiting request that asks again earned a part of a retry each time, so the budget could pass 10% of the requests.

--- a/internal/steer/decision/choose.go
+++ b/internal/steer/decision/choose.go
@@ -42,10 +42,17 @@
 	if !r.Deadline.IsZero() && r.Deadline.Sub(r.Now) < max(1, sv.Expect/2) {
 		return Choice{}, errDeadline
 	}
-	if len(r.Avoid) == 0 && r.Hops == 0 {
+	c, err := s.decide(sv, &r, draw)
+	if err == nil && len(r.Avoid) == 0 && r.Hops == 0 {
+		// Only a request that starts earns, so a waiting one that asks again does not.
 		sv.Retries.earn()
 	}
-	c, err := s.local(sv, &r, draw)
+	return c, err
+}
+
+// decide tries this entry's gates, then peers of the region, then other regions.
+func (s *Snapshot) decide(sv *Service, r *Request, draw uint64) (Choice, error) {
+	c, err := s.local(sv, r, draw)
 	if err == nil {
 		return c, nil
 	}
@@ -55,10 +62,10 @@
 	if r.Hops >= maxHops {
 		return Choice{}, errHops
 	}
-	if c, ok := s.near(sv, &r, draw); ok {
+	if c, ok := s.near(sv, r, draw); ok {
 		return c, nil
 	}
-	return s.far(sv, &r, draw, err)
+	return s.far(sv, r, draw, err)
 }
 
 // unknown tells a service that does not exist from an entry without a configuration.
