internal/fleet/gossip: scale suspicion with the rounds of a full pass

Cause: at 400 entries one message cannot carry news of every member within 8 intervals, so 26 % of the records were suspect or dead while all ran.

--- a/internal/fleet/gossip/pace.go
+++ b/internal/fleet/gossip/pace.go
@@ -31,3 +31,9 @@
 	p.interval = min(max(need, p.shortest), maxInterval)
 	p.beats = min(p.most, max(8, members))
 }
+
+// refresh returns the interval that suspicion counts in. In a fleet larger than two messages can carry, one round
+// cannot bring news of every member, so the interval grows with the rounds that a full pass takes.
+func (p *pace) refresh(members int) time.Duration {
+	return time.Duration(float64(p.interval) * max(1, float64(members)/float64(2*p.beats)))
+}
--- a/internal/fleet/gossip/run.go
+++ b/internal/fleet/gossip/run.go
@@ -69,7 +69,7 @@
 	if before != member.Superseded {
 		s.table.Advance(now, version)
 	}
-	changes := s.table.Tick(now, s.pace.interval)
+	changes := s.table.Tick(now, s.pace.refresh(s.table.Size()))
 	s.reportStanding(before)
 	unused := s.unused()
 	s.turn++
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -142,6 +142,9 @@
 	return all
 }
 
+// Size returns the number of known members, dead ones included.
+func (t *Table) Size() int { return len(t.records) }
+
 // Rooms returns the free slots of all members that are not dead.
 func (t *Table) Rooms() []Room {
 	var all []Room
--- a/internal/measure/capacity/fleet.go
+++ b/internal/measure/capacity/fleet.go
@@ -138,15 +138,15 @@
 	out["sent-bytes/s"] = float64(sentAfter-sent) / n / seconds
 	out["messages/s"] = float64(messagesAfter-messages) / n / seconds
 	out["core-percent"] = 100 * used.Seconds() / n / seconds
-	alive := 0
+	counts := make(map[member.State]int)
 	for _, e := range f.entries {
 		for _, m := range e.Members() {
-			if m.State() == member.Alive {
-				alive++
-			}
+			counts[m.State()]++
 		}
 	}
-	out["alive-percent"] = 100 * float64(alive) / n / n
+	for _, state := range []member.State{member.Alive, member.Suspect, member.Dead} {
+		out[state.String()+"-percent"] = 100 * float64(counts[state]) / n / n
+	}
 	out["interval-s"] = f.entries[0].Interval().Seconds()
 }
 
