internal/entry/node: serve nothing before the floor is known

Cause: a new entry became ready as soon as any peer's gossip brought a version, which may be older than the one its predecessor served; and an entry without a configuration told a repeated order not-run. Change: an entry is ready once it has asked the store and the peers and holds a version at or above the floor; the forwarder refuses on the callers' and the relay port alike, as may-have-run for an order. Conclusion: a replaced entry cannot serve an older version than its predecessor.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -53,7 +53,8 @@
 	g := &Gateway{d: d, mux: http.NewServeMux()}
 	g.mux.HandleFunc("GET /lookup", g.ready(g.lookup))
 	g.mux.HandleFunc("POST /ticket", g.ready(g.ticket))
-	g.mux.HandleFunc("/run/", g.ready(d.Forward))
+	// Forward refuses by itself without a configuration: for an order it must not claim proof.
+	g.mux.HandleFunc("/run/", d.Forward)
 	g.mux.HandleFunc("GET /healthz", g.health)
 	return g
 }
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -87,8 +87,8 @@
 
 // Guards against an entry without a configuration that answers anything but 503 not-run.
 func TestNotReady(t *testing.T) {
-	for _, path := range []string{"/lookup?service=status", "/run/status/x"} {
-		got := ask(&entry{}, http.MethodGet, path, http.Header{})
+	for method, path := range map[string]string{http.MethodGet: "/lookup?service=status", http.MethodPost: "/ticket?service=gifts"} {
+		got := ask(&entry{}, method, path, http.Header{})
 		if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Verdict") != "not-run" || got.Header.Get("Reason") != "isolated" {
 			t.Errorf("%s: status %d, header %v", path, got.StatusCode, got.Header)
 		}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -79,6 +79,7 @@
 	reports  *reports
 	flight   atomic.Int64
 	leaving  atomic.Bool
+	asked    atomic.Bool // asked means that the store and the peers were asked once since the start.
 	push     chan struct{}
 	drained  chan struct{}
 	steps    tickState
@@ -190,7 +191,7 @@
 	n.forward, err = forward.New(forward.Settings{
 		Name: n.s.Name(), Region: n.s.Region(), Key: n.s.Peerkey(), Header: n.s.Header(),
 	}, forward.Dependencies{
-		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: n.current, Links: links{n}, Home: n.home,
+		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: state{n}, Links: links{n}, Home: n.home,
 		Targets: n.targets, Entries: n.entries, Log: n.d.Events, Metrics: n.metrics, Seed: n.s.Seed(),
 	})
 	return err
@@ -211,8 +212,9 @@
 	return v
 }
 
-// Ready reports whether the entry has a configuration that it may serve.
-func (n *Node) Ready() bool { return n.current.Ready() }
+// Ready reports whether the entry has a configuration that it may serve: it has
+// asked for its floor and holds a version at or above it.
+func (n *Node) Ready() bool { return n.asked.Load() && n.current.Ready() }
 
 // Leaving reports whether a graceful shutdown has begun.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
--- a/internal/entry/node/start.go
+++ b/internal/entry/node/start.go
@@ -20,7 +20,10 @@
 	isolated := false
 	for ctx.Err() == nil {
 		reached := n.ask(ctx)
-		if n.current.Ready() {
+		// A peer that gossips first may hold an older version than this entry's
+		// predecessor served, so nothing is served before the floor is known.
+		n.asked.Store(reached || len(n.s.Peers()) == 0)
+		if n.Ready() {
 			n.d.Events.Log(event.Serving, "entry", n.s.Name(), "version", n.Version())
 			return
 		}
--- a/internal/entry/node/tick.go
+++ b/internal/entry/node/tick.go
@@ -62,7 +62,7 @@
 // input collects what the tick learns from outside.
 func (n *Node) input(members []member.Member) *table.Input {
 	in := &table.Input{Reports: n.reports.list(), Confirmed: n.gossip.Confirmed(n.steps.unsure)}
-	if n.current.Ready() {
+	if n.Ready() {
 		in.Document = n.current.Document()
 	}
 	for _, m := range members {
@@ -109,7 +109,7 @@
 
 func (n *Node) updateLookups(now time.Time, members []member.Member) {
 	in := lookup.Input{Members: members, Rooms: n.gossip.Rooms(), Leaving: map[string]bool{}}
-	if n.current.Ready() {
+	if n.Ready() {
 		in.Document = n.current.Document()
 	}
 	if v := n.vms.Load(); v != nil {
@@ -126,11 +126,16 @@
 // state is the node as the gateway sees it.
 type state struct{ n *Node }
 
-// Document returns the configuration in force, or nil.
-func (s state) Document() *document.Document { return s.n.current.Document() }
+// Document returns the configuration that the entry may serve, or nil.
+func (s state) Document() *document.Document {
+	if !s.n.Ready() {
+		return nil
+	}
+	return s.n.current.Document()
+}
 
 // Ready reports whether the entry has a configuration that it may serve.
-func (s state) Ready() bool { return s.n.current.Ready() }
+func (s state) Ready() bool { return s.n.Ready() }
 
 // Leaving reports whether a graceful shutdown has begun.
 func (s state) Leaving() bool { return s.n.Leaving() }
