--- a/cmd/tamarackspool/client.go
+++ b/cmd/tamarackspool/client.go
@@ -19,6 +19,7 @@
 	Call    netip.AddrPort `help:"Callers' address of an entry." placeholder:"IP:PORT" required:""`
 	Client  string         `help:"Address of the client. Default: this machine's."`
 	Service string         `arg:"" help:"Name of the service."`
+	authority
 }
 
 // Run prints the look-up.
@@ -31,14 +32,18 @@
 		}
 		q.Set("client", client.String())
 	}
+	client, scheme, err := c.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: c.Call.String(), Path: "/lookup", RawQuery: q.Encode()}
+	target := url.URL{Scheme: scheme, Host: c.Call.String(), Path: "/lookup", RawQuery: q.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return fail(exitUnavailable, "%v", err)
 	}
--- a/cmd/tamarackspool/entry.go
+++ b/cmd/tamarackspool/entry.go
@@ -29,6 +29,8 @@
 	Peers     []string      `help:"Control addresses of other entries, asked at the start." placeholder:"IP:PORT"`
 	PeerKey   string        `help:"Token that entries share." required:""`
 	OpKey     string        `name:"operator-key" help:"Token of the operators." required:""`
+	Cert      string        `help:"File with the certificate chain (PEM) of the callers' and operators' ports; needs --cert-key."`
+	CertKey   string        `help:"File with the key (PEM) of the certificate; needs --cert."`
 	StopLimit time.Duration `help:"Longest time of a graceful shutdown." default:"10m"`
 	TTL       time.Duration `name:"lookup-ttl" help:"How long callers keep a look-up." default:"10s"`
 	Retention time.Duration `help:"How long caller-chosen keys are remembered." default:"24h"`
@@ -41,7 +43,7 @@
 func (c *entryCommand) Run(ctx context.Context, s *streams) error {
 	checked, err := setting.New(setting.Raw{
 		Name: c.Name, Zone: c.Zone, Region: c.Region, Call: c.Call, Peer: c.Peer, Pass: c.Pass, Admin: c.Admin,
-		Store: c.Store, Roster: c.Roster, Peers: c.Peers, Peerkey: c.PeerKey, Opkey: c.OpKey, Storekey: c.StoreKey,
+		Store: c.Store, Roster: c.Roster, Peers: c.Peers, Peerkey: c.PeerKey, Opkey: c.OpKey, Storekey: c.StoreKey, Cert: c.Cert, Certkey: c.CertKey,
 		Stop: c.StopLimit, TTL: c.TTL, Retention: c.Retention, Keys: c.Keys, Header: c.Header, Seed: c.seed(),
 	})
 	if err != nil {
--- a/cmd/tamarackspool/main.go
+++ b/cmd/tamarackspool/main.go
@@ -12,8 +12,8 @@
 	"github.com/alecthomas/kong"
 )
 
-// commands are the subcommands; every flag can also be set by an environment
-// variable TAMARACK_<FLAG>.
+// commands are the subcommands; every flag but those that
+// docs/SETTINGS.md lists without one can also be set by an environment variable TAMARACK_<FLAG>.
 type commands struct {
 	Entry  entryCommand  `cmd:"" help:"Run one entry."`
 	Demo   demoCommand   `cmd:"" help:"Run a whole deployment in this process and check the promises."`
--- a/cmd/tamarackspool/main_test.go
+++ b/cmd/tamarackspool/main_test.go
@@ -2,6 +2,14 @@
 
 import (
 	"bytes"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -39,3 +47,21 @@
 		t.Errorf("exit status %d, want %d: %s", got, exitUnavailable, problems.String())
 	}
 }
+
+// Guards against a command that trusts an entry without its authority or sends the token without TLS when one is given.
+func TestAuthority(t *testing.T) {
+	entry := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"entry":"e1"}`) }))
+	defer entry.Close()
+	entry.Config.ErrorLog = log.New(io.Discard, "", 0)
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: entry.Certificate().Raw}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for ca, want := range map[string]int{file: exitDone, "": exitUsage, "none.pem": exitUsage} {
+		var out, problems bytes.Buffer
+		args := []string{"status", "--json", "--admin", entry.Listener.Addr().String(), "--operator-key", "k", "--ca=" + ca}
+		if got := run(t.Context(), args, &out, &problems); got != want {
+			t.Errorf("--ca %q: exit status %d, want %d: %s%s", ca, got, want, out.String(), problems.String())
+		}
+	}
+}
--- a/cmd/tamarackspool/operator.go
+++ b/cmd/tamarackspool/operator.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/user"
@@ -18,14 +17,28 @@
 	Admin []netip.AddrPort `help:"Operators' addresses of entries; the next one is asked when one does not answer." placeholder:"IP:PORT" required:""`
 	Key   string           `name:"operator-key" help:"Token of the operators." required:""`
 	JSON  bool             `help:"Print the API's responses as JSON."`
+	authority
 }
 
-func (a admin) console(s *streams) *console.Console {
+func (a admin) console(s *streams) (*console.Console, error) {
+	client, scheme, err := a.client()
+	if err != nil {
+		return nil, err
+	}
 	var bases []string
 	for _, address := range a.Admin {
-		bases = append(bases, "http://"+address.String())
+		bases = append(bases, scheme+"://"+address.String())
 	}
-	return &console.Console{Client: console.NewClient(bases, a.Key, http.DefaultClient), Out: s.out, JSON: a.JSON}
+	return &console.Console{Client: console.NewClient(bases, a.Key, client), Out: s.out, JSON: a.JSON}, nil
+}
+
+// with runs f on the console and gives its failure an exit status.
+func (a admin) with(s *streams, f func(*console.Console) error) error {
+	c, err := a.console(s)
+	if err != nil {
+		return err
+	}
+	return ended(f(c))
 }
 
 // ended turns a failure of the console into one with its exit status.
@@ -38,8 +51,8 @@
 
 // change are the flags of the commands that change the configuration.
 type change struct {
-	Base uint64 `help:"Version that the change was made for. Default: the version in force."`
-	ID   string `help:"Identity of the change; the same id is applied at most once. Default: a new one."`
+	Base uint64 `help:"Version that the change was made for. Default: the version in force." env:"-"`
+	ID   string `help:"Identity of the change; the same id is applied at most once. Default: a new one." env:"-"`
 	Who  string `help:"Who makes the change. Default: the user's name."`
 	Why  string `help:"Reason for the audit trail." required:""`
 }
@@ -70,7 +83,7 @@
 	if err != nil {
 		return fail(exitUsage, "%v", err)
 	}
-	return ended(c.admin.console(s).Patch(ctx, c.change.console(), data, nil))
+	return c.with(s, func(o *console.Console) error { return o.Patch(ctx, c.change.console(), data, nil) })
 }
 
 func (c *patchCommand) read(s *streams) ([]byte, error) {
@@ -80,13 +93,14 @@
 	return os.ReadFile(c.File)
 }
 
+// What to drain has no environment variables: an entry's TAMARACK_ZONE or TAMARACK_REGION would select it by accident.
 type drainCommand struct {
 	admin
 	change
 	Name   string    `arg:"" help:"Name of the drain."`
-	Target []string  `help:"Target to empty; may be repeated." xor:"what"`
-	Zone   string    `help:"Availability zone to empty." xor:"what"`
-	Region string    `help:"Region to empty." xor:"what"`
+	Target []string  `help:"Target to empty; may be repeated." env:"-" xor:"what"`
+	Zone   string    `help:"Availability zone to empty." env:"-" xor:"what"`
+	Region string    `help:"Region to empty." env:"-" xor:"what"`
 	Start  time.Time `help:"When the drain starts (RFC 3339). Default: now."`
 	End    time.Time `help:"When the targets return (RFC 3339). Default: never."`
 	Follow bool      `help:"Wait until nothing is in flight at the targets."`
@@ -97,26 +111,27 @@
 	if len(c.Target) == 0 && c.Zone == "" && c.Region == "" {
 		return fail(exitUsage, "one of --target, --zone and --region is needed")
 	}
-	return ended(c.admin.console(s).Drain(ctx, c.change.console(), console.Drain{
+	d := console.Drain{
 		Name: c.Name, Targets: c.Target, Zone: c.Zone, Region: c.Region, Start: c.Start, End: c.End, Follow: c.Follow,
-	}))
+	}
+	return c.with(s, func(o *console.Console) error { return o.Drain(ctx, c.change.console(), d) })
 }
 
 type configCommand struct{ admin }
 
 // Run prints the configuration.
 func (c *configCommand) Run(ctx context.Context, s *streams) error {
-	return ended(c.console(s).Config(ctx))
+	return c.with(s, func(o *console.Console) error { return o.Config(ctx) })
 }
 
 type statusCommand struct {
 	admin
-	Region []string `help:"Region to show; may be repeated. Default: all."`
+	Region []string `help:"Region to show; may be repeated. Default: all." env:"-"`
 }
 
 // Run prints the status.
 func (c *statusCommand) Run(ctx context.Context, s *streams) error {
-	return ended(c.console(s).Status(ctx, c.Region...))
+	return c.with(s, func(o *console.Console) error { return o.Status(ctx, c.Region...) })
 }
 
 type auditCommand struct {
@@ -126,5 +141,5 @@
 
 // Run prints the audit trail.
 func (c *auditCommand) Run(ctx context.Context, s *streams) error {
-	return ended(c.console(s).Audit(ctx, c.From))
+	return c.with(s, func(o *console.Console) error { return o.Audit(ctx, c.From) })
 }
--- a/internal/entry/node/listener.go
+++ b/internal/entry/node/listener.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/netip"
@@ -34,6 +35,9 @@
 			return fmt.Errorf("node: --%s: %w", p.flag, err)
 		}
 		p.to.Listener = opened
+		if s.TLS() != nil && (p.to == &l.call || p.to == &l.admin) {
+			p.to.Listener = tls.NewListener(opened, s.TLS())
+		}
 	}
 	return nil
 }
--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -36,6 +36,7 @@
 	targets []*target.Target
 	peers   []string
 	client  *http.Client
+	adjust  func(*setting.Raw) // adjust changes the settings of entries that start; it may be nil
 }
 
 // running is a started entry.
@@ -120,11 +121,15 @@
 func (s *site) start(name, zone string) running {
 	s.t.Helper()
 	const any = "127.0.0.1:0"
-	checked, err := setting.New(setting.Raw{
+	raw := setting.Raw{
 		Name: name, Zone: zone, Region: strings.TrimSuffix(zone, zone[len(zone)-2:]), Call: any, Peer: any, Pass: any, Admin: any, Store: s.url, Peers: s.peers,
 		Peerkey: "peer-secret", Opkey: "operator-secret-token", Stop: time.Minute, TTL: time.Second,
 		Retention: time.Hour, Keys: 1000, Header: 32 << 10, Seed: 1,
-	})
+	}
+	if s.adjust != nil {
+		s.adjust(&raw)
+	}
+	checked, err := setting.New(raw)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/entry/setting/checker.go
+++ b/internal/entry/setting/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/tls"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -56,3 +57,24 @@
 		c.fail(flag, "%v is out of range; the range is %v to %v", value, low, high)
 	}
 }
+
+// certificate loads the chain and its key, which are given together or not at all.
+func (c *checker) certificate(chain, key string) *tls.Config {
+	switch {
+	case chain == "" && key == "":
+		return nil
+	case chain == "":
+		c.fail("cert", "it is missing; --cert-key needs it")
+		return nil
+	case key == "":
+		c.fail("cert-key", "it is missing; --cert needs it")
+		return nil
+	}
+	pair, err := tls.LoadX509KeyPair(chain, key)
+	if err != nil {
+		c.fail("cert", "%q with --cert-key %q: %v", chain, key, err)
+		return nil
+	}
+	// HTTP/1.1 carries one request at a time, so that a response can only belong to its own request.
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}}
+}
--- a/internal/entry/setting/setting.go
+++ b/internal/entry/setting/setting.go
@@ -1,6 +1,7 @@
 package setting
 
 import (
+	"crypto/tls"
 	"errors"
 	"net/netip"
 	"time"
@@ -13,6 +14,7 @@
 	Store, Roster            string // base addresses of the platform's services; empty means none
 	Peers                    []string
 	Peerkey, Opkey, Storekey string
+	Cert, Certkey            string // files with the certificate chain and its key; both or none
 	Stop, TTL, Retention     time.Duration
 	Keys, Header             int
 	Seed                     uint64
@@ -23,6 +25,7 @@
 	raw                     Raw
 	call, peer, pass, admin netip.AddrPort
 	peers                   []netip.AddrPort
+	tls                     *tls.Config
 }
 
 // The accepted ranges. A time to live below 1 s would make callers look up
@@ -56,6 +59,10 @@
 	c.base("roster", raw.Roster)
 	c.secret("peer-key", raw.Peerkey, minPeerkey)
 	c.secret("operator-key", raw.Opkey, minOpkey)
+	if raw.Opkey == raw.Peerkey {
+		c.fail("operator-key", "it equals --peer-key; the keys must differ")
+	}
+	s.tls = c.certificate(raw.Cert, raw.Certkey)
 	within(&c, "stop-limit", raw.Stop, minStop, maxStop)
 	within(&c, "lookup-ttl", raw.TTL, minTTL, maxTTL)
 	within(&c, "retention", raw.Retention, minRetention, maxRetention)
@@ -120,3 +127,6 @@
 
 // Seed returns the seed of the entry's random choices.
 func (s Settings) Seed() uint64 { return s.raw.Seed }
+
+// TLS returns the configuration of the callers' and operators' ports, or nil when they do not use TLS.
+func (s Settings) TLS() *tls.Config { return s.tls }
--- a/internal/entry/setting/setting_test.go
+++ b/internal/entry/setting/setting_test.go
@@ -34,6 +34,11 @@
 		{func(r *setting.Raw) { r.TTL = time.Hour }, "1s to 1m0s"},
 		{func(r *setting.Raw) { r.Keys = 3 }, "1000 to 10000000"},
 		{func(r *setting.Raw) { r.Peerkey = "short" }, "--peer-key"},
+		{func(r *setting.Raw) { r.Opkey = "fifteen-letters" }, "--operator-key"},
+		{func(r *setting.Raw) { r.Peerkey = r.Opkey }, "must differ"},
+		{func(r *setting.Raw) { r.Cert = "chain.pem" }, "--cert-key"},
+		{func(r *setting.Raw) { r.Certkey = "key.pem" }, "--cert: "},
+		{func(r *setting.Raw) { r.Cert, r.Certkey = "none.pem", "none.pem" }, "none.pem"},
 		{func(r *setting.Raw) { r.Name = "" }, "--name"},
 	} {
 		raw := valid()
