--- a/cmd/tamarackmeasure/main.go
+++ b/cmd/tamarackmeasure/main.go
@@ -7,6 +7,9 @@
 type commands struct {
 	Policy   policyCommand `cmd:"" help:"Measure steering policies side by side."`
 	Capacity Capacity      `cmd:"" help:"Measure how the cost of a node grows with the fleet."`
+
+	Forward     forwardCommand     `cmd:"" help:"Measure what an entry adds to a direct call."`
+	Propagation propagationCommand `cmd:"" help:"Measure how fast a configuration reaches every entry."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/measure/propagation/report.go
@@ -0,0 +1,79 @@
+package propagation
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Fault is what happens around each patch.
+type Fault string
+
+// The faults.
+const (
+	None     Fault = "none"
+	Down     Fault = "store-down" // the store is down from the moment of acceptance until all entries have the version
+	Lossy    Fault = "lossy"      // 5% of the chunks between places are lost and sent again
+	Replaced Fault = "replaced"   // an entry is dead and its replacement starts at the moment of acceptance
+)
+
+// Times are quantiles and the maximum in milliseconds.
+type Times struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+func timesOf(h *hdrhistogram.Histogram) Times {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Times{ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
+}
+
+// Calls are the calls to the store per second; a poll of a watch is a read.
+type Calls struct {
+	Reads   float64 `json:"reads"`
+	Writes  float64 `json:"writes"`
+	Watches float64 `json:"watches"` // Watches is the mean number of watches that wait.
+}
+
+// Row is the result for one fleet and fault.
+type Row struct {
+	Nodes   int     `json:"nodes"`
+	Fault   Fault   `json:"fault"`
+	Changes int     `json:"changes"`
+	Entry   Times   `json:"entry"`  // Entry is the time from acceptance to an entry.
+	Last    Times   `json:"last"`   // Last is the time from acceptance to the last entry of a change.
+	Missed  int     `json:"missed"` // Missed is the number of entries that did not have a version within the wait of 15 s.
+	Idle    *Calls  `json:"idle,omitempty"`
+	Busy    *Calls  `json:"busy,omitempty"` // Busy is measured while the changes are made.
+	Rate    float64 `json:"rate"`           // Rate is the changes per second.
+}
+
+// Report is the result of a run.
+type Report struct {
+	Rows []Row `json:"rows"`
+}
+
+// String returns the report as lines of text.
+func (r Report) String() string {
+	var b strings.Builder
+	for _, w := range r.Rows {
+		fmt.Fprintf(&b, "%d nodes, fault %s, %d changes at %.2f/s: entry p50 %.1f p99 %.1f max %.1f ms; last p50 %.1f p99 %.1f max %.1f ms; missed %d\n",
+			w.Nodes, w.Fault, w.Changes, w.Rate, w.Entry.P50, w.Entry.P99, w.Entry.Max, w.Last.P50, w.Last.P99, w.Last.Max, w.Missed)
+		for _, c := range []struct {
+			name  string
+			calls *Calls
+		}{{"idle", w.Idle}, {"busy", w.Busy}} {
+			if c.calls != nil {
+				fmt.Fprintf(&b, "  store %s: %.2f reads/s, %.2f writes/s, %.1f watches wait\n", c.name, c.calls.Reads, c.calls.Writes, c.calls.Watches)
+			}
+		}
+	}
+	return b.String()
+}
+
+func histogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (2 * patience / time.Microsecond).Nanoseconds(), 3)
+}
