internal/fleet/gossip: bound what one round counts for the interval

Their interval had grown: the mean of bytes per round took the greetings and the configuration of a fleet that starts at once for lasting traffic. The wiring needs this because ownership follows the membership.

--- a/internal/fleet/gossip/pace.go
+++ b/internal/fleet/gossip/pace.go
@@ -22,7 +22,10 @@
 
 // update takes the total of bytes sent so far and the number of members.
 func (p *pace) update(sent int64, members int) {
-	round := float64(sent - p.last)
+	// One round counts at most twice the budget of a second: the greetings of a
+	// fleet that starts at once lengthened the interval of one entry of 12 to
+	// 3.7 s for the next minute, and its peers and it took each other for dead.
+	round := min(float64(sent-p.last), 2*p.budget)
 	p.last = sent
 	p.bytes += smoothing * (round - p.bytes)
 	// The mean starts at zero, so that the greetings of a start do not lengthen the first intervals.
