internal/entry/node, internal/demo/deployment: add gauges; size bodies to the links

Operators see requests in flight, the gossip interval and traffic, order keys and silent connections under /metrics.

--- a/internal/demo/deployment/plan.go
+++ b/internal/demo/deployment/plan.go
@@ -62,8 +62,8 @@
 			{
 				name: "drawings", rank: 1, targets: 16, slots: 6, work: 200 * time.Millisecond, shift: 20, hot: 3,
 				loads: []caller.Load{
-					{Kind: caller.Upload, Rate: 12, Body: 512 << 10, Answer: 512},
-					{Kind: caller.Read, Rate: 16, Answer: 128 << 10},
+					{Kind: caller.Upload, Rate: 12, Body: 1 << 20, Answer: 512},
+					{Kind: caller.Read, Rate: 16, Answer: 256 << 10},
 				},
 			},
 		},
@@ -88,8 +88,8 @@
 			{
 				name: "photos", rank: 1, targets: 16, slots: 3, work: 200 * time.Millisecond, shift: 20, hot: 3,
 				loads: []caller.Load{
-					{Kind: caller.Upload, Rate: 8, Body: 512 << 10, Answer: 512},
-					{Kind: caller.Read, Rate: 8, Answer: 256 << 10},
+					{Kind: caller.Upload, Rate: 8, Body: 1536 << 10, Answer: 512},
+					{Kind: caller.Read, Rate: 8, Answer: 768 << 10},
 				},
 			},
 		},
--- /dev/null
+++ b/internal/entry/node/gauge.go
@@ -0,0 +1,20 @@
+package node
+
+import "github.com/rcrowley/go-metrics"
+
+// gauges registers the figures of the node that are read when operators ask.
+func (n *Node) gauges() {
+	for name, value := range map[string]func() int64{
+		"entry.flight":       n.flight.Load,
+		"entry.version":      func() int64 { return int64(n.Version()) },
+		"gossip.interval-ms": func() int64 { return n.gossip.Interval().Milliseconds() },
+		"gossip.sent":        func() int64 { return n.gossip.Counts().Sent },
+		"gossip.received":    func() int64 { return n.gossip.Counts().Received },
+		"order.keys":         func() int64 { return int64(n.orders.Len()) },
+		"pool.late":          func() int64 { return n.targets.Late() + n.entries.Late() },
+		"pool.silences":      func() int64 { return n.targets.Silences() + n.entries.Silences() },
+	} {
+		// A fresh registry refuses no name.
+		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(value))
+	}
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -111,6 +111,7 @@
 		n.listeners.close()
 		return nil, err
 	}
+	n.gauges()
 	return n, nil
 }
 
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -58,9 +58,10 @@
 	return r
 }
 
-// again reports whether another attempt can help; bad input stays bad.
+// again reports whether another attempt can help; bad input stays bad,
+// but a ticket whose issuer is gone can be replaced by a new one.
 func again(t Try) bool {
-	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests
+	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests || t.Reason == "issuer-gone"
 }
 
 // attempt sends the request once and returns what was told and how long to wait before the next attempt.
