internal/request/forward, internal/entry/node: tell an order's path to the order table

The table refuses a key that was used before for another method or path, but the request path passed no identity, so a key used twice was answered with the first request's response. The key now carries a hash of method and path; the node's test covers the reuse, which is refused with 422 may-have-run.

--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -205,7 +205,8 @@
 }
 
 // Guards against a wiring in which an entry serves only the targets that it
-// owns, a look-up names no entry, or a repeat of an order through another entry runs again.
+// owns, a look-up names no entry, a repeat of an order through another entry
+// runs again, or a key used for another path gets the first request's answer.
 func TestRequestsThroughOwnerAndRelay(t *testing.T) {
 	s := newSite(t)
 	a := s.start("e1", "ege-a")
@@ -227,6 +228,9 @@
 	if first.verdict != "ran" || second.verdict != "ran" || second.body != first.body {
 		t.Errorf("order = %+v, repeat = %+v", first, second)
 	}
+	if r := s.send("POST", a.url("/run/gifts/two"), key); r.status != http.StatusUnprocessableEntity || r.verdict != "may-have-run" {
+		t.Errorf("the key with another path = %+v", r)
+	}
 	if n := s.runs(key); n > 1 {
 		t.Errorf("the order ran %d times", n)
 	}
--- a/internal/request/forward/dependencies.go
+++ b/internal/request/forward/dependencies.go
@@ -63,7 +63,10 @@
 }
 
 // Key identifies an order.
-type Key struct{ Tenant, Service, Text string }
+type Key struct {
+	Tenant, Service, Text string
+	Request               uint64 // Request identifies method and path, by which a key reused for another request is known.
+}
 
 // Answer is the recorded outcome of an order.
 type Answer struct {
--- a/internal/request/forward/order.go
+++ b/internal/request/forward/order.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tamarackspool/internal/request/verdict"
 )
 
@@ -16,7 +18,9 @@
 		f.tell(j, beforeHome(j.r, bad(503, verdict.ReasonIsolated, "orders are not served here")))
 		return
 	}
-	g, err := f.d.Orders.Begin(j.ctx, Key{Tenant: j.tenant, Service: j.service.Name(), Text: j.key})
+	g, err := f.d.Orders.Begin(j.ctx, Key{
+		Tenant: j.tenant, Service: j.service.Name(), Text: j.key, Request: xxhash.Sum64String(j.r.Method + " " + j.path),
+	})
 	switch {
 	case err != nil:
 		e, ok := errors.AsType[*verdict.Error](err)
