internal/standin/caller: take an unreached repeat for no verdict on the order

An attempt that was not sent now counts as may-have-run when an earlier one of its key may have run. The new test fails without the change. The demo's own calls use a client that ends with the run, checked by goleak.

--- a/internal/demo/deployment/deployment_test.go
+++ b/internal/demo/deployment/deployment_test.go
@@ -4,10 +4,15 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"tamarackspool/internal/demo/deployment"
 	"tamarackspool/internal/demo/promise"
 )
 
+// Guards against a part of the demo that goes on after its end.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // run runs the demo for a few seconds with a fraction of its traffic, so that
 // the race detector leaves the entries enough time for their ticks.
 func run(t *testing.T, name string, faults ...deployment.Fault) deployment.Summary {
--- a/internal/demo/deployment/fault.go
+++ b/internal/demo/deployment/fault.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	req.Header.Set("Attempt", id)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/deployment/run.go
+++ b/internal/demo/deployment/run.go
@@ -102,6 +102,7 @@
 	}
 	w.wg.Wait()
 	w.network.Close()
+	w.client.CloseIdleConnections()
 }
 
 // judge compares all records.
--- a/internal/demo/deployment/script.go
+++ b/internal/demo/deployment/script.go
@@ -92,7 +92,7 @@
 		return 0, err
 	}
 	req.Header.Set("Authorization", "Bearer "+operatorKey)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/demo/deployment/world.go
+++ b/internal/demo/deployment/world.go
@@ -36,6 +36,7 @@
 	storeURL  string
 	rosterURL string
 	history   *history.History
+	client    *http.Client // client carries the operators' and the demo's own calls.
 	machines  map[string]*machine
 	logger    log.Logger
 	wg        sync.WaitGroup
@@ -64,6 +65,7 @@
 			Zones: p.zones, Regions: p.between, Clients: p.clients, Jitter: 0.3, Loss: 0.002, Rates: rates, Seed: s.Seed,
 		}),
 		list:     roster.New(listLag, nil),
+		client:   &http.Client{Transport: &http.Transport{}},
 		machines: make(map[string]*machine),
 		sites:    make(map[string]*site),
 		logger:   log.With(log.NewLogfmtLogger(log.NewSyncWriter(out)), "at", log.DefaultTimestampUTC),
@@ -92,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	w.history = history.New(history.Settings{Store: storeclient.New(w.storeURL, storeKey, http.DefaultClient)})
+	w.history = history.New(history.Settings{Store: storeclient.New(w.storeURL, storeKey, w.client)})
 	if _, err := w.history.Create(ctx, data, nil); err != nil {
 		return fmt.Errorf("deployment: %w", err)
 	}
--- a/internal/standin/caller/caller_test.go
+++ b/internal/standin/caller/caller_test.go
@@ -109,3 +109,43 @@
 		t.Errorf("%d requests ran and lost their answer, %d are recorded as may-have-run", ran.Load(), unknown)
 	}
 }
+
+// Guards against an order whose first attempt ran and lost its answer, and
+// which is recorded as not run because its repeat reached no entry.
+func TestUnreachedRepeatOfAnOrderProvesNothing(t *testing.T) {
+	f := &fake{seen: map[string]int{}, name: "e1"}
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "" {
+			f.ServeHTTP(w, r)
+			return
+		}
+		_ = server.Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	f.host = server.Listener.Addr().String()
+	c := caller.New(caller.Settings{
+		Name: "c", Tenant: "t", Entries: []string{f.host}, Seed: 1, Tries: 3,
+		Loads: []caller.Load{{Service: "gifts", Kind: caller.Order, Rate: 100, Timeout: time.Second}},
+		Dial:  (&net.Dialer{}).DialContext,
+		Path:  func(id string, _ caller.Load) string { return id },
+	})
+	arrivals, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	c.Run(t.Context(), arrivals)
+	seen := false
+	for _, r := range c.Records() {
+		lost := false
+		for _, one := range r.Tries {
+			lost = lost || one.Reason == "lost"
+			seen = seen || (lost && one.Reason == "unreached")
+			if lost && one.Verdict == "not-run" {
+				t.Errorf("tries = %+v: not-run after a lost answer", r.Tries)
+			}
+		}
+	}
+	if !seen {
+		t.Error("no repeat was unreached")
+	}
+}
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -41,6 +42,11 @@
 	return r.Tries[len(r.Tries)-1]
 }
 
+// uncertain reports whether an earlier attempt of the order's key may have run.
+func (r Record) uncertain(key string) bool {
+	return key != "" && slices.ContainsFunc(r.Tries, func(t Try) bool { return t.Key == key && t.Verdict != "not-run" })
+}
+
 // Latency returns the time from the first attempt to the end of the last one.
 func (r Record) Latency() time.Duration {
 	if len(r.Tries) == 0 {
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -42,6 +42,10 @@
 			id = fmt.Sprintf("%s.%d", r.ID, i)
 		}
 		t, after := c.attempt(ctx, &r, l, e, Try{ID: id, Key: key})
+		if t.Reason == "unreached" && r.uncertain(key) {
+			// Nothing was told about the key, and an earlier attempt of it may have run.
+			t.Verdict = "may-have-run"
+		}
 		r.Tries = append(r.Tries, t)
 		if t.Verdict == "ran" || ctx.Err() != nil || (t.Verdict != "not-run" && l.Kind == Upload) || !again(t) {
 			break
