--- a/cmd/tamarackspool/demo.go
+++ b/cmd/tamarackspool/demo.go
@@ -13,7 +13,7 @@
 	Duration   time.Duration `help:"How long callers send requests, from 5s to 10m." default:"20s"`
 	Seed       uint64        `help:"Seed of the traffic and the network." default:"1"`
 	JSON       bool          `help:"Print the summary as JSON."`
-	Fault      []string      `help:"Break promises on purpose: ${enum}." enum:"twice,lie,mixed,short,late,flood,cut,shift"`
+	Fault      []string      `help:"Break promises on purpose: ${enum}." enum:"twice,lie,mixed,short,late,flood,cut,shift,stale"`
 	Load       float64       `help:"Fraction of the deployment's traffic that callers send, from 0 to 1." default:"1"`
 	Verbose    bool          `help:"Print the events of all entries."`
 }
--- a/internal/demo/deployment/deployment_test.go
+++ b/internal/demo/deployment/deployment_test.go
@@ -54,6 +54,7 @@
 		deployment.FaultMixed: promise.Answer, deployment.FaultShort: promise.Answer,
 		deployment.FaultLate: promise.Leaving, deployment.FaultFlood: promise.Link,
 		deployment.FaultCut: promise.Stop, deployment.FaultShift: promise.Shift,
+		deployment.FaultStale: promise.Versions,
 	}
 	// The faults of one run break different promises.
 	for _, faults := range [][]deployment.Fault{
@@ -61,7 +62,7 @@
 			deployment.FaultTwice, deployment.FaultMixed, deployment.FaultLate,
 			deployment.FaultFlood, deployment.FaultCut, deployment.FaultShift,
 		},
-		{deployment.FaultLie, deployment.FaultShort},
+		{deployment.FaultLie, deployment.FaultShort, deployment.FaultStale},
 	} {
 		broken := make(map[string]bool)
 		for _, b := range run(t, "cartridge", faults...).Broken {
--- a/internal/demo/deployment/fault.go
+++ b/internal/demo/deployment/fault.go
@@ -101,3 +101,17 @@
 	}
 	return resp.Body.Close()
 }
+
+// bootStale replaces the entry by one that reaches no peer and reads a store
+// with the first version only, so that nothing tells it of its floor.
+func (w *world) bootStale(ctx context.Context, name, zone string) error {
+	url, err := w.startStore(ctx)
+	if err != nil {
+		return err
+	}
+	if err := w.commit(ctx, url); err != nil {
+		return err
+	}
+	_, err = w.bootFrom(ctx, name, zone, url, nil)
+	return err
+}
--- a/internal/demo/deployment/script.go
+++ b/internal/demo/deployment/script.go
@@ -171,6 +171,9 @@
 	w.site(n.lost).kill()
 	w.list.Remove(n.lost)
 	wait(ctx, replaceAfter)
+	if w.settings.has(FaultStale) {
+		return w.bootStale(ctx, n.lost, zone)
+	}
 	_, err := w.boot(ctx, n.lost, zone)
 	return err
 }
--- a/internal/demo/deployment/settings.go
+++ b/internal/demo/deployment/settings.go
@@ -20,11 +20,12 @@
 	FaultFlood Fault = "flood" // a link is used beyond its limit
 	FaultCut   Fault = "cut"   // a planned stop cuts requests
 	FaultShift Fault = "shift" // traffic moves to another region faster than its cap
+	FaultStale Fault = "stale" // a replaced entry starts from a store with an old version
 )
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{FaultTwice, FaultLie, FaultMixed, FaultShort, FaultLate, FaultFlood, FaultCut, FaultShift}
+	return []Fault{FaultTwice, FaultLie, FaultMixed, FaultShort, FaultLate, FaultFlood, FaultCut, FaultShift, FaultStale}
 }
 
 // The accepted durations: the script's steps need some seconds each.
--- a/internal/demo/deployment/site.go
+++ b/internal/demo/deployment/site.go
@@ -34,11 +34,16 @@
 
 // boot starts a new process of the entry.
 func (w *world) boot(ctx context.Context, name, zone string) (*site, error) {
+	return w.bootFrom(ctx, name, zone, w.storeURL, w.peerAddresses(name))
+}
+
+// bootFrom starts a new process of the entry that knows the given store and peers.
+func (w *world) bootFrom(ctx context.Context, name, zone, store string, peers []string) (*site, error) {
 	const any = "127.0.0.1:0"
 	region := w.plan.regionOf(zone)
 	checked, err := setting.New(setting.Raw{
 		Name: name, Zone: zone, Region: region, Call: any, Peer: any, Pass: any, Admin: any,
-		Store: w.storeURL, Roster: w.rosterURL, Peers: w.peerAddresses(name),
+		Store: store, Roster: w.rosterURL, Peers: peers,
 		Peerkey: peerKey, Opkey: operatorKey, Stop: time.Minute, TTL: ttl,
 		Retention: time.Hour, Keys: 100_000, Header: 32 << 10, Seed: w.settings.Seed,
 	})
--- a/internal/demo/deployment/world.go
+++ b/internal/demo/deployment/world.go
@@ -35,7 +35,7 @@
 	list      *roster.Server
 	storeURL  string
 	rosterURL string
-	history   *history.History
+	first     []byte       // first is the first version of the configuration.
 	client    *http.Client // client carries the operators' and the demo's own calls.
 	machines  map[string]*machine
 	logger    log.Logger
@@ -90,13 +90,12 @@
 	if err := w.startPlatform(ctx); err != nil {
 		return err
 	}
-	data, err := w.startTargets(ctx)
-	if err != nil {
+	var err error
+	if w.first, err = w.startTargets(ctx); err != nil {
 		return err
 	}
-	w.history = history.New(history.Settings{Store: storeclient.New(w.storeURL, storeKey, w.client)})
-	if _, err := w.history.Create(ctx, data, nil); err != nil {
-		return fmt.Errorf("deployment: %w", err)
+	if err := w.commit(ctx, w.storeURL); err != nil {
+		return err
 	}
 	for _, r := range w.plan.regions {
 		for _, z := range zoneNames(r) {
@@ -110,15 +109,32 @@
 	return nil
 }
 
-func (w *world) startPlatform(ctx context.Context) error {
+// startStore starts a key-value service and returns its base address.
+func (w *world) startStore(ctx context.Context) (string, error) {
 	runner, err := store.Listen(ctx, "127.0.0.1:0", store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites}))
 	if err != nil {
-		return fmt.Errorf("deployment: %w", err)
+		return "", fmt.Errorf("deployment: %w", err)
 	}
-	w.storeURL = runner.URL()
+	url := runner.URL()
 	w.own(func() error { return runner.Run(ctx) })
-	w.network.Bind(w.storeURL[len("http://"):], network.Place{Name: "store", Zone: zoneNames(w.plan.store)[0], Region: w.plan.store})
+	w.network.Bind(url[len("http://"):], network.Place{Name: "store", Zone: zoneNames(w.plan.store)[0], Region: w.plan.store})
+	return url, nil
+}
+
+// commit stores the first version of the configuration.
+func (w *world) commit(ctx context.Context, url string) error {
+	h := history.New(history.Settings{Store: storeclient.New(url, storeKey, w.client)})
+	if _, err := h.Create(ctx, w.first, nil); err != nil {
+		return fmt.Errorf("deployment: %w", err)
+	}
+	return nil
+}
 
+func (w *world) startPlatform(ctx context.Context) error {
+	var err error
+	if w.storeURL, err = w.startStore(ctx); err != nil {
+		return err
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return fmt.Errorf("deployment: %w", err)
