internal/request/forward: close the connection of a half-read upload

A refused upload leaves the rest of its body unread; since responses are full-duplex and stop lets the pending read expire, the server kept the connection and parsed the rest of the body as the next request. The bytes of an upload could so have become requests, and a response could have met another request. A response that starts before the body's end now closes the connection. The node's new test sends half of a refused upload after the response: before, a second response (431) came; now the connection closes.

--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -57,6 +57,7 @@
 	s.background(runner.Run)
 	f := document.Fields{
 		Services: []document.Service{
+			document.NewService(document.ServiceFields{Name: "bare", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "status", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "gifts", Once: true, Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 		},
@@ -342,6 +343,37 @@
 	}
 }
 
+// Guards against the rest of a refused upload that is taken for the next
+// request on its connection, whose answer another request could then receive.
+func TestRestOfARefusedUploadIsNoRequest(t *testing.T) {
+	s := newSite(t)
+	a := s.start("e1", "ege-a")
+	s.eventually("e1 refuses for want of targets", func() bool {
+		return s.send("GET", a.url("/run/bare/x"), "").reason == "no-room"
+	})
+	c, err := net.Dial("tcp", a.call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	half := make([]byte, 100_000)
+	fmt.Fprintf(c, "POST /run/bare/x HTTP/1.1\r\nHost: e\r\nTenant: parents\r\nContent-Length: %d\r\n\r\n", 2*len(half))
+	_, _ = c.Write(half)
+	first := make([]byte, 4096)
+	n, err := c.Read(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The connection may be closed already, which is right.
+	_, _ = c.Write(half)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	rest, _ := io.ReadAll(c)
+	all := string(first[:n]) + string(rest)
+	if strings.Count(all, "HTTP/1.1 ") != 1 || !strings.Contains(all, "Connection: close") {
+		t.Errorf("responses to one request:\n%s", all)
+	}
+}
+
 // operate sends a request to the operators' API and returns the response's body.
 func (s *site) operate(method, url, body string) string {
 	s.t.Helper()
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -94,6 +94,7 @@
 		// Otherwise the server throws the rest of the body away when the
 		// response starts. A recorder in a test does not know the call.
 		_ = http.NewResponseController(w).EnableFullDuplex()
+		j.w = &ending{w, j.body.rest}
 	}
 	j.header = make(http.Header, len(j.r.Header)+8)
 	copyHeader(j.header, j.r.Header, drop)
