internal/demo/promise: tell a caller's own deadline from a cut by a stop

Such a timeout is no cut while the process still runs; it counts when it ends after the process did.

--- a/internal/demo/deployment/run.go
+++ b/internal/demo/deployment/run.go
@@ -127,7 +127,7 @@
 	l.CheckRequests()
 	l.CheckLeaving(n.drained, n.drainStart)
 	l.CheckShift(homes, w.caps())
-	l.CheckStop(n.stopped, n.stopStart, ttl)
+	l.CheckStop(n.stopped, n.stopStart, n.stopEnd, ttl)
 	for _, text := range reverted {
 		l.Breach(promise.Versions, "%s", text)
 	}
--- a/internal/demo/promise/ledger_test.go
+++ b/internal/demo/promise/ledger_test.go
@@ -69,3 +69,29 @@
 		t.Errorf("peak = %d, want 2", got["r"])
 	}
 }
+
+// Guards against a planned stop whose cut requests go unnoticed, and against
+// one that is blamed for a caller which gave up while the entry still served.
+func TestCheckStop(t *testing.T) {
+	for _, c := range []struct {
+		reason     string
+		start, end int
+		broken     bool
+	}{
+		{"lost", 900, 1100, true},
+		{"unreached", 1500, 1600, true},
+		{"unreached", 3500, 3600, false}, // look-ups no longer name the entry
+		{"lost", 100, 900, false},        // before the stop
+		{"timeout", 900, 2000, false},    // the process ran until 4000
+		{"timeout", 900, 4500, true},
+		{"no-room", 1500, 1600, false},
+	} {
+		l := promise.New([]caller.Record{{ID: "a", Tries: []caller.Try{
+			{ID: "a", Entry: "e1", Reason: c.reason, Start: at(c.start), End: at(c.end)},
+		}}}, nil)
+		l.CheckStop("e1", at(1000), at(4000), 2*time.Second)
+		if got := len(l.Breaches()) > 0; got != c.broken {
+			t.Errorf("%s from %d to %d: broken = %v, want %v", c.reason, c.start, c.end, got, c.broken)
+		}
+	}
+}
--- a/internal/demo/promise/stop.go
+++ b/internal/demo/promise/stop.go
@@ -8,12 +8,14 @@
 
 // CheckStop finds requests that a planned stop of the entry cut: attempts that
 // were in flight there when it began, or that came while callers' look-ups of
-// the given time to live could still name it, and that got no answer.
-func (l *Ledger) CheckStop(entry string, start time.Time, ttl time.Duration) {
+// the given time to live could still name it, and that got no answer. A caller
+// that gave up by its own deadline while the process still ran was not cut.
+func (l *Ledger) CheckStop(entry string, start, end time.Time, ttl time.Duration) {
 	for _, r := range l.records {
 		for _, t := range r.Tries {
 			during := t.Entry == entry && t.End.After(start) && t.Start.Before(start.Add(ttl))
-			if during && (t.Reason == "lost" || t.Reason == "unreached") && !r.Stopped {
+			cut := t.Reason == "lost" || t.Reason == "unreached" || (t.Reason == "timeout" && t.End.After(end))
+			if during && cut && !r.Stopped {
 				l.Breach(Stop, "attempt %s at %s from %s to %s: %s", t.ID, entry, clock(t.Start), clock(t.End), t.Detail)
 			}
 		}
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -14,7 +14,7 @@
 	Entry   string
 	Target  string
 	Verdict string // Verdict is ran, not-run or may-have-run; a lost response counts as may-have-run.
-	Reason  string // Reason is what the entry gave, or lost or unreached when there was no response.
+	Reason  string // Reason is what the entry gave, or lost, timeout or unreached when there was no response.
 	Detail  string // Detail is the error of an attempt without a response.
 	Status  int
 	Start   time.Time
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -85,6 +86,9 @@
 		r.Short = r.Short || resp != nil
 		t.Verdict, t.Reason, t.Detail = "may-have-run", "lost", err.Error()
 		c.directory.avoid(e.Address)
+		if errors.Is(err, context.DeadlineExceeded) {
+			t.Reason = "timeout"
+		}
 		if !sent {
 			t.Verdict, t.Reason = "not-run", "unreached"
 		}
