--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -36,6 +36,7 @@
 	targets []*target.Target
 	peers   []string
 	client  *http.Client
+	adjust  func(*setting.Raw) // adjust changes the settings of entries that start; it may be nil
 }
 
 // running is a started entry.
@@ -121,11 +122,15 @@
 func (s *site) start(name, zone string) running {
 	s.t.Helper()
 	const any = "127.0.0.1:0"
-	checked, err := setting.New(setting.Raw{
+	raw := setting.Raw{
 		Name: name, Zone: zone, Region: strings.TrimSuffix(zone, zone[len(zone)-2:]), Call: any, Peer: any, Pass: any, Admin: any, Store: s.url, Peers: s.peers,
 		Peerkey: "peer-secret", Opkey: "operator-secret-token", Stop: time.Minute, TTL: time.Second,
 		Retention: time.Hour, Keys: 1000, Header: 32 << 10, Seed: 1,
-	})
+	}
+	if s.adjust != nil {
+		s.adjust(&raw)
+	}
+	checked, err := setting.New(raw)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -299,18 +304,34 @@
 	s.serving(a)
 	s.serving(b)
 	_, _, _, admin := a.Addresses()
-	out := s.operate("POST", "http://"+admin+"/drain", `{"id":"d","who":"w","why":"w","name":"d","targets":["status-1"]}`)
+	out := s.operate("POST", "http://"+admin+"/drain", `{"id":"d","who":"w","why":"w","name":"d","targets":["status-1","gifts-1"]}`)
 	if !strings.Contains(out, `"applied"`) {
 		t.Fatalf("drain: %s", out)
 	}
-	s.eventually("the drain is quiet", func() bool {
-		status := s.operate("GET", "http://"+admin+"/status", "")
-		quiet := strings.Contains(status, `"quiet":true`)
-		if quiet && !strings.Contains(status, `"leaving":true`) {
-			t.Errorf("quiet with an open gate: %s", status)
-		}
-		return quiet
-	})
+	// The drained targets have different owners; each entry must show both.
+	for _, e := range []running{a, b} {
+		_, _, _, admin = e.Addresses()
+		s.eventually("the drain is quiet at "+e.Name(), func() bool {
+			var status struct {
+				Drains  []struct{ Quiet bool }
+				Targets []struct {
+					Owner   string
+					Leaving bool
+				}
+			}
+			text := s.operate("GET", "http://"+admin+"/status", "")
+			if err := json.Unmarshal([]byte(text), &status); err != nil {
+				t.Fatal(err)
+			}
+			quiet := len(status.Drains) == 1 && status.Drains[0].Quiet
+			for _, one := range status.Targets {
+				if quiet && (!one.Leaving || one.Owner == "") {
+					t.Errorf("quiet with an open gate: %s", text)
+				}
+			}
+			return quiet && len(status.Targets) == 2
+		})
+	}
 }
 
 // Guards against client blocks that the configuration names and look-ups do not use.
