--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -58,6 +58,7 @@
 	s.background(runner.Run)
 	f := document.Fields{
 		Services: []document.Service{
+			document.NewService(document.ServiceFields{Name: "bare", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "status", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "gifts", Once: true, Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 		},
@@ -210,7 +211,8 @@
 }
 
 // Guards against a wiring in which an entry serves only the targets that it
-// owns, a look-up names no entry, or a repeat of an order through another entry runs again.
+// owns, a look-up names no entry, a repeat of an order through another entry
+// runs again, or a key used for another path gets the first request's answer.
 func TestRequestsThroughOwnerAndRelay(t *testing.T) {
 	s := newSite(t)
 	a := s.start("e1", "ege-a")
@@ -232,6 +234,9 @@
 	if first.verdict != "ran" || second.verdict != "ran" || second.body != first.body {
 		t.Errorf("order = %+v, repeat = %+v", first, second)
 	}
+	if r := s.send("POST", a.url("/run/gifts/two"), key); r.status != http.StatusUnprocessableEntity || r.verdict != "may-have-run" {
+		t.Errorf("the key with another path = %+v", r)
+	}
 	if n := s.runs(key); n > 1 {
 		t.Errorf("the order ran %d times", n)
 	}
@@ -359,6 +364,37 @@
 	}
 }
 
+// Guards against the rest of a refused upload that is taken for the next
+// request on its connection, whose answer another request could then receive.
+func TestRestOfARefusedUploadIsNoRequest(t *testing.T) {
+	s := newSite(t)
+	a := s.start("e1", "ege-a")
+	s.eventually("e1 refuses for want of targets", func() bool {
+		return s.send("GET", a.url("/run/bare/x"), "").reason == "no-room"
+	})
+	c, err := net.Dial("tcp", a.call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	half := make([]byte, 100_000)
+	fmt.Fprintf(c, "POST /run/bare/x HTTP/1.1\r\nHost: e\r\nTenant: parents\r\nContent-Length: %d\r\n\r\n", 2*len(half))
+	_, _ = c.Write(half)
+	first := make([]byte, 4096)
+	n, err := c.Read(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The connection may be closed already, which is right.
+	_, _ = c.Write(half)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	rest, _ := io.ReadAll(c)
+	all := string(first[:n]) + string(rest)
+	if strings.Count(all, "HTTP/1.1 ") != 1 || !strings.Contains(all, "Connection: close") {
+		t.Errorf("responses to one request:\n%s", all)
+	}
+}
+
 // operate sends a request to the operators' API and returns the response's body.
 func (s *site) operate(method, url, body string) string {
 	s.t.Helper()
