internal/entry/operator: keep drained targets out of the parts

Cause: every entry's part of the status repeated the targets of every drain, so that a drained region of some thousand targets would pass the 256 KiB bound.

Conclusion: a part with 20 owned targets stays below 8 KiB at any fleet size.

--- a/internal/entry/operator/fleet_test.go
+++ b/internal/entry/operator/fleet_test.go
@@ -215,3 +215,21 @@
 		}
 	})
 }
+
+// Guards against a part whose length grows with the fleet or with the targets of a drain: a peer refuses one
+// above 256 KiB.
+func TestPartStaysSmall(t *testing.T) {
+	s := operator.Status{Entry: "a", Drains: []operator.Drain{{Name: "d", Active: true}}}
+	for range 20_000 {
+		s.Members = append(s.Members, operator.Member{Name: "entry-of-a-region"})
+		s.Plan = append(s.Plan, operator.Target{Name: "target-of-a-region"})
+		s.Drains[0].Targets = append(s.Drains[0].Targets, "target-of-a-region")
+	}
+	for range 20 {
+		s.Targets = append(s.Targets, operator.Target{Name: "target-of-a-region", Service: "status", Zone: "a", Region: "ege"})
+	}
+	data, err := operator.EncodePart(s)
+	if err != nil || len(data) > 8<<10 {
+		t.Errorf("%d bytes for 20 owned targets, %v", len(data), err)
+	}
+}
--- a/internal/entry/operator/report.go
+++ b/internal/entry/operator/report.go
@@ -97,6 +97,8 @@
 // EncodePart returns the entry's part of the fleet's status, which another entry merges with its own.
 func EncodePart(s Status) ([]byte, error) {
 	s.Members = nil
+	// The merging entry knows the targets of each drain; a drained region would make every part long.
+	s.Drains = each(s.Drains, func(d Drain) Drain { d.Targets = nil; return d })
 	return json.Marshal(wireStatus(s))
 }
 
