internal/request/order: decide by the records that were kept, not by a stale clock

Cause: placeOwn compared a ticket with the floor of the request's own time and then looked for its record. A request that read the clock before a pause of the process passed this check after another request had dropped the record of the first run, and the order ran a second time; a closed or full table answered not-run for an order that had run. A handover had the same gap: a pause between reading the floor and the export let records above the floor be dropped, and the successor answered not-run for them.

Change: a decision that rests on a missing record is compared with the floor of the latest time up to which records were dropped. A closed table drops no records. TestPausedRequestDoesNotRunAgain and TestClosedTableKeepsItsRecords fail without the change.

--- a/internal/request/order/estate.go
+++ b/internal/request/order/estate.go
@@ -40,7 +40,7 @@
 }
 
 // Export returns the outcomes of a closed table for its successors; keys that still run count as may-have-run.
-// An open table returns an error, because a key could start after the export.
+// An open table returns an error, because a key could start after the export. The floor must be read after Close.
 func (t *Table) Export(issuer ticket.Incarnation, floor uint64) ([]byte, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/request/order/registry.go
+++ b/internal/request/order/registry.go
@@ -127,16 +127,35 @@
 
 func (g *Registry) placeOwn(ctx context.Context, tk ticket.Ticket, k Key, request uint64, now time.Time) (Place, error) {
 	if tk.Serial() >= g.issuer.Floor(now) {
-		return g.begin(ctx, k, request, now)
+		place, err := g.begin(ctx, k, request, now)
+		if !g.outdated(tk, place, err) {
+			return place, err
+		}
+		if place.permit != nil {
+			place.permit.run.Fail(verdict.NotRun, now)
+		}
+		return Place{}, expired()
 	}
 	answer, ok, err := g.table.Recall(ctx, k, request)
 	if !ok {
-		return Place{}, verdict.New(verdict.MayHaveRun, verdict.ReasonIssuer, http.StatusBadGateway,
-			fmt.Errorf("order: the ticket is older than %v; the order may have run and will not run again", Validity))
+		return Place{}, expired()
 	}
 	return Place{answer: answer}, err
 }
 
+// outdated reports whether a decision that rests on a missing record comes from
+// a request that read the clock too long ago, for example before its process was
+// paused: another request may have dropped the record of the ticket's run since.
+func (g *Registry) outdated(tk ticket.Ticket, place Place, err error) bool {
+	missing := place.permit != nil || err != nil && verdict.Of(err) == verdict.NotRun
+	return missing && tk.Serial() < g.issuer.Floor(g.table.latest())
+}
+
+func expired() error {
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonIssuer, http.StatusBadGateway,
+		fmt.Errorf("order: the ticket is older than %v; the order may have run and will not run again", Validity))
+}
+
 func (g *Registry) begin(ctx context.Context, k Key, request uint64, now time.Time) (Place, error) {
 	run, answer, err := g.table.Begin(ctx, k, request, now)
 	if err != nil || run == nil {
--- /dev/null
+++ b/internal/request/order/stale_test.go
@@ -0,0 +1,70 @@
+package order_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/request/order"
+	"tamarackspool/internal/request/verdict"
+)
+
+// Guards against a second run, or a false not-run, of a request that read the
+// clock before a pause: its own time says that the ticket is valid, although
+// another request has meanwhile dropped the record of the first run.
+func TestPausedRequestDoesNotRunAgain(t *testing.T) {
+	for _, state := range []string{"open", "closed", "full"} {
+		now := time.Now()
+		e := newEntry("a", 1, &fleet{keeper: "a"}, &claims{taken: map[string]bool{}})
+		key := e.issuer.Issue("t", "gifts", 1, now)[0]
+		p, err := e.place(t, key, now)
+		if err != nil || p.Permit() == nil {
+			t.Fatalf("Place = %+v, %v, want a permit", p, err)
+		}
+		p.Permit().Finish(order.NewAnswer(200, nil, nil), now)
+		others := 1
+		if state == "full" {
+			others = 100
+		}
+		for i := range others {
+			if p, err := e.place(t, fmt.Sprintf("other-%d", i), now.Add(order.Retention)); err != nil || p.Permit() == nil {
+				t.Fatalf("another key = %+v, %v, want a permit", p, err)
+			}
+		}
+		if state == "closed" {
+			e.table.Close()
+		}
+		_, err = e.place(t, key, now.Add(time.Minute))
+		wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonIssuer)
+		if e.table.Len() != others {
+			t.Errorf("%s table: %d keys are kept, want %d", state, e.table.Len(), others)
+		}
+	}
+}
+
+// Guards against a false not-run of a successor: a pause between reading the
+// floor and the export must not lose the records of tickets above that floor.
+func TestClosedTableKeepsItsRecords(t *testing.T) {
+	now := time.Now()
+	e, heir := newEntry("a", 1, &fleet{keeper: "a"}, nil), newEntry("b", 2, &fleet{}, nil)
+	key := e.issuer.Issue("t", "gifts", 1, now)[0]
+	p, err := e.place(t, key, now)
+	if err != nil || p.Permit() == nil {
+		t.Fatalf("Place = %+v, %v, want a permit", p, err)
+	}
+	p.Permit().Finish(order.NewAnswer(200, nil, nil), now)
+	e.table.Close()
+	floor := e.issuer.Floor(now)
+	_, err = e.place(t, "other", now.Add(order.Retention))
+	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonLeaving)
+	data, err := e.table.Export(e.issuer.Self(), floor)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := heir.estates.Add(data, now.Add(order.Retention)); err != nil {
+		t.Fatal(err)
+	}
+	if p, err := heir.place(t, key, now.Add(order.Retention)); err != nil || p.Answer() == nil {
+		t.Errorf("Place at the successor = %+v, %v, want the first answer", p, err)
+	}
+}
--- a/internal/request/order/table.go
+++ b/internal/request/order/table.go
@@ -49,6 +49,7 @@
 	answers  *list.List // answers holds the *record values with a recorded answer, oldest first.
 	bytes    int
 	closed   bool
+	newest   time.Time // newest is the latest time at which a request began.
 }
 
 // NewTable returns an empty table.
@@ -195,7 +196,20 @@
 	}
 }
 
+// latest returns the time up to which records have been dropped.
+func (t *Table) latest() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest
+}
+
 func (t *Table) expire(now time.Time) {
+	if now.After(t.newest) {
+		t.newest = now
+	}
+	if t.closed {
+		return // The handover must hold every record above the floor that its caller has read.
+	}
 	for e := t.finished.Front(); e != nil; e = t.finished.Front() {
 		r := e.Value.(*record)
 		if now.Sub(r.finished) < Retention {
