internal/request/order: settle a run whose answer is not kept

Cause: an answer that is too long to be kept has no body, and a nil answer given to Finish panicked before the key was settled, so that every repeat waited for its deadline.

Change: Finish with a nil answer records that the key has run. TestFinishWithoutAnswer panics without the change.

--- a/internal/request/order/registry.go
+++ b/internal/request/order/registry.go
@@ -68,7 +68,7 @@
 	release func()
 }
 
-// Finish records the complete answer of the target.
+// Finish records the complete answer of the target; of a nil answer only the verdict is kept.
 func (p *Permit) Finish(a *Answer, now time.Time) { p.run.Finish(a, now) }
 
 // Fail records that the dispatch ended without a complete answer; after NotRun the key may run again.
--- a/internal/request/order/table.go
+++ b/internal/request/order/table.go
@@ -149,8 +149,12 @@
 	return t.outcome(r)
 }
 
-// Finish records the complete answer of the target at the given time.
+// Finish records the complete answer of the target at the given time; of a nil answer only the verdict is kept.
 func (r *Run) Finish(a *Answer, now time.Time) {
+	if a == nil {
+		r.Fail(verdict.Ran, now)
+		return
+	}
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/request/order/table_test.go
+++ b/internal/request/order/table_test.go
@@ -133,3 +133,17 @@
 		t.Errorf("after the retention: run %v, error %v, %d keys, want a run and 1 key", run, err, tb.Len())
 	}
 }
+
+// Guards against a run that never settles because its response was too long to
+// be kept: a repeat learns that the key has run.
+func TestFinishWithoutAnswer(t *testing.T) {
+	tb := newTable(10, 1000)
+	k := order.NewKey("t", "gifts", "k1")
+	run, _, err := tb.Begin(t.Context(), k, 1, time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	run.Finish(nil, time.Now())
+	_, _, err = tb.Begin(t.Context(), k, 1, time.Now())
+	wantVerdict(t, err, verdict.Ran, verdict.ReasonRepeat)
+}
