internal/measure/orders: open new segments during a check

Cause: with a retention of 24 h no keeper opened a new segment within a check, so the roll of the claim log was never under faults.

Change: the retention of a check is 1 min, which opens a segment every 6 s.

--- a/internal/measure/orders/node.go
+++ b/internal/measure/orders/node.go
@@ -16,6 +16,9 @@
 
 const (
 	maxHops = 3
+	// retention is short, so that keepers open new segments during a check; it
+	// exceeds the time in which an order is repeated.
+	retention = time.Minute
 	// tries is how often an entry sends an order that is proven not to have run.
 	tries = 2
 )
@@ -46,7 +49,7 @@
 		service = h.Store(service)
 	}
 	claims := claim.New(claim.Settings{
-		Owner: name + "/" + self.String(), Retention: 24 * time.Hour, Keys: 120_000, Timeout: 300 * time.Millisecond,
+		Owner: name + "/" + self.String(), Retention: retention, Keys: 120_000, Timeout: 300 * time.Millisecond,
 	}, service)
 	asked := n.issuer
 	if h.Issuer != nil {
--- a/internal/measure/orders/settings.go
+++ b/internal/measure/orders/settings.go
@@ -34,7 +34,7 @@
 // Defaults returns the settings of the published figures.
 func Defaults() Settings {
 	return Settings{
-		Seed: 1, Entries: 12, Rates: []int{200, 2000}, Phase: 4 * time.Second,
+		Seed: 1, Entries: 12, Rates: []int{200, 2000, 10000}, Phase: 4 * time.Second,
 		Outage: 4 * time.Second, After: 5 * time.Second, Dead: 5 * time.Second,
 	}
 }
