--- /dev/null
+++ b/cmd/tamarackspool/client.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// answerTime is how long a look-up waits for an entry.
+const answerTime = 5 * time.Second
+
+type lookupCommand struct {
+	Call    netip.AddrPort `help:"Callers' address of an entry." placeholder:"IP:PORT" required:""`
+	Client  string         `help:"Address of the client. Default: this machine's."`
+	Service string         `arg:"" help:"Name of the service."`
+}
+
+// Run prints the look-up.
+func (c *lookupCommand) Run(ctx context.Context, s *streams) error {
+	q := url.Values{"service": {c.Service}}
+	if c.Client != "" {
+		client, err := netip.ParseAddr(c.Client)
+		if err != nil {
+			return fail(exitUsage, "--client: %q is not an IP address", c.Client)
+		}
+		q.Set("client", client.String())
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: c.Call.String(), Path: "/lookup", RawQuery: q.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fail(exitUnavailable, "%v", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return fail(exitUnavailable, "the response ended early: %v", err)
+	}
+	return show(s, resp.StatusCode, data)
+}
+
+// show prints the response and turns its status into an exit status.
+func show(s *streams, status int, data []byte) error {
+	switch {
+	case status == http.StatusOK:
+		var pretty bytes.Buffer
+		if err := json.Indent(&pretty, bytes.TrimSpace(data), "", "  "); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintln(s.out, pretty.String())
+		return err
+	case status >= http.StatusInternalServerError:
+		return fail(exitUnavailable, "%d: %s", status, bytes.TrimSpace(data))
+	default:
+		return fail(exitUsage, "%d: %s", status, bytes.TrimSpace(data))
+	}
+}
