internal/request/claim: let a released key lapse with its claim

Cause: a key that was claimed and not dispatched, or released after not-run, stayed free in its keeper's memory without end. Once the lease of its segment had lapsed, another entry could claim and run the key, and the first keeper still handed it out afterwards: two runs within the retention.

Change: a free key counts as spent once its claim is older than the retention. TestReleasedKeyLapsesWithItsLease fails without the change.

--- a/internal/request/claim/acquire.go
+++ b/internal/request/claim/acquire.go
@@ -162,7 +162,7 @@
 	defer r.mu.Unlock()
 	for _, h := range keys {
 		if _, known := r.fates[h]; !known {
-			r.fates[h] = spent
+			r.fates[h] = claimed{fate: spent}
 		}
 	}
 }
--- a/internal/request/claim/log_test.go
+++ b/internal/request/claim/log_test.go
@@ -214,6 +214,25 @@
 	})
 }
 
+// Guards against a released key that its keeper still counts as its own after
+// the lease of the claim has lapsed and another entry has claimed it anew.
+func TestReleasedKeyLapsesWithItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newService()
+		first, second := newLog("a", s), newLog("b", s)
+		mustClaim(t, first, "k1", true)
+		first.Release("t", "orders", "k1")
+		time.Sleep(2*time.Hour + time.Minute)
+		for key := range s.values {
+			if strings.Contains(key, "/segment/") {
+				delete(s.values, key)
+			}
+		}
+		mustClaim(t, second, "k1", true)
+		mustClaim(t, first, "k1", false)
+	})
+}
+
 // Guards against claims without the store, and against an outage that makes a key unusable for good.
 func TestStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/request/claim/range.go
+++ b/internal/request/claim/range.go
@@ -21,6 +21,12 @@
 	spent
 )
 
+// claimed is the fate of a key and the age of the log when its claim was written.
+type claimed struct {
+	fate fate
+	at   time.Duration
+}
+
 // errFenced is returned after another entry has taken the range over.
 var errFenced = errors.New("claim: another entry has taken the key range over")
 
@@ -39,9 +45,10 @@
 	store    Store
 	writes   atomic.Int64
 	writer   chan struct{}
+	started  time.Time
 
 	mu      sync.Mutex
-	fates   map[hash]fate
+	fates   map[hash]claimed
 	pending *batch
 
 	// Only the holder of the writer token uses the fields below.
@@ -57,7 +64,8 @@
 func newKeyRange(n int, s Settings, st Store) *keyRange {
 	r := &keyRange{
 		number: n, settings: s, store: st,
-		writer: make(chan struct{}, 1), fates: make(map[hash]fate), loaded: make(map[uint64]segment),
+		writer: make(chan struct{}, 1), started: time.Now(),
+		fates: make(map[hash]claimed), loaded: make(map[uint64]segment),
 	}
 	r.writer <- struct{}{}
 	return r
@@ -86,21 +94,29 @@
 	}
 }
 
-// take reports whether the fate of a key is known, and whether it was free.
+// take reports whether the fate of a key is known, and whether it was free. A
+// claim that is older than the retention counts as spent: its lease may lapse,
+// and then another entry can claim the key.
 func (r *keyRange) take(h hash) (known, fresh bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f, known := r.fates[h]
-	if known {
-		r.fates[h] = spent
+	c, known := r.fates[h]
+	if !known {
+		return false, false
 	}
-	return known, known && f == free
+	fresh = c.fate == free && time.Since(r.started)-c.at <= r.settings.Retention
+	c.fate = spent
+	r.fates[h] = c
+	return true, fresh
 }
 
 func (r *keyRange) release(h hash) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.fates[h] = free
+	if c, known := r.fates[h]; known {
+		c.fate = free
+		r.fates[h] = c
+	}
 }
 
 func (r *keyRange) enqueue(h hash) (*batch, error) {
@@ -183,6 +199,7 @@
 	if len(fresh) == 0 {
 		return nil
 	}
+	at := time.Since(r.started)
 	err := r.append(ctx, fresh)
 	if errors.Is(err, errFenced) {
 		r.owned = false
@@ -193,7 +210,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, h := range fresh {
-		r.fates[h] = free
+		r.fates[h] = claimed{free, at}
 	}
 	return nil
 }
