internal/measure/orders: check histories of real entries on loopback

Cause: the check over fakes does not show the wiring of the entry: the gateway, the forwarder, relays and gossip.

Change: CheckLoopback runs three entries with the stand-ins of store, network and targets under kills, planned stops, replacement while the store is down, with and without peers, silent connections and faulty targets, two at a time, while callers repeat orders through other entries. The history goes to the same model.

--- a/cmd/tamarackmeasure/orders.go
+++ b/cmd/tamarackmeasure/orders.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 	JSON     bool   `help:"Print the report as JSON." name:"json"`
 	Check    bool   `help:"Check histories under faults instead of measuring."`
 	Orders   int    `help:"Number of orders to check." default:"10000"`
+	Loopback int    `help:"With --check, number of sites of real entries on loopback to check, one after the other, instead of the fakes."`
 	Parallel int    `help:"Number of clusters that are checked at once." default:"50"`
 }
 
@@ -28,20 +30,34 @@
 		return fmt.Errorf("orders: --entries is %d, accepted are 2 to 255", c.Entries)
 	}
 	if c.Check {
-		o := orders.Check(orders.CheckSettings{Seed: c.Seed, Orders: c.Orders, Entries: c.Entries, Parallel: c.Parallel})
-		if err := c.print(o); err != nil {
-			return err
-		}
-		if n := len(o.Violations); n > 0 {
-			return fmt.Errorf("orders: %d violations with seed %d", n, c.Seed)
-		}
-		return nil
+		return c.check()
 	}
 	s := orders.Defaults()
 	s.Seed, s.Entries = c.Seed, c.Entries
 	return c.print(orders.Report{Seed: c.Seed, Entries: c.Entries, Figures: orders.Measure(s)})
 }
 
+func (c *Orders) check() error {
+	o := orders.Outcome{Seed: c.Seed, Faults: map[string]int{}}
+	if c.Loopback == 0 {
+		o = orders.Check(orders.CheckSettings{Seed: c.Seed, Orders: c.Orders, Entries: c.Entries, Parallel: c.Parallel})
+	}
+	for i := range c.Loopback {
+		one, err := orders.CheckLoopback(context.Background(), c.Seed+uint64(i))
+		if err != nil {
+			return fmt.Errorf("orders: seed %d: %w", c.Seed+uint64(i), err)
+		}
+		o.Add(one)
+	}
+	if err := c.print(o); err != nil {
+		return err
+	}
+	if n := len(o.Violations); n > 0 {
+		return fmt.Errorf("orders: %d violations with seed %d", n, c.Seed)
+	}
+	return nil
+}
+
 func (c *Orders) print(r report) error {
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(r)
--- a/internal/measure/orders/check.go
+++ b/internal/measure/orders/check.go
@@ -49,7 +49,7 @@
 			o := checkCluster(s.Seed+uint64(i), s.Entries, s.Hooks)
 			mu.Lock()
 			defer mu.Unlock()
-			total.add(o)
+			total.Add(o)
 			return nil
 		})
 	}
@@ -79,7 +79,8 @@
 	return o
 }
 
-func (o *Outcome) add(other Outcome) {
+// Add adds the counts and the violations of another outcome.
+func (o *Outcome) Add(other Outcome) {
 	o.Orders += other.Orders
 	o.Runs += other.Runs
 	o.Ran += other.Ran
--- a/internal/measure/orders/history.go
+++ b/internal/measure/orders/history.go
@@ -62,22 +62,28 @@
 }
 
 // ran records a run, which takes no time.
-func (h *history) ran(key, run string) {
+func (h *history) ran(key, run string) { h.happened(key, run, h.tick()) }
+
+// happened records a run at the given time.
+func (h *history) happened(key, run string, at int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.clock += 2
 	h.byKey[key] = append(h.byKey[key], porcupine.Operation{
-		Input: operation{key: key, run: run}, Call: h.clock - 1, Output: reply{}, Return: h.clock,
+		Input: operation{key: key, run: run}, Call: at, Output: reply{}, Return: at,
 	})
 }
 
 // told records an answer to a request that was sent at the logical time call.
 func (h *history) told(caller int, key, by string, call int64, r reply) {
+	h.observe(caller, key, by, call, h.tick(), r)
+}
+
+// observe records an answer that arrived at the given time to a request sent at call.
+func (h *history) observe(caller int, key, by string, call, at int64, r reply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.clock++
 	h.byKey[key] = append(h.byKey[key], porcupine.Operation{
-		ClientId: caller, Input: operation{key: key, by: by}, Call: call, Output: r, Return: h.clock,
+		ClientId: caller, Input: operation{key: key, by: by}, Call: call, Output: r, Return: at,
 	})
 }
 
--- /dev/null
+++ b/internal/measure/orders/loopback_test.go
@@ -0,0 +1,32 @@
+package orders_test
+
+import (
+	"fmt"
+	"testing"
+
+	"tamarackspool/internal/measure/orders"
+)
+
+// Guards against a wiring of the real entry that lets an order run twice, tells
+// a false not-run or answers a repeat with another run, when entries are killed,
+// stopped or replaced and connections go silent.
+func TestRealEntriesRunOrdersAtMostOnce(t *testing.T) {
+	// The seeds cover each kind of fault; with 3 an entry without a configuration
+	// told not-run for orders that had run before it was replaced.
+	for _, seed := range []uint64{2, 3, 5} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			o, err := orders.CheckLoopback(t.Context(), seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range o.Violations {
+				t.Error(v)
+			}
+			if o.Runs == 0 || o.Ran == 0 || o.Unknown == 0 {
+				t.Errorf("%+v, want runs and both answers", o)
+			}
+			t.Logf("%d orders, %d runs, %d ran, %d not-run, %d may-have-run, %v", o.Orders, o.Runs, o.Ran, o.NotRun, o.Unknown, o.Faults)
+		})
+	}
+}
--- /dev/null
+++ b/internal/measure/orders/site.go
@@ -0,0 +1,213 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/document"
+	confighistory "tamarackspool/internal/config/history"
+	entrynode "tamarackspool/internal/entry/node"
+	"tamarackspool/internal/entry/setting"
+	storeclient "tamarackspool/internal/platform/store"
+	"tamarackspool/internal/record/event"
+	standnet "tamarackspool/internal/standin/network"
+	standin "tamarackspool/internal/standin/store"
+	standtarget "tamarackspool/internal/standin/target"
+)
+
+// places are the entries of a site; each has a target in its zone.
+var places = []standnet.Place{
+	{Name: "e1", Zone: "ege-a", Region: "ege"},
+	{Name: "e2", Zone: "ege-b", Region: "ege"},
+	{Name: "m1", Zone: "marmara-a", Region: "marmara"},
+}
+
+// process is one run of an entry.
+type process struct {
+	*entrynode.Node
+	call, peer string
+	kill       func() // kill ends the process and waits until its goroutines have ended.
+}
+
+// site is a set of real entries on loopback with their store, network and targets.
+type site struct {
+	network *standnet.Network
+	server  *standin.Server
+	url     string
+	client  *http.Client
+	targets []*standtarget.Target
+	stop    context.CancelFunc
+	served  sync.WaitGroup
+
+	mu        sync.Mutex
+	processes []*process // processes holds nil for an entry that does not run.
+}
+
+// newSite starts the stand-ins and the entries, which end with ctx at the latest; stop ends ctx.
+func newSite(ctx context.Context, stop context.CancelFunc) (*site, error) {
+	s := &site{
+		network: standnet.New(standnet.Settings{}), server: standin.New(standin.Settings{}), stop: stop,
+		client: &http.Client{Transport: &http.Transport{}}, processes: make([]*process, len(places)),
+	}
+	if err := s.open(ctx); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *site) open(ctx context.Context) error {
+	runner, err := standin.Listen(ctx, "127.0.0.1:0", s.server)
+	if err != nil {
+		return err
+	}
+	s.url = runner.URL()
+	s.served.Go(func() { _ = runner.Run(ctx) }) // It ends with ctx.
+	fields := document.Fields{
+		Services: []document.Service{document.NewService(document.ServiceFields{
+			Name: service, Once: true, Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 1000,
+		})},
+		Regions: []document.Region{
+			document.NewRegion(document.RegionFields{Name: "ege"}), document.NewRegion(document.RegionFields{Name: "marmara"}),
+		},
+		Links:   []document.Link{document.NewLink("ege", "marmara", 100_000_000)},
+		Tenants: []document.Tenant{document.NewTenant(tenant, "", nil)},
+	}
+	for _, p := range places {
+		t, err := s.target(ctx, p)
+		if err != nil {
+			return err
+		}
+		fields.Targets = append(fields.Targets, t)
+		fields.Zones = append(fields.Zones, document.NewZone(p.Zone, p.Region))
+		fields.Entries = append(fields.Entries, document.NewEntry(document.EntryFields{Name: p.Name, Zone: p.Zone}))
+	}
+	data, err := codec.Encode(document.New(fields))
+	if err != nil {
+		return err
+	}
+	client := storeclient.New(s.url, "", s.client)
+	if _, err := confighistory.New(confighistory.Settings{Store: client}).Create(ctx, data, nil); err != nil {
+		return err
+	}
+	for i := range places {
+		if err := s.start(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) target(ctx context.Context, p standnet.Place) (document.Target, error) {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return document.Target{}, err
+	}
+	name := "target-" + p.Name
+	t := standtarget.New(standtarget.Settings{Name: name, Slots: 8, Mean: time.Millisecond})
+	s.targets = append(s.targets, t)
+	s.network.Bind(l.Addr().String(), standnet.Place{Name: name, Zone: p.Zone, Region: p.Region})
+	s.served.Go(func() { _ = t.Serve(ctx, l) }) // It ends with ctx.
+	return document.NewTarget(document.TargetFields{
+		Name: name, Service: service, Zone: p.Zone, Slots: 8, Conns: 100, Address: l.Addr().(*net.TCPAddr).AddrPort(),
+	}), nil
+}
+
+// start runs a new process with empty memory under the name of the entry.
+func (s *site) start(ctx context.Context, i int) error {
+	const any = "127.0.0.1:0"
+	p := places[i]
+	checked, err := setting.New(setting.Raw{
+		Name: p.Name, Zone: p.Zone, Region: p.Region, Call: any, Peer: any, Pass: any, Admin: any, Store: s.url,
+		Peers: s.peers(), Peerkey: "peer-secret", Opkey: "operator-secret-token", Stop: time.Minute, TTL: time.Second,
+		Retention: time.Hour, Keys: 10_000, Header: 32 << 10, Seed: uint64(i),
+	})
+	if err != nil {
+		return err
+	}
+	n, err := entrynode.New(ctx, checked, entrynode.Dependencies{Dial: s.network.Dialer(p), Events: event.New(log.NewNopLogger())})
+	if err != nil {
+		return fmt.Errorf("orders: entry %s: %w", p.Name, err)
+	}
+	one := &process{Node: n}
+	call, peer, pass, admin := n.Addresses()
+	one.call, one.peer = call, peer
+	for _, address := range []string{call, peer, pass, admin} {
+		s.network.Bind(address, p)
+	}
+	run, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	s.served.Go(func() {
+		defer close(ended)
+		_ = n.Run(run) // A killed process has nothing to report.
+	})
+	one.kill = func() { cancel(); <-ended }
+	s.set(i, one)
+	return nil
+}
+
+func (s *site) set(i int, p *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[i] = p
+}
+
+// take removes and returns the process of an entry, which may be nil.
+func (s *site) take(i int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.processes[i]
+	s.processes[i] = nil
+	return p
+}
+
+// remove removes the process of an entry and reports false when another one runs.
+func (s *site) remove(i int, p *process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.processes[i] != p {
+		return false
+	}
+	s.processes[i] = nil
+	return true
+}
+
+// at returns the process of an entry, or nil.
+func (s *site) at(i int) *process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.processes[i]
+}
+
+func (s *site) peers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []string
+	for _, p := range s.processes {
+		if p != nil {
+			all = append(all, p.peer)
+		}
+	}
+	return all
+}
+
+// close ends the entries first and then the stand-ins.
+func (s *site) close() {
+	for i := range places {
+		if p := s.take(i); p != nil {
+			p.kill()
+		}
+	}
+	s.stop()
+	s.client.CloseIdleConnections()
+	s.network.Close()
+	s.served.Wait()
+}
