--- a/cmd/tamarackmeasure/main.go
+++ b/cmd/tamarackmeasure/main.go
@@ -5,8 +5,9 @@
 
 // commands are the subcommands; each has its own file.
 type commands struct {
-	Policy policyCommand `cmd:"" help:"Measure steering policies side by side."`
-	Orders Orders        `cmd:"" help:"Measure and check the ways to run an order at most once."`
+	Policy   policyCommand `cmd:"" help:"Measure steering policies side by side."`
+	Orders   Orders        `cmd:"" help:"Measure and check the ways to run an order at most once."`
+	Capacity Capacity      `cmd:"" help:"Measure how the cost of a node grows with the fleet."`
 }
 
 func main() {
--- a/internal/demo/deployment/deployment_test.go
+++ b/internal/demo/deployment/deployment_test.go
@@ -4,10 +4,15 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"tamarackspool/internal/demo/deployment"
 	"tamarackspool/internal/demo/promise"
 )
 
+// Guards against a part of the demo that goes on after its end.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // run runs the demo for a few seconds with a fraction of its traffic, so that
 // the race detector leaves the entries enough time for their ticks.
 func run(t *testing.T, name string, faults ...deployment.Fault) deployment.Summary {
@@ -49,6 +54,7 @@
 		deployment.FaultMixed: promise.Answer, deployment.FaultShort: promise.Answer,
 		deployment.FaultLate: promise.Leaving, deployment.FaultFlood: promise.Link,
 		deployment.FaultCut: promise.Stop, deployment.FaultShift: promise.Shift,
+		deployment.FaultStale: promise.Versions,
 	}
 	// The faults of one run break different promises.
 	for _, faults := range [][]deployment.Fault{
@@ -56,7 +62,7 @@
 			deployment.FaultTwice, deployment.FaultMixed, deployment.FaultLate,
 			deployment.FaultFlood, deployment.FaultCut, deployment.FaultShift,
 		},
-		{deployment.FaultLie, deployment.FaultShort},
+		{deployment.FaultLie, deployment.FaultShort, deployment.FaultStale},
 	} {
 		broken := make(map[string]bool)
 		for _, b := range run(t, "cartridge", faults...).Broken {
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -42,6 +43,10 @@
 			id = fmt.Sprintf("%s.%d", r.ID, i)
 		}
 		t, after := c.attempt(ctx, &r, l, e, Try{ID: id, Key: key})
+		if t.Reason == "unreached" && r.uncertain(key) {
+			// Nothing was told about the key, and an earlier attempt of it may have run.
+			t.Verdict = "may-have-run"
+		}
 		r.Tries = append(r.Tries, t)
 		if t.Verdict == "ran" || ctx.Err() != nil || (t.Verdict != "not-run" && l.Kind == Upload) || !again(t) {
 			break
@@ -58,9 +63,10 @@
 	return r
 }
 
-// again reports whether another attempt can help; bad input stays bad.
+// again reports whether another attempt can help; bad input stays bad,
+// but a ticket whose issuer is gone can be replaced by a new one.
 func again(t Try) bool {
-	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests
+	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests || t.Reason == "issuer-gone"
 }
 
 // attempt sends the request once and returns what was told and how long to wait before the next attempt.
@@ -80,6 +86,9 @@
 		r.Short = r.Short || resp != nil
 		t.Verdict, t.Reason, t.Detail = "may-have-run", "lost", err.Error()
 		c.directory.avoid(e.Address)
+		if errors.Is(err, context.DeadlineExceeded) {
+			t.Reason = "timeout"
+		}
 		if !sent {
 			t.Verdict, t.Reason = "not-run", "unreached"
 		}
