--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -62,22 +62,14 @@
 // ServeHTTP serves a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.mux.ServeHTTP(w, r) }
 
-// isolated refuses a request; a repeat of an order may have run before this
-// process started, so an idempotency key takes the proof away.
-func isolated(r *http.Request) error {
-	v := verdict.NotRun
-	if r.Header.Get("Idempotency-Key") != "" {
-		v = verdict.MayHaveRun
-	}
-	return verdict.New(v, verdict.ReasonIsolated, http.StatusServiceUnavailable,
-		errors.New("gateway: no configuration at or above the floor yet")).WithRetryAfter(time.Second)
-}
+var errIsolated = verdict.New(verdict.NotRun, verdict.ReasonIsolated, http.StatusServiceUnavailable,
+	errors.New("gateway: no configuration at or above the floor yet")).WithRetryAfter(time.Second)
 
 // ready refuses requests until the entry has a configuration that it may serve.
 func (g *Gateway) ready(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !g.d.Entry.Ready() {
-			g.refuse(w, isolated(r))
+			g.refuse(w, errIsolated)
 			return
 		}
 		next(w, r)
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -93,11 +93,6 @@
 			t.Errorf("%s: status %d, header %v", path, got.StatusCode, got.Header)
 		}
 	}
-	// The key may have run before this entry was replaced.
-	got := ask(&entry{}, http.MethodPost, "/run/gifts/x", http.Header{"Idempotency-Key": {"order-7"}})
-	if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Verdict") != "may-have-run" || got.Header.Get("Reason") != "isolated" {
-		t.Errorf("order: status %d, header %v", got.StatusCode, got.Header)
-	}
 	if got := ask(&entry{ready: true, leaving: true}, http.MethodGet, "/healthz", nil); got.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("health of a leaving entry: status %d", got.StatusCode)
 	}
--- a/internal/request/forward/check.go
+++ b/internal/request/forward/check.go
@@ -95,7 +95,7 @@
 	}
 	doc := f.d.Configuration.Document()
 	if doc == nil {
-		return nil, nil, bad(503, verdict.ReasonIsolated, "no configuration yet")
+		return nil, nil, bad(503, verdict.ReasonIsolated, "no configuration yet").WithRetryAfter(time.Second)
 	}
 	name, path, ok := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), runPath), "/")
 	if !strings.HasPrefix(r.URL.EscapedPath(), runPath) || name == "" {
@@ -189,7 +189,8 @@
 		ceiling := max(j.service.Ceiling(), timeout)
 		ms, perr := strconv.ParseInt(text, 10, 64)
 		if perr != nil || ms < 1 || (!j.relayed && ms > ceiling.Milliseconds()) {
-			return bad(400, verdict.ReasonInput, "Timeout %q, service %s accepts 1 to %d ms", text, j.service.Name(), ceiling.Milliseconds())
+			// Not ReasonInput: a repeat of an order may carry what is left of its time.
+			return bad(400, verdict.ReasonDeadline, "Timeout %q, service %s accepts 1 to %d ms", text, j.service.Name(), ceiling.Milliseconds())
 		}
 		timeout = min(time.Duration(ms)*time.Millisecond, ceiling)
 	}
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -69,11 +69,15 @@
 // idempotency key was asked: an earlier attempt with the key may have run. Bad
 // input keeps its verdict, because no earlier attempt with it was let through.
 func beforeHome(r *http.Request, err *verdict.Error) *verdict.Error {
-	keyed := r.Header.Get(headerKey) != "" && r.Header.Get(headerGranted) == ""
-	if !keyed || err.Verdict() != verdict.NotRun || err.Reason() == verdict.ReasonInput || err.Reason() == verdict.ReasonTenant {
+	if !keyed(r) || err.Verdict() != verdict.NotRun || err.Reason() == verdict.ReasonInput || err.Reason() == verdict.ReasonTenant {
 		return err
 	}
-	return verdict.New(verdict.MayHaveRun, err.Reason(), err.Status(), err)
+	return verdict.New(verdict.MayHaveRun, err.Reason(), err.Status(), err).WithRetryAfter(err.RetryAfter())
+}
+
+// keyed reports whether a request has an idempotency key whose home was not asked yet.
+func keyed(r *http.Request) bool {
+	return r.Header.Get(headerKey) != "" && r.Header.Get(headerGranted) == ""
 }
 
 // serve carries a checked request to its end.
@@ -133,6 +137,10 @@
 	case errors.Is(err, errBody):
 		return bad(413, verdict.ReasonInput, "body is longer than the %d bytes that service %s accepts", f.bodyLimit(j.service), j.service.Name())
 	case err != nil:
+		// The body of a repeat may be cut although that of the first request was not.
+		if keyed(j.r) {
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonInput, 400, err)
+		}
 		return verdict.New(verdict.NotRun, verdict.ReasonInput, 400, err)
 	}
 	j.body = b
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -86,4 +86,10 @@
 		read := r.do(r.request("GET", "status/a", nil))
 		r.expect(read, 503, verdict.NotRun, verdict.ReasonIsolated)
 	})
+	run(t, forward.Settings{}, func(_ *testing.T, r *rig) {
+		late := r.do(r.request("POST", "gifts/coin", text(1), "Idempotency-Key", "k", "Timeout", "0"))
+		r.expect(late, 400, verdict.MayHaveRun, verdict.ReasonDeadline)
+		read := r.do(r.request("GET", "status/a", nil, "Timeout", "0"))
+		r.expect(read, 400, verdict.NotRun, verdict.ReasonDeadline)
+	})
 }
--- a/internal/request/forward/stream_test.go
+++ b/internal/request/forward/stream_test.go
@@ -85,6 +85,9 @@
 		if n := len(r.chooser.requests); n != 0 {
 			t.Errorf("a slot was asked for %d times", n)
 		}
+		q = r.request("POST", "gifts/coin", &pausing{Reader: text(2000), pause: 20 * time.Second}, "Idempotency-Key", "k")
+		q.ContentLength = 2000
+		r.expect(r.do(q), 400, verdict.MayHaveRun, verdict.ReasonInput)
 		time.Sleep(time.Minute)
 	})
 }
