internal/measure/capacity: measure every role of a node

Cause: only gossip had a slope; the other roles of a node, the calls to the store and the sums against a node's budget were not measured, and the command was not wired.

Change: one file per role with its own unit, sizes and design size; a verdict passes only if the line with its margin and every measured value stay within the budget, and sums of all roles are judged as well. Gossip spreads five versions per size, because a single one meets the slowest entry by chance.

--- a/cmd/tamarackmeasure/capacity.go
+++ b/cmd/tamarackmeasure/capacity.go
@@ -5,24 +5,55 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
+	"time"
 
 	"tamarackspool/internal/measure/capacity"
 )
 
-// Capacity measures how the cost of a node grows with the fleet.
+// capacityLimit bounds a run; a run takes less than 5 min.
+const capacityLimit = 6 * time.Minute
+
+// Capacity measures how the cost of each role of a node grows, and judges it at the design size.
 type Capacity struct {
-	JSON  bool   `help:"Write JSON." name:"json"`
-	Plot  string `help:"Write drawings into this directory." type:"existingdir"`
-	Seed  uint64 `help:"Seed of the random choices." default:"1"`
-	Sizes []int  `help:"Fleet sizes." default:"12,48,192,400"`
+	JSON  bool     `help:"Write JSON." name:"json"`
+	Plot  string   `help:"Write drawings into this directory." type:"existingdir"`
+	Seed  uint64   `help:"Seed of the random choices." default:"1"`
+	Sizes []int    `help:"Fleet sizes of the gossip role." default:"48,192,400"`
+	Roles []string `help:"Roles to measure; none means all." name:"role"`
+}
+
+func (c *Capacity) roles() []capacity.Role {
+	all := []capacity.Role{
+		capacity.Gossip{Seed: c.Seed, Sizes: c.Sizes},
+		capacity.Steer{},
+		capacity.Directory{},
+		capacity.Config{},
+		capacity.Audit{},
+		capacity.Operators{},
+		capacity.Store{},
+		capacity.Blocks{},
+		capacity.Lookup{},
+		capacity.Request{Seed: c.Seed},
+	}
+	return slices.DeleteFunc(all, func(r capacity.Role) bool {
+		return len(c.Roles) > 0 && !slices.Contains(c.Roles, r.Name())
+	})
 }
 
 // Run measures and prints the slopes.
 func (c *Capacity) Run() error {
-	slopes, err := capacity.Run(context.Background(), capacity.Gossip{Seed: c.Seed}, c.Sizes)
-	if err != nil {
-		return err
+	ctx, cancel := context.WithTimeout(context.Background(), capacityLimit)
+	defer cancel()
+	var slopes []capacity.Slope
+	for _, role := range c.roles() {
+		some, err := capacity.Run(ctx, role)
+		if err != nil {
+			return err
+		}
+		slopes = append(slopes, some...)
 	}
+	slopes = append(slopes, capacity.Total(slopes)...)
 	if c.Plot != "" {
 		if err := capacity.Plot(slopes, c.Plot); err != nil {
 			return err
@@ -32,8 +63,8 @@
 		return json.NewEncoder(os.Stdout).Encode(slopes)
 	}
 	for _, s := range slopes {
-		fmt.Printf("%-8s %-18s %8.3f at %v, fit %.4g + %.4g n (error %.3g), at %d nodes %.4g, budget %g, pass %v\n",
-			s.Role, s.Figure, s.Values, s.Nodes, s.Base, s.Gain, s.Error, capacity.DesignNodes, s.Design, s.Budget, s.Pass)
+		fmt.Printf("%-9s %-20s %.4g at %v: %.4g + %.4g n (rms %.2g), at %g %s %.4g ± %.2g, budget %g: %s\n",
+			s.Role, s.Figure, s.Values, s.Sizes, s.Base, s.Gain, s.Error, s.At, s.Unit, s.Design, s.Margin, s.Budget, s.Verdict)
 	}
 	return nil
 }
--- a/cmd/tamarackmeasure/main.go
+++ b/cmd/tamarackmeasure/main.go
@@ -5,7 +5,8 @@
 
 // commands are the subcommands; each has its own file.
 type commands struct {
-	Policy policyCommand `cmd:"" help:"Measure steering policies side by side."`
+	Policy   policyCommand `cmd:"" help:"Measure steering policies side by side."`
+	Capacity Capacity      `cmd:"" help:"Measure how the cost of a node grows with the fleet."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/measure/capacity/block.go
@@ -0,0 +1,75 @@
+package capacity
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/fleet/block"
+)
+
+// Blocks measures the table of client blocks and the parts that carry it.
+type Blocks struct{}
+
+// Name returns the name of the role.
+func (Blocks) Name() string { return "blocks" }
+
+// Scale counts client blocks up to the design size.
+func (Blocks) Scale() Scale {
+	return Scale{Unit: "client blocks", Sizes: []int{590_000, 1_200_000, 2_400_000, DesignBlocks}, Design: DesignBlocks}
+}
+
+// Measure builds and searches a table of the given size.
+func (Blocks) Measure(ctx context.Context, size int) (map[string]float64, error) {
+	all := blocks(size)
+	before := heap()
+	start := time.Now()
+	t, err := block.New(all)
+	if err != nil {
+		return nil, err
+	}
+	build := time.Since(start)
+	out := map[string]float64{"memory-MB": (heap() - before) / 1e6, "build-s": build.Seconds()}
+	i := 0
+	out["find-ns"] = float64(per(ctx, 300*time.Millisecond, func() {
+		for range 10_000 {
+			t.Zone(all[i*7919%len(all)].Prefix().Addr())
+			i++
+		}
+	})) / 10_000
+	runtime.KeepAlive(t)
+	return out, parts(all[:size/10], 10, out)
+}
+
+// parts encodes a tenth of the blocks in the form that the store holds and scales the figures up.
+func parts(all []document.Block, factor float64, out map[string]float64) error {
+	names, err := codec.EncodeBlocks(all)
+	if err != nil {
+		return err
+	}
+	bytes, largest := 0, 0
+	for _, p := range names {
+		bytes += len(p)
+		largest = max(largest, len(p))
+	}
+	d := document.New(fields(nodesToday))
+	start := processor()
+	for _, p := range names {
+		if _, err := codec.DecodeBlocks(p, d); err != nil {
+			return err
+		}
+	}
+	out["decode-s"] = factor * (processor() - start).Seconds()
+	out["parts-MB"] = factor * float64(bytes) / 1e6
+	out["parts"] = factor * float64(bytes) / codec.Limit
+	out["largest-value-MB"] = float64(largest) / codec.Limit
+	packed, err := block.Encode(all)
+	bytes = 0
+	for _, p := range packed {
+		bytes += len(p)
+	}
+	out["packed-MB"] = factor * float64(bytes) / 1e6
+	return err
+}
--- /dev/null
+++ b/internal/measure/capacity/config.go
@@ -0,0 +1,96 @@
+package capacity
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/current"
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/config/history"
+	"tamarackspool/internal/platform/store"
+	standin "tamarackspool/internal/standin/store"
+)
+
+// Config measures the configuration document and a change of it; sites grow with the fleet.
+type Config struct{}
+
+// Name returns the name of the role.
+func (Config) Name() string { return "config" }
+
+// Scale counts entries.
+func (Config) Scale() Scale { return nodeScale(12, 48, 192, 400, DesignNodes) }
+
+// Measure encodes, checks and changes the configuration of a fleet of the given size.
+func (Config) Measure(ctx context.Context, size int) (map[string]float64, error) {
+	data, err := codec.Encode(document.New(fields(size)))
+	if err != nil {
+		return nil, err
+	}
+	out := map[string]float64{"document-kB": float64(len(data)) / 1e3, "document-values": float64((len(data) + codec.Limit - 1) / codec.Limit)}
+	hash := sha256.Sum256(data)
+	before := heap()
+	held := make([]*current.Current, 20) // One document is smaller than the noise of the heap's size.
+	for i := range held {
+		held[i] = current.New()
+		if _, err := held[i].Adopt(1, hash, slices.Clone(data)); err != nil {
+			return nil, err
+		}
+	}
+	out["memory-MB"] = (heap() - before) / float64(len(held)) / 1e6
+	runtime.KeepAlive(held)
+	took := per(ctx, sample, func() { _, err = current.New().Adopt(1, hash, data) })
+	if err != nil {
+		return nil, err
+	}
+	out["adopt-µs"] = micros(took)
+	out["core-percent"] = 100 * DesignChanges * took.Seconds() / seconds
+	// A node fetches each change once and passes it on once on average, in base64.
+	out["sent-bytes/s"] = DesignChanges * float64(len(data)) * 4 / 3 / seconds
+	return out, change(ctx, data, out)
+}
+
+// change measures a patch from its acceptance to the commit.
+func change(ctx context.Context, data []byte, out map[string]float64) error {
+	s, h := newHistory()
+	defer s.Close()
+	if _, err := h.Create(ctx, data, nil); err != nil {
+		return err
+	}
+	version, before := uint64(1), s.Counts()
+	took := per(ctx, sample, func() { version++; _ = submit(ctx, h, version) })
+	if err := submit(ctx, h, version+1); err != nil {
+		return err
+	}
+	after, changes := s.Counts(), float64(version)
+	out["patch-µs"] = micros(took)
+	out["reads/change"] = float64(after.Reads-before.Reads) / changes
+	out["writes/change"] = float64(after.Writes-before.Writes) / changes
+	return nil
+}
+
+func newHistory() (*standin.Server, *history.History) {
+	s := standin.New(standin.Settings{Key: "k"})
+	return s, history.New(history.Settings{Store: newClient(s)})
+}
+
+func newClient(s *standin.Server) *store.Client {
+	return store.New("http://store", "k", &http.Client{Transport: s.Transport()})
+}
+
+// submit makes the version from the one before it.
+func submit(ctx context.Context, h *history.History, version uint64) error {
+	patch := fmt.Sprintf(`[{"op":"replace","path":"/regions/0/keep","value":%.3f}]`, float64(version%300)/1000)
+	o, err := h.Submit(ctx, history.Patch{
+		Base: version - 1, ID: fmt.Sprint("change-", version), Who: "operator", Why: "a change of the kept fraction", Change: json.RawMessage(patch),
+	})
+	if err == nil && o.Kind() != history.Applied {
+		err = fmt.Errorf("capacity: change %d: %s", version, o.Reason())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/measure/capacity/deployment.go
@@ -0,0 +1,125 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/fleet/member"
+)
+
+// The layout of the deployments that are measured.
+const (
+	zonesPerRegion = 3
+	sitesToday     = 6
+	nodesToday     = 12
+	// targetsPerSite is today's density: 42 targets in six availability zones (docs/design.md, section 1).
+	targetsPerSite = 7
+	seconds        = 86_400.0 // of a day
+	// sample is how long a short operation is repeated.
+	sample = 300 * time.Millisecond
+)
+
+var services = [...]string{"status", "gifts", "drawings"}
+
+// nodeScale counts entries; the sites grow with them.
+func nodeScale(sizes ...int) Scale { return Scale{Unit: "nodes", Sizes: sizes, Design: DesignNodes} }
+
+// sitesOf returns the sites of a fleet on the line from today's size to the design size.
+func sitesOf(nodes int) int {
+	part := float64(nodes-nodesToday) / (DesignNodes - nodesToday)
+	return max(sitesToday, int(math.Round(sitesToday+part*(DesignSites-sitesToday))))
+}
+
+func regionName(i int) string { return fmt.Sprintf("region-%d", i%regions) }
+
+func zoneName(i int) string {
+	return fmt.Sprintf("%s-%c", regionName(i), 'a'+rune(i/regions%zonesPerRegion))
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func endpoint(kind byte, i, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, kind, byte(i >> 8), byte(i)}), uint16(port))
+}
+
+// fields returns the configuration of a fleet with the given number of entries in 4 regions and 12 zones.
+func fields(nodes int) document.Fields {
+	f := document.Fields{Version: 1, Tenants: []document.Tenant{document.NewTenant("parents", "", nil)}}
+	for i, name := range services {
+		f.Services = append(f.Services, document.NewService(document.ServiceFields{
+			Name: name, Once: i == 1, Timeout: 2 * time.Second, Ceiling: time.Minute, Body: 1 << 16, Shift: 40,
+		}))
+	}
+	for i := range regions {
+		f.Regions = append(f.Regions, document.NewRegion(document.RegionFields{Name: regionName(i), Keep: 0.1}))
+		for j := range i {
+			f.Links = append(f.Links, document.NewLink(regionName(j), regionName(i), 500_000_000))
+		}
+	}
+	for i := range regions * zonesPerRegion {
+		f.Zones = append(f.Zones, document.NewZone(zoneName(i), regionName(i)))
+	}
+	for i := range nodes {
+		f.Entries = append(f.Entries, document.NewEntry(document.EntryFields{
+			Name: entryName(i), Zone: zoneName(i),
+			Call: endpoint(1, i, 7000), Peer: endpoint(1, i, 7001), Pass: endpoint(1, i, 7002),
+		}))
+	}
+	for i := range sitesOf(nodes) * targetsPerSite {
+		f.Targets = append(f.Targets, document.NewTarget(document.TargetFields{
+			Name: fmt.Sprintf("target-%d", i), Service: services[i%len(services)], Zone: zoneName(i / targetsPerSite),
+			Address: endpoint(2, i, 8000), Slots: 6, Conns: 400,
+		}))
+	}
+	return f
+}
+
+func members(nodes int) []member.Member {
+	var all []member.Member
+	for i := range nodes {
+		all = append(all, member.New(member.Fields{
+			Name: entryName(i), Incarnation: [16]byte{1, byte(i), byte(i >> 8)}, Zone: zoneName(i), Region: regionName(i),
+			Call: endpoint(1, i, 7000), Peer: endpoint(1, i, 7001), Pass: endpoint(1, i, 7002), Version: 1,
+		}))
+	}
+	return all
+}
+
+// blocks returns client blocks spread over the zones, a quarter of them IPv6.
+func blocks(count int) []document.Block {
+	all := make([]document.Block, 0, count)
+	for i := range count {
+		p := netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(1 + i>>16), byte(i >> 8), byte(i), 0}), 24)
+		if i%4 == 0 {
+			p = netip.PrefixFrom(netip.AddrFrom16([16]byte{0x20, 1, 0, byte(i >> 24), byte(i >> 16), byte(i >> 8), byte(i)}), 56)
+		}
+		all = append(all, document.NewBlock(p, zoneName(i*7)))
+	}
+	return all
+}
+
+// per returns the processor time of one call, from as many calls as fill the time given.
+func per(ctx context.Context, length time.Duration, f func()) time.Duration {
+	f() // The first call fills caches and is not counted.
+	calls := 0
+	start, busy := time.Now(), processor()
+	for time.Since(start) < length && ctx.Err() == nil {
+		f()
+		calls++
+	}
+	return (processor() - busy) / time.Duration(max(1, calls))
+}
+
+// allocated returns the bytes that one call allocates.
+func allocated(f func()) float64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f()
+	runtime.ReadMemStats(&after)
+	return float64(after.TotalAlloc - before.TotalAlloc)
+}
--- a/internal/measure/capacity/fleet.go
+++ b/internal/measure/capacity/fleet.go
@@ -19,18 +19,30 @@
 
 // The times of one measurement and the layout of the fleet.
 const (
-	settle  = 15 * time.Second
-	window  = 10 * time.Second
-	patient = 15 * time.Second
-	regions = 4
+	settle   = 30 * time.Second
+	window   = 10 * time.Second
+	patient  = 30 * time.Second
+	versions = 5 // a single change meets the slowest entry only by chance
+	regions  = 4
 )
 
 // Gossip measures the exchange between entries that all run in this process, over TCP on loopback.
-type Gossip struct{ Seed uint64 }
+type Gossip struct {
+	Seed  uint64
+	Sizes []int // Sizes are the fleet sizes; none means the default.
+}
 
 // Name returns the name of the role.
 func (Gossip) Name() string { return "gossip" }
 
+// Scale counts entries.
+func (g Gossip) Scale() Scale {
+	if len(g.Sizes) > 0 {
+		return nodeScale(g.Sizes...)
+	}
+	return nodeScale(48, 192, 400)
+}
+
 type holder struct {
 	mu      sync.Mutex
 	version uint64
@@ -76,7 +88,7 @@
 	cancel  context.CancelFunc
 }
 
-// Measure runs a fleet of the given size for about 40 s.
+// Measure runs a fleet of the given size for about a minute.
 func (g Gossip) Measure(ctx context.Context, nodes int) (map[string]float64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	before := heap()
@@ -108,7 +120,7 @@
 		h := &holder{}
 		region := fmt.Sprintf("region-%d", i%regions)
 		self := member.New(member.Fields{
-			Name: fmt.Sprintf("entry-%d", i), Incarnation: [16]byte{1, byte(i), byte(i >> 8)},
+			Name: entryName(i), Incarnation: [16]byte{1, byte(i), byte(i >> 8)},
 			Zone: region + "-a", Region: region, Peer: seeds[i], Call: seeds[i], Pass: seeds[i],
 		})
 		s := gossip.New(gossip.Settings{Self: self, Key: []byte("capacity"), Seeds: seeds}, gossip.Dependencies{
@@ -147,7 +159,7 @@
 	for _, state := range []member.State{member.Alive, member.Suspect, member.Dead} {
 		out[state.String()+"-percent"] = 100 * float64(counts[state]) / n / n
 	}
-	out["interval-s"] = f.entries[0].Interval().Seconds()
+	f.ages(out)
 }
 
 func (f *fleet) totals() (sent, messages int64) {
@@ -159,29 +171,75 @@
 	return sent, messages
 }
 
-// propagate measures how long a new version takes from one entry to all; an entry not reached counts the whole wait.
+// propagate measures how long new versions take from one entry to all; an entry not reached counts the whole wait.
 func (f *fleet) propagate(ctx context.Context, out map[string]float64) {
+	var times []float64
+	busy := processor()
+	for i := range versions {
+		times = append(times, f.spread(ctx, uint64(i+2))...)
+	}
+	out["change-core-ms"] = 1e3 * (processor() - busy).Seconds() / versions / float64(len(f.entries))
+	slices.Sort(times)
+	out["propagation-p50-s"] = times[len(times)/2]
+	out["propagation-p99-s"] = times[len(times)*99/100]
+	out["propagation-max-s"] = times[len(times)-1]
+	late := 0
+	for _, t := range times {
+		if t >= patient.Seconds() {
+			late++
+		}
+	}
+	out["not-reached"] = float64(late)
+}
+
+// spread gives one entry a new version and returns when each entry adopted it.
+func (f *fleet) spread(ctx context.Context, version uint64) []float64 {
 	data := make([]byte, 64<<10)
 	start := time.Now()
-	_, _ = f.entries[0].holder.Adopt(2, sha256.Sum256(data), data)
-	f.entries[0].Push(ctx)
+	first := f.entries[int(version)%len(f.entries)]
+	_, _ = first.holder.Adopt(version, sha256.Sum256(data), data)
+	first.Push(ctx)
 	var times []float64
 	for _, e := range f.entries {
-		for v, _, _ := e.holder.Raw(); v < 2 && time.Since(start) < patient; v, _, _ = e.holder.Raw() {
-			time.Sleep(10 * time.Millisecond)
+		times = append(times, e.holder.wait(version, start).Seconds())
+	}
+	return times
+}
+
+// wait returns how long after the start the version was adopted, at most the patience.
+func (h *holder) wait(version uint64, start time.Time) time.Duration {
+	for time.Since(start) < patient {
+		h.mu.Lock()
+		held, at := h.version, h.at
+		h.mu.Unlock()
+		if held >= version {
+			return at.Sub(start)
 		}
-		e.holder.mu.Lock()
-		took := patient.Seconds()
-		if e.holder.version == 2 {
-			took = e.holder.at.Sub(start).Seconds()
+		time.Sleep(10 * time.Millisecond)
+	}
+	return patient
+}
+
+// ages measures how old the newest news of each member is at each other entry.
+func (f *fleet) ages(out map[string]float64) {
+	var all []float64
+	var intervals []float64
+	for i, e := range f.entries {
+		now := time.Now()
+		for _, r := range e.Rooms() {
+			if r.Service() == "status" && r.Entry() != entryName(i) {
+				all = append(all, now.Sub(r.At()).Seconds())
+			}
 		}
-		e.holder.mu.Unlock()
-		times = append(times, took)
+		intervals = append(intervals, e.Interval().Seconds())
 	}
-	slices.Sort(times)
-	out["propagation-p50-s"] = times[len(times)/2]
-	out["propagation-p99-s"] = times[len(times)*99/100]
-	out["propagation-max-s"] = times[len(times)-1]
+	slices.Sort(all)
+	slices.Sort(intervals)
+	out["news-age-p50-s"] = all[len(all)/2]
+	out["news-age-p999-s"] = all[len(all)*999/1000]
+	out["news-age-max-s"] = all[len(all)-1]
+	out["interval-p50-s"] = intervals[len(intervals)/2]
+	out["interval-max-s"] = intervals[len(intervals)-1]
 }
 
 func heap() float64 {
--- a/internal/measure/capacity/plot.go
+++ b/internal/measure/capacity/plot.go
@@ -16,25 +16,36 @@
 	plotHeight = 10 * vg.Centimeter
 )
 
-// Plot writes one SVG drawing per slope into the directory: the measured points and the fitted line.
+// Plot writes one SVG drawing per slope into the directory: the measured points, the fitted line and the budget.
 func Plot(slopes []Slope, directory string) error {
 	for _, s := range slopes {
+		if len(s.Sizes) == 0 {
+			continue // a sum over roles has no points
+		}
 		p := plot.New()
 		p.Title.Text = s.Role + ": " + s.Figure
-		p.X.Label.Text, p.Y.Label.Text = "nodes", s.Figure
-		points := make(plotter.XYs, len(s.Nodes))
+		p.X.Label.Text, p.Y.Label.Text = s.Unit, s.Figure
+		points := make(plotter.XYs, len(s.Sizes))
 		for i := range points {
-			points[i] = plotter.XY{X: s.Nodes[i], Y: s.Values[i]}
+			points[i] = plotter.XY{X: s.Sizes[i], Y: s.Values[i]}
 		}
 		scatter, err := plotter.NewScatter(points)
 		if err != nil {
 			return fmt.Errorf("capacity: %w", err)
 		}
-		line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: s.Base}, {X: DesignNodes, Y: s.Design}})
+		line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: s.Base}, {X: s.At, Y: s.Design}})
 		if err != nil {
 			return fmt.Errorf("capacity: %w", err)
 		}
 		p.Add(scatter, line)
+		if s.Budget > 0 {
+			limit, err := plotter.NewLine(plotter.XYs{{X: 0, Y: s.Budget}, {X: s.At, Y: s.Budget}})
+			if err != nil {
+				return fmt.Errorf("capacity: %w", err)
+			}
+			limit.Dashes = []vg.Length{vg.Points(4), vg.Points(4)}
+			p.Add(limit)
+		}
 		name := strings.NewReplacer("/", "-per-").Replace(s.Role+"-"+s.Figure) + ".svg"
 		if err := p.Save(plotWidth, plotHeight, filepath.Join(directory, name)); err != nil {
 			return fmt.Errorf("capacity: %w", err)
--- /dev/null
+++ b/internal/measure/capacity/request.go
@@ -0,0 +1,32 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"tamarackspool/internal/measure/forward"
+)
+
+// Request measures the work of forwarding, which is not control, against the number of callers.
+type Request struct{ Seed uint64 }
+
+// Name returns the name of the role.
+func (Request) Name() string { return "request" }
+
+// Scale counts concurrent callers.
+func (Request) Scale() Scale {
+	return Scale{Unit: "callers", Sizes: []int{8, 32, 128, 400}, Design: 400}
+}
+
+// Measure forwards requests of the given number of callers at full speed and at half of the load.
+func (q Request) Measure(ctx context.Context, size int) (map[string]float64, error) {
+	r, err := forward.Run(ctx, forward.Settings{Seed: q.Seed, Callers: []int{size}, Length: time.Second})
+	if err != nil {
+		return nil, err
+	}
+	l := r.Levels[0]
+	return map[string]float64{
+		"core-µs": 1e6 / r.Core, "allocations": r.Allocs, "bytes": r.Bytes, "full-rate/s": l.Full,
+		"added-p50-µs": micros(l.Added.P50), "added-p99-µs": micros(l.Added.P99), "errors": float64(r.Errors),
+	}, nil
+}
--- a/internal/measure/capacity/slope.go
+++ b/internal/measure/capacity/slope.go
@@ -1,82 +1,104 @@
 package capacity
 
 import (
-	"context"
 	"math"
-	"slices"
-	"strings"
 
 	"gonum.org/v1/gonum/stat"
 )
 
-// DesignNodes is the fleet size to extrapolate to (docs/design.md, section 1).
-const DesignNodes = 590
+// Verdict is the outcome of a comparison with a budget.
+type Verdict string
 
-// Role is a part of a node whose cost is measured at several sizes of the fleet.
-type Role interface {
-	Name() string
-	// Measure returns the figures at one size by their names.
-	Measure(ctx context.Context, nodes int) (map[string]float64, error)
-}
-
-// Budgets are the most that a figure may reach at the design size.
-var Budgets = map[string]float64{
-	"sent-bytes/s":      4096,
-	"core-percent":      2.2,
-	"memory-MB":         128,
-	"propagation-max-s": 7,
-}
+// The verdicts.
+const (
+	Pass Verdict = "pass"
+	Fail Verdict = "fail"
+	None Verdict = "none" // None means that the figure has no budget.
+)
 
 // Slope is the line through the figures of all sizes.
 type Slope struct {
-	Role   string    `json:"role"`
-	Figure string    `json:"figure"`
-	Nodes  []float64 `json:"nodes"`
-	Values []float64 `json:"values"`
-	Base   float64   `json:"base"`
-	Gain   float64   `json:"gain"`  // growth per node
-	Error  float64   `json:"error"` // root mean square of the residuals
-	Design float64   `json:"design"`
-	Budget float64   `json:"budget,omitempty"`
-	Pass   bool      `json:"pass"` // true without a budget
+	Role    string    `json:"role"`
+	Figure  string    `json:"figure"`
+	Unit    string    `json:"unit"`
+	Sizes   []float64 `json:"sizes"`
+	Values  []float64 `json:"values"`
+	Base    float64   `json:"base"`
+	Gain    float64   `json:"gain"`   // growth per unit of size
+	Error   float64   `json:"error"`  // root mean square of the residuals
+	Margin  float64   `json:"margin"` // standard error of the line at the design size; -1 with less than three sizes
+	At      float64   `json:"at"`     // the design size
+	Design  float64   `json:"design"` // the line at the design size
+	Budget  float64   `json:"budget,omitempty"`
+	Verdict Verdict   `json:"verdict"`
 }
 
 // Fit lays a least-squares line through the values and extrapolates it to the design size.
-func Fit(role, figure string, nodes, values []float64) Slope {
-	base, gain := stat.LinearRegression(nodes, values, nil, false)
+func Fit(role, figure string, scale Scale, sizes, values []float64) Slope {
+	base, gain := stat.LinearRegression(sizes, values, nil, false)
 	sum := 0.0
-	for i, n := range nodes {
+	for i, n := range sizes {
 		r := values[i] - base - gain*n
 		sum += r * r
 	}
 	s := Slope{
-		Role: role, Figure: figure, Nodes: nodes, Values: values, Base: base, Gain: gain,
-		Error: math.Sqrt(sum / float64(len(nodes))), Design: base + gain*DesignNodes, Budget: Budgets[figure],
+		Role: role, Figure: figure, Unit: scale.Unit, Sizes: sizes, Values: values, Base: base, Gain: gain,
+		Error: math.Sqrt(sum / float64(len(sizes))), Margin: margin(sizes, sum, scale.Design),
+		At: scale.Design, Design: base + gain*scale.Design, Budget: Budgets[figure],
 	}
-	s.Pass = s.Budget == 0 || s.Design <= s.Budget
+	s.Verdict = judge(s)
 	return s
 }
 
-// Run measures the role at each size and fits every figure.
-func Run(ctx context.Context, role Role, sizes []int) ([]Slope, error) {
-	var nodes []float64
-	values := make(map[string][]float64)
-	for _, size := range sizes {
-		figures, err := role.Measure(ctx, size)
-		if err != nil {
-			return nil, err
-		}
-		nodes = append(nodes, float64(size))
-		for name, v := range figures {
-			values[name] = append(values[name], v)
+// margin returns the standard error of the line at the design size.
+func margin(sizes []float64, squares, design float64) float64 {
+	n := float64(len(sizes))
+	if n < 3 {
+		return -1
+	}
+	mean := stat.Mean(sizes, nil)
+	spread := 0.0
+	for _, x := range sizes {
+		spread += (x - mean) * (x - mean)
+	}
+	return math.Sqrt(squares / (n - 2) * (1/n + (design-mean)*(design-mean)/spread))
+}
+
+// judge passes a figure only if the line with its margin stays within the budget and no measured value exceeds it.
+// Fewer than three sizes have no margin and cannot pass.
+func judge(s Slope) Verdict {
+	if s.Budget == 0 {
+		return None
+	}
+	if s.Margin < 0 || math.IsNaN(s.Margin) || !(s.Design+s.Margin <= s.Budget) {
+		return Fail
+	}
+	for _, v := range s.Values {
+		if !(v <= s.Budget) {
+			return Fail
 		}
 	}
+	return Pass
+}
+
+// Total adds the figures of all roles that share a node's budget and judges the sums.
+func Total(slopes []Slope) []Slope {
 	var out []Slope
-	for name, v := range values {
-		if len(v) == len(nodes) {
-			out = append(out, Fit(role.Name(), name, nodes, v))
+	for _, figure := range []string{"core-percent", "memory-MB", "sent-bytes/s", "store-reads/s", "store-writes/s"} {
+		total := Slope{Role: "total", Figure: figure, Budget: Budgets[figure]}
+		for _, s := range slopes {
+			if s.Figure != figure {
+				continue
+			}
+			total.Design += s.Design
+			if s.Margin < 0 || total.Margin < 0 {
+				total.Margin = -1
+			} else {
+				total.Margin += s.Margin // the roles run on one machine at the same time; their errors may add up
+			}
 		}
+		total.Verdict = judge(total)
+		out = append(out, total)
 	}
-	slices.SortFunc(out, func(a, b Slope) int { return strings.Compare(a.Figure, b.Figure) })
-	return out, nil
+	return out
 }
--- /dev/null
+++ b/internal/measure/capacity/steer.go
@@ -0,0 +1,77 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"tamarackspool/internal/config/document"
+	"tamarackspool/internal/fleet/member"
+	"tamarackspool/internal/steer/core"
+	"tamarackspool/internal/steer/table"
+)
+
+// ticks is how often per second an entry runs the steering systems.
+const ticks = 10
+
+// Steer measures one tick of the steering systems; sites grow with the fleet.
+type Steer struct{}
+
+// Name returns the name of the role.
+func (Steer) Name() string { return "steer" }
+
+// Scale counts entries.
+func (Steer) Scale() Scale { return nodeScale(12, 48, 192, 400, DesignNodes) }
+
+// Measure steps the core of one entry in a fleet of the given size.
+func (Steer) Measure(ctx context.Context, size int) (map[string]float64, error) {
+	now := time.Now()
+	in := &table.Input{Document: document.New(fields(size)), Confirmed: true}
+	for i := range size {
+		in.Members = append(in.Members, table.Member{Name: entryName(i), State: table.Alive})
+		for _, s := range services {
+			in.Rooms = append(in.Rooms, table.Room{Entry: entryName(i), Service: s, Free: 3, Slots: 6, At: now})
+		}
+	}
+	before := heap()
+	c := core.New(core.Settings{Entry: entryName(0), Region: regionName(0), Zone: zoneName(0)})
+	step := func() {
+		now = now.Add(time.Second / ticks)
+		in.Reports = in.Reports[:0]
+		for _, t := range c.Step(now, in).Owned() {
+			in.Reports = append(in.Reports, table.Report{Target: t.Name(), Busy: 1, Slots: 6, At: now})
+		}
+	}
+	for range 50 {
+		step()
+	}
+	out := map[string]float64{"memory-MB": (heap() - before) / 1e6}
+	took := per(ctx, 500*time.Millisecond, step)
+	out["step-µs"] = micros(took)
+	out["step-alloc-kB"] = allocated(step) / 1e3
+	reading := per(ctx, sample, reads(size))
+	out["read-µs"] = micros(reading)
+	out["core-percent"] = 100 * ticks * (took + reading).Seconds()
+	return out, nil
+}
+
+// reads returns what a tick reads from the membership before the systems run: all members for the input and once more
+// for the rank among the watchers, and all free slots.
+func reads(size int) func() {
+	now := time.Now()
+	all := members(size)
+	t := member.NewTable(now, all[0])
+	t.Merge(now, all[1:])
+	for _, m := range all[1:] {
+		t.Beat(now, member.Beat{Digest: m.Digest(), Sequence: m.Sequence() + 1, Rooms: map[string]int{services[0]: 1, services[1]: 2, services[2]: 3}})
+	}
+	return func() {
+		in := &table.Input{}
+		for _, m := range t.Members() {
+			in.Members = append(in.Members, table.Member{Name: m.Name()})
+		}
+		for _, r := range t.Rooms() {
+			in.Rooms = append(in.Rooms, table.Room{Entry: r.Entry(), Service: r.Service(), Free: r.Free(), At: r.At()})
+		}
+		member.Watchers(t.Members(), watchers)
+	}
+}
