internal/fleet/gossip: count fetches, dropped hints and skipped exchanges

Cause: the entries that learn of a new version last had to be told apart by what held them up: a failed fetch, a hint dropped for a fetch that waits, or an exchange that was not started.

Change: four counters.

--- a/internal/fleet/gossip/config.go
+++ b/internal/fleet/gossip/config.go
@@ -25,6 +25,7 @@
 	select {
 	case s.fetches <- fetch{peer.Peer(), version}:
 	default:
+		s.count.dropped.Add(1)
 	}
 }
 
@@ -43,7 +44,9 @@
 
 func (s *Service) fetchFrom(ctx context.Context, l *link, version uint64) (bool, error) {
 	var answer configForm
+	s.count.fetched.Add(1)
 	if err := l.call(ctx, "config", versionForm{Version: version}, &answer); err != nil {
+		s.count.failed.Add(1)
 		return false, err
 	}
 	held, _, _ := s.deps.Holder.Raw()
--- a/internal/fleet/gossip/frame.go
+++ b/internal/fleet/gossip/frame.go
@@ -71,6 +71,7 @@
 type counters struct {
 	sent, received, messages, bulk         atomic.Int64
 	late, refused, stale, silent, unknowns atomic.Int64
+	fetched, failed, dropped, skipped      atomic.Int64
 }
 
 // Counts are the totals of a service since its start.
@@ -82,6 +83,10 @@
 	Stale          int64 // configurations that were not newer
 	Silent         int64 // calls without an answer within the deadline
 	Unknown        int64 // heartbeats without a known record
+	Fetched        int64 // configurations asked for
+	Failed         int64 // configurations asked for without an answer
+	Dropped        int64 // hints of a newer version that were dropped, because a fetch was already waiting
+	Skipped        int64 // exchanges not started, because too many were open
 }
 
 // Counts returns the totals since the start.
@@ -91,5 +96,6 @@
 		Sent: c.sent.Load(), Received: c.received.Load(), Messages: c.messages.Load(),
 		Late: c.late.Load(), Refused: c.refused.Load(), Stale: c.stale.Load(),
 		Silent: c.silent.Load(), Unknown: c.unknowns.Load(),
+		Fetched: c.fetched.Load(), Failed: c.failed.Load(), Dropped: c.dropped.Load(), Skipped: c.skipped.Load(),
 	}
 }
--- a/internal/fleet/gossip/run.go
+++ b/internal/fleet/gossip/run.go
@@ -36,11 +36,13 @@
 		}
 		interval, peers := s.round()
 		for _, address := range peers {
-			group.TryGo(func() error {
+			if !group.TryGo(func() error {
 				// A peer that fails is in backoff and shows in the membership; the round goes on.
 				_ = s.exchange(ctx, s.link(address), false)
 				return nil
-			})
+			}) {
+				s.count.skipped.Add(1)
+			}
 		}
 		timer.Reset(interval)
 	}
