internal/fleet/gossip: leave out of an answer what the request carried

Cause: an answer is composed after the request was taken over, so that the newest heartbeats, which come first, were those that the caller had just sent. Two thirds of an answer told the caller nothing.

Change: the answer leaves out heartbeats that the request carried with the same or a higher sequence.

--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -18,14 +18,15 @@
 	self  bool
 }
 
-// compose makes a message for the named peer. The caller holds the lock.
-func (s *Service) compose(peer string, first []uint32) exchangeForm {
+// compose makes a message for the named peer without the heartbeats that it was told by the peer itself.
+// The caller holds the lock.
+func (s *Service) compose(peer string, first []uint32, told map[uint32]uint64) exchangeForm {
 	version, hash, _ := s.deps.Holder.Raw()
 	m := exchangeForm{Version: version}
 	if version > 0 {
 		m.Hash = hex.EncodeToString(hash[:hashBytes])
 	}
-	beats := s.choose(first)
+	beats := s.choose(first, told)
 	m.Services = servicesOf(beats)
 	for _, b := range beats {
 		m.Beats = append(m.Beats, rowOf(b.beat, m.Version, m.Services))
@@ -38,10 +39,12 @@
 
 // choose returns the heartbeats for a message: the entry's own, those asked for, then two thirds newest and
 // one third at random, so that no member is starved by others with newer news.
-func (s *Service) choose(first []uint32) []heardBeat {
+func (s *Service) choose(first []uint32, told map[uint32]uint64) []heardBeat {
 	var all []heardBeat
 	s.table.Beats(func(b member.Beat, heard time.Time, self bool) {
-		all = append(all, heardBeat{b, heard, self})
+		if sequence, ok := told[b.Digest]; !ok || sequence < b.Sequence {
+			all = append(all, heardBeat{b, heard, self})
+		}
 	})
 	prior := func(b heardBeat) int {
 		switch {
@@ -69,6 +72,18 @@
 	return all[:most]
 }
 
+// toldBy returns the sequences by digest that a message carries. Without this an answer would mostly repeat the
+// request, because the heartbeats taken over from it are the newest.
+func toldBy(m exchangeForm) map[uint32]uint64 {
+	told := make(map[uint32]uint64, len(m.Beats))
+	for _, row := range m.Beats {
+		if b, ok := beatOf(row, m.Version, nil); ok {
+			told[b.Digest] = b.Sequence
+		}
+	}
+	return told
+}
+
 func servicesOf(beats []heardBeat) []string {
 	var names []string
 	for _, b := range beats {
