internal/fleet/gossip: keep the interval apart from the number of callers

Cause: the interval was planned from all bytes sent per round. The answers to peers grow with the length of a round, so that an entry that more peers than usual have in their view lengthened its interval without an end, up to 10 s. If none of four pushes reached it, it learned of a new version only with its next exchange. This is the slow tail of propagation.

Change: the interval counts one answer per round; the answers have a budget per second, which shortens them instead, and a bounded part in the interval.

--- a/internal/fleet/gossip/exchange.go
+++ b/internal/fleet/gossip/exchange.go
@@ -13,7 +13,7 @@
 	}
 	name := l.name()
 	s.mu.Lock()
-	request := s.compose(name, nil, nil)
+	request := s.compose(name, nil, nil, s.pace.beats)
 	request.Fresh = fresh
 	s.mu.Unlock()
 	answer, err := s.swap(ctx, l, name, request)
@@ -82,7 +82,7 @@
 	if len(m.Beats) == 0 {
 		return exchangeForm{Version: m.Version, Hash: m.Hash}
 	}
-	return s.compose(peer.Name(), m.Doubt, toldBy(m))
+	return s.compose(peer.Name(), m.Doubt, toldBy(m), s.pace.allow(s.deps.Now(), s.traffic()))
 }
 
 // introduction returns records for an entry with empty memory: stopped incarnations and a part of the members.
--- a/internal/fleet/gossip/frame.go
+++ b/internal/fleet/gossip/frame.go
@@ -41,9 +41,10 @@
 // wire counts the bytes of a connection and bounds how long a write or the wait for a message may take.
 type wire struct {
 	net.Conn
-	count *counters
-	write time.Duration
-	idle  time.Duration
+	count    *counters
+	accepted bool // accepted means that the peer opened the connection, so that this entry only answers on it
+	write    time.Duration
+	idle     time.Duration
 }
 
 // Read reads from the connection and fails after the idle time without a byte.
@@ -64,6 +65,10 @@
 	n, err := w.Conn.Write(p)
 	w.count.sent.Add(int64(n) + segmentOverhead)
 	w.count.messages.Add(1)
+	if w.accepted {
+		w.count.answered.Add(int64(n) + segmentOverhead)
+		w.count.answers.Add(1)
+	}
 	return n, err
 }
 
@@ -72,6 +77,7 @@
 	sent, received, messages, bulk         atomic.Int64
 	late, refused, stale, silent, unknowns atomic.Int64
 	fetched, failed, dropped, skipped      atomic.Int64
+	answered, answers                      atomic.Int64
 }
 
 // Counts are the totals of a service since its start.
--- a/internal/fleet/gossip/link.go
+++ b/internal/fleet/gossip/link.go
@@ -137,7 +137,7 @@
 	}
 	var limit atomic.Int64
 	limit.Store(maxGreeting)
-	conn := s.newConn(raw, &limit, refuseAll)
+	conn := s.newConn(raw, false, &limit, refuseAll)
 	if err := l.greet(ctx, conn); err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -18,15 +18,15 @@
 	self  bool
 }
 
-// compose makes a message for the named peer without the heartbeats that it was told by the peer itself.
-// The caller holds the lock.
-func (s *Service) compose(peer string, first []uint32, told map[uint32]uint64) exchangeForm {
+// compose makes a message for the named peer without the heartbeats that it was told by the peer itself, at most the
+// given number of them. The caller holds the lock.
+func (s *Service) compose(peer string, first []uint32, told map[uint32]uint64, most int) exchangeForm {
 	version, hash, _ := s.deps.Holder.Raw()
 	m := exchangeForm{Version: version}
 	if version > 0 {
 		m.Hash = hex.EncodeToString(hash[:hashBytes])
 	}
-	beats := s.choose(first, told)
+	beats := s.choose(first, told, most)
 	m.Services = servicesOf(beats)
 	for _, b := range beats {
 		m.Beats = append(m.Beats, rowOf(b.beat, m.Version, m.Services))
@@ -39,7 +39,7 @@
 
 // choose returns the heartbeats for a message: the entry's own, those asked for, then two thirds newest and
 // one third at random, so that no member is starved by others with newer news.
-func (s *Service) choose(first []uint32, told map[uint32]uint64) []heardBeat {
+func (s *Service) choose(first []uint32, told map[uint32]uint64, most int) []heardBeat {
 	var all []heardBeat
 	s.table.Beats(func(b member.Beat, heard time.Time, self bool) {
 		if sequence, ok := told[b.Digest]; !ok || sequence < b.Sequence {
@@ -63,7 +63,6 @@
 		}
 		return b.heard.Compare(a.heard)
 	})
-	most := s.pace.beats
 	if len(all) <= most {
 		return all
 	}
--- a/internal/fleet/gossip/pace.go
+++ b/internal/fleet/gossip/pace.go
@@ -2,34 +2,87 @@
 
 import "time"
 
-// smoothing is the weight of the newest round in the mean of bytes per round.
-const smoothing = 0.05
+// The shares of the budget and the bounds of one message.
+const (
+	// smoothing is the weight of the newest round in the mean of bytes per round.
+	smoothing = 0.05
+	// usable is the part of the budget that is planned; the rest is kept free for greetings and records.
+	usable = 0.9
+	// answerShare is the part of the budget that answers may take.
+	answerShare = 0.5
+	// leastAsked is the part of the planned budget that requests keep when answers need more than the rest.
+	leastAsked = 0.25
+	// answerBurst is how much of unused answer budget is kept, in seconds.
+	answerBurst = 2
+	// rowBytes is the usual size of a heartbeat in a message.
+	rowBytes = 32
+	// fewest is how many heartbeats a message may always carry.
+	fewest = 8
+)
+
+// traffic is the bytes and answers sent since the start, configurations excepted.
+type traffic struct {
+	asked    int64 // bytes of requests and greetings
+	answered int64 // bytes of answers
+	answers  int64
+}
 
 // pace lengthens the interval and bounds the heartbeats per message so that the bytes sent stay under the budget.
+//
+// The interval is planned for one answer per round, whatever the number of peers that call. Were all bytes of answers
+// counted, a longer interval would mean more answers per round and again a longer interval: an entry that many peers
+// have in their view would end at the longest interval and learn of a new configuration that much later.
+// Answers have a budget of their own instead and carry fewer heartbeats when it is used up.
 type pace struct {
 	shortest time.Duration
 	budget   float64
 	most     int
 	interval time.Duration
 	beats    int
-	bytes    float64
-	last     int64
+	asked    float64 // mean bytes of requests per round
+	answered float64 // mean bytes of one answer
+	rate     float64 // mean bytes of answers per second
+	last     traffic
+
+	left    float64 // bytes that answers may still take; negative after an overdraft
+	counted int64   // bytes of answers at the last look
+	looked  time.Time
 }
 
 func newPace(s Settings) pace {
-	return pace{shortest: s.Interval, budget: float64(s.Budget), most: s.Beats, interval: s.Interval, beats: min(s.Beats, 8)}
+	return pace{shortest: s.Interval, budget: float64(s.Budget), most: s.Beats, interval: s.Interval, beats: min(s.Beats, fewest)}
 }
 
-// update takes the total of bytes sent so far and the number of members.
-func (p *pace) update(sent int64, members int) {
-	round := float64(sent - p.last)
-	p.last = sent
-	p.bytes += smoothing * (round - p.bytes)
-	// The mean starts at zero, so that the greetings of a start do not lengthen the first intervals.
-	// A tenth is kept free for greetings and records.
-	need := time.Duration(p.bytes / (0.9 * p.budget) * float64(time.Second))
+// update takes the totals so far and the number of members.
+func (p *pace) update(t traffic, members int) {
+	p.asked += smoothing * (float64(t.asked-p.last.asked) - p.asked)
+	if n := t.answers - p.last.answers; n > 0 {
+		p.answered += smoothing * (float64(t.answered-p.last.answered)/float64(n) - p.answered)
+	}
+	p.rate += smoothing * (float64(t.answered-p.last.answered)/p.interval.Seconds() - p.rate)
+	p.last = t
+	// The means start at zero, so that the greetings of a start do not lengthen the first intervals.
+	planned := usable * p.budget
+	need := time.Duration(max(
+		(p.asked+p.answered)/planned,
+		p.asked/max(leastAsked*planned, planned-p.rate),
+	) * float64(time.Second))
 	p.interval = min(max(need, p.shortest), maxInterval)
-	p.beats = min(p.most, max(8, members))
+	p.beats = min(p.most, max(fewest, members))
+}
+
+// allow returns how many heartbeats an answer may carry now; without any budget left it is the own one.
+func (p *pace) allow(now time.Time, t traffic) int {
+	rate := answerShare * usable * p.budget
+	if p.looked.IsZero() {
+		p.left = answerBurst * rate
+	} else {
+		p.left += rate * now.Sub(p.looked).Seconds()
+	}
+	p.left -= float64(t.answered - p.counted)
+	p.left = min(max(p.left, -answerBurst*rate), answerBurst*rate)
+	p.looked, p.counted = now, t.answered
+	return min(p.beats, max(1, int(p.left/rowBytes)))
 }
 
 // refresh returns the interval that suspicion counts in. In a fleet larger than two messages can carry, one round
--- a/internal/fleet/gossip/run.go
+++ b/internal/fleet/gossip/run.go
@@ -88,7 +88,7 @@
 			peers = append(peers, m.Peer())
 		}
 	}
-	s.pace.update(s.count.sent.Load()-s.count.bulk.Load(), len(s.table.Members()))
+	s.pace.update(s.traffic(), s.table.Size())
 	interval := s.pace.interval
 	regions := s.regions()
 	s.mu.Unlock()
@@ -100,6 +100,14 @@
 	return interval, peers
 }
 
+// traffic returns the totals of bytes that count against the budget; configurations are excepted.
+func (s *Service) traffic() traffic {
+	answered := s.count.answered.Load()
+	return traffic{
+		asked: s.count.sent.Load() - answered, answered: answered - s.count.bulk.Load(), answers: s.count.answers.Load(),
+	}
+}
+
 // unused removes the links to addresses that no known member has any more and returns them.
 func (s *Service) unused() []*link {
 	if s.turn%renewEvery != 0 {
--- a/internal/fleet/gossip/server.go
+++ b/internal/fleet/gossip/server.go
@@ -56,7 +56,7 @@
 func (s *Service) accept(ctx context.Context, raw net.Conn) {
 	x := &session{service: s}
 	x.limit.Store(maxGreeting)
-	conn := s.newConn(raw, &x.limit, jsonrpc2.HandlerWithError(x.handle).SuppressErrClosed())
+	conn := s.newConn(raw, true, &x.limit, jsonrpc2.HandlerWithError(x.handle).SuppressErrClosed())
 	timer := time.AfterFunc(greetingLimit, func() {
 		if !x.proved.Load() {
 			_ = conn.Close()
@@ -70,8 +70,8 @@
 	}
 }
 
-func (s *Service) newConn(raw net.Conn, limit *atomic.Int64, h jsonrpc2.Handler) *jsonrpc2.Conn {
-	w := &wire{Conn: raw, count: &s.count, write: s.settings.Deadline, idle: idleLimit}
+func (s *Service) newConn(raw net.Conn, accepted bool, limit *atomic.Int64, h jsonrpc2.Handler) *jsonrpc2.Conn {
+	w := &wire{Conn: raw, count: &s.count, accepted: accepted, write: s.settings.Deadline, idle: idleLimit}
 	stream := jsonrpc2.NewBufferedStream(w, codec{limit: limit})
 	return jsonrpc2.NewConn(context.Background(), stream, h, jsonrpc2.SetLogger(quiet), jsonrpc2.OnRecv(s.countLate))
 }
