internal/fleet/gossip: send the configuration compressed

Cause: at 590 entries the document has 127 kB.

Change: a fetch says that it reads gzip, and the answer is compressed once per version. The measurement of gossip spreads the document of its fleet size and counts these bytes against the budget.

--- a/internal/fleet/gossip/config.go
+++ b/internal/fleet/gossip/config.go
@@ -45,7 +45,7 @@
 func (s *Service) fetchFrom(ctx context.Context, l *link, version uint64) (bool, error) {
 	var answer configForm
 	s.count.fetched.Add(1)
-	if err := l.call(ctx, "config", versionForm{Version: version}, &answer); err != nil {
+	if err := l.call(ctx, "config", versionForm{Version: version, Packed: true}, &answer); err != nil {
 		s.count.failed.Add(1)
 		return false, err
 	}
@@ -58,14 +58,26 @@
 	if err != nil || len(hash) != 32 {
 		return false, fmt.Errorf("gossip: configuration %d of %s has no valid hash", answer.Version, l.address)
 	}
-	return s.deps.Holder.Adopt(answer.Version, [32]byte(hash), answer.Data)
+	data := answer.Data
+	if answer.Packed {
+		if data, err = unpack(data); err != nil {
+			return false, err
+		}
+	}
+	return s.deps.Holder.Adopt(answer.Version, [32]byte(hash), data)
 }
 
 // configuration answers a fetch with the version held, which may be newer than the one asked for.
-func (s *Service) configuration() configForm {
+func (s *Service) configuration(m versionForm) (configForm, error) {
 	version, hash, data := s.deps.Holder.Raw()
+	if m.Packed {
+		var err error
+		if data, err = s.packed.pack(hash, data); err != nil {
+			return configForm{}, err
+		}
+	}
 	s.count.bulk.Add(int64(len(data)) * 4 / 3) // base64 on the wire
-	return configForm{Version: version, Hash: hex.EncodeToString(hash[:]), Data: data}
+	return configForm{Version: version, Hash: hex.EncodeToString(hash[:]), Data: data, Packed: m.Packed}, nil
 }
 
 // Push tells peers of the held configuration version and returns how many answered.
--- a/internal/fleet/gossip/frame.go
+++ b/internal/fleet/gossip/frame.go
@@ -83,6 +83,7 @@
 // Counts are the totals of a service since its start.
 type Counts struct {
 	Sent, Received int64 // bytes on the wire
+	Bulk           int64 // bytes of configurations among those sent
 	Messages       int64 // messages sent
 	Late           int64 // answers that matched no open call
 	Refused        int64 // connections refused for a wrong key
@@ -99,7 +100,7 @@
 func (s *Service) Counts() Counts {
 	c := &s.count
 	return Counts{
-		Sent: c.sent.Load(), Received: c.received.Load(), Messages: c.messages.Load(),
+		Sent: c.sent.Load(), Received: c.received.Load(), Bulk: c.bulk.Load(), Messages: c.messages.Load(),
 		Late: c.late.Load(), Refused: c.refused.Load(), Stale: c.stale.Load(),
 		Silent: c.silent.Load(), Unknown: c.unknowns.Load(),
 		Fetched: c.fetched.Load(), Failed: c.failed.Load(), Dropped: c.dropped.Load(), Skipped: c.skipped.Load(),
--- a/internal/fleet/gossip/server.go
+++ b/internal/fleet/gossip/server.go
@@ -97,7 +97,7 @@
 	case "exchange":
 		return answer(r, func(m exchangeForm) (any, error) { return s.reply(x.peer, m), nil })
 	case "config":
-		return answer(r, func(versionForm) (any, error) { return s.configuration(), nil })
+		return answer(r, func(m versionForm) (any, error) { return s.configuration(m) })
 	case "push":
 		return answer(r, func(m versionForm) (any, error) { return s.pushed(x.peer, m), nil })
 	case "tickets":
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -18,6 +18,7 @@
 	count    counters
 	fetches  chan fetch
 	prompt   chan struct{}
+	packed   packer
 
 	mu     sync.Mutex
 	table  *member.Table
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -50,11 +50,13 @@
 	}
 	versionForm struct {
 		Version uint64 `json:"version"`
+		Packed  bool   `json:"packed,omitempty"` // the caller reads gzip
 	}
 	configForm struct {
 		Version uint64 `json:"version"`
 		Hash    string `json:"hash"`
 		Data    []byte `json:"data"`
+		Packed  bool   `json:"packed,omitempty"` // the data is in gzip; the hash is that of the plain form
 	}
 	ticketsForm struct {
 		Data []byte `json:"data"`
--- a/internal/measure/capacity/config.go
+++ b/internal/measure/capacity/config.go
@@ -50,8 +50,6 @@
 	}
 	out["adopt-µs"] = micros(took)
 	out["core-percent"] = 100 * DesignChanges * took.Seconds() / seconds
-	// A node fetches each change once and passes it on once on average, in base64.
-	out["sent-bytes/s"] = DesignChanges * float64(len(data)) * 4 / 3 / seconds
 	return out, change(ctx, data, out)
 }
 
--- a/internal/measure/capacity/fleet.go
+++ b/internal/measure/capacity/fleet.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"tamarackspool/internal/config/codec"
+	"tamarackspool/internal/config/document"
 	"tamarackspool/internal/fleet/gossip"
 	"tamarackspool/internal/fleet/member"
 	"tamarackspool/internal/record/event"
@@ -147,6 +149,7 @@
 	used := processor() - busy
 	sentAfter, messagesAfter := f.totals()
 	n, seconds := float64(len(f.entries)), window.Seconds()
+	out["exchange-bytes/s"] = float64(sentAfter-sent) / n / seconds
 	out["sent-bytes/s"] = float64(sentAfter-sent) / n / seconds
 	out["messages/s"] = float64(messagesAfter-messages) / n / seconds
 	out["core-percent"] = 100 * used.Seconds() / n / seconds
@@ -162,6 +165,15 @@
 	f.ages(out)
 }
 
+// bulk returns the bytes of configurations that all entries have sent.
+func (f *fleet) bulk() int64 {
+	var sum int64
+	for _, e := range f.entries {
+		sum += e.Counts().Bulk
+	}
+	return sum
+}
+
 func (f *fleet) totals() (sent, messages int64) {
 	for _, e := range f.entries {
 		c := e.Counts()
@@ -174,11 +186,14 @@
 // propagate measures how long new versions take from one entry to all; an entry not reached counts the whole wait.
 func (f *fleet) propagate(ctx context.Context, out map[string]float64) {
 	var times []float64
-	busy := processor()
+	busy, bulk := processor(), f.bulk()
 	for i := range versions {
 		times = append(times, f.spread(ctx, uint64(i+2))...)
 	}
 	out["change-core-ms"] = 1e3 * (processor() - busy).Seconds() / versions / float64(len(f.entries))
+	perChange := float64(f.bulk()-bulk) / versions / float64(len(f.entries))
+	out["sent-bytes/s"] += DesignChanges * perChange / seconds
+	out["change-bytes"] = perChange
 	slices.Sort(times)
 	out["propagation-p50-s"] = times[len(times)/2]
 	out["propagation-p99-s"] = times[len(times)*99/100]
@@ -194,7 +209,12 @@
 
 // spread gives one entry a new version and returns when each entry adopted it.
 func (f *fleet) spread(ctx context.Context, version uint64) []float64 {
-	data := make([]byte, 64<<10)
+	f0 := fields(len(f.entries))
+	f0.Version = version
+	data, err := codec.Encode(document.New(f0))
+	if err != nil {
+		return nil
+	}
 	start := time.Now()
 	first := f.entries[int(version)%len(f.entries)]
 	_, _ = first.holder.Adopt(version, sha256.Sum256(data), data)
