internal/fleet/gossip: ask peers for news of members that have been silent

Cause: the oldest news at 400 entries was 23 s old while the median was 2.7 s, and the time to a death has to stay above the oldest news.

Change: a message names up to 16 members that have been silent for half the time to suspicion, the longest silent first, and not only those that are suspect. The peer's answer starts with what it has heard of them, so that a member is asked after through many peers before it is called dead.

--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -144,14 +144,11 @@
 	return out
 }
 
+// doubts returns the members to ask for news of: those that have been silent for half the time to suspicion. A peer
+// answers with what it has heard first, so that a member is asked after through many peers before it is called dead.
 func (s *Service) doubts() []uint32 {
-	var out []uint32
-	for _, m := range s.table.Members() {
-		if m.State() == member.Suspect && len(out) < maxDoubts {
-			out = append(out, m.Digest())
-		}
-	}
-	return out
+	age := max(member.SuspectFloor, member.SuspectIntervals*s.pace.refresh(s.table.Size())) / 2
+	return s.table.Oldest(s.deps.Now(), age, maxDoubts)
 }
 
 func (s *Service) loansFor(peer string) []loanForm {
--- a/internal/fleet/gossip/settings.go
+++ b/internal/fleet/gossip/settings.go
@@ -18,7 +18,7 @@
 	DefaultBeats    = 64
 
 	maxMembers  = 16 // full records in a message (docs/design.md, section 6)
-	maxDoubts   = 8
+	maxDoubts   = 16 // members to ask for news of in a message
 	maxPeers    = 16 // peers that a new entry asks
 	fanout      = 4  // peers that a new version is pushed to
 	watchers    = 3
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -160,6 +160,23 @@
 	return all
 }
 
+// Oldest returns the digests of up to n members whose last news is older than the age, the oldest first. Those who are
+// dead or leave are left out.
+func (t *Table) Oldest(now time.Time, age time.Duration, n int) []uint32 {
+	var old []*record
+	for _, r := range t.sorted {
+		if r != t.self && r.m.Live() && now.Sub(r.heard) > age {
+			old = append(old, r)
+		}
+	}
+	slices.SortStableFunc(old, func(a, b *record) int { return a.heard.Compare(b.heard) })
+	out := make([]uint32, 0, min(n, len(old)))
+	for _, r := range old[:min(n, len(old))] {
+		out = append(out, r.digest)
+	}
+	return out
+}
+
 // Size returns the number of known members, dead ones included.
 func (t *Table) Size() int { return len(t.records) }
 
--- a/internal/fleet/member/table_test.go
+++ b/internal/fleet/member/table_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -129,3 +130,22 @@
 		t.Errorf("watchers = %v", got)
 	}
 }
+
+// Guards against members that are not asked after before they are called dead, and against questions about those that
+// have stopped or were just heard of.
+func TestOldestNamesTheLongestSilent(t *testing.T) {
+	gone := member.New(member.Fields{Name: "gone", Incarnation: [16]byte{4}, Sequence: 1, State: member.Leaving})
+	first, second := entry("first", 1, 0, 1), entry("second", 2, 0, 1)
+	table := member.NewTable(start, entry("self", 5, 0, 0))
+	table.Merge(start, []member.Member{first, gone})
+	table.Merge(start.Add(time.Second), []member.Member{second})
+	table.Merge(start.Add(2*time.Second), []member.Member{entry("third", 3, 0, 1)})
+	now := start.Add(3 * time.Second)
+	want := []uint32{first.Digest(), second.Digest()}
+	if got := table.Oldest(now, time.Second, 5); !slices.Equal(got, want) {
+		t.Errorf("digests %v, want %v", got, want)
+	}
+	if got := table.Oldest(now, time.Second, 1); !slices.Equal(got, want[:1]) {
+		t.Errorf("digests %v, want %v", got, want[:1])
+	}
+}
