internal/fleet/gossip: let the rate of answers forget a start

Cause: the mean rate of answers covered 20 rounds. The records of a start stayed in it and held the interval at 400 entries at 1.12 s (longest 2.63 s) with 2,700 of 4,096 bytes/s in use.

Change: the mean covers 4 s; requests keep at least 35 % of the planned bytes instead of 25 %; 85 % of the budget is planned instead of 90 %, because the sum over all roles has to stay below it.

--- a/internal/fleet/gossip/pace.go
+++ b/internal/fleet/gossip/pace.go
@@ -6,12 +6,15 @@
 const (
 	// smoothing is the weight of the newest round in the mean of bytes per round.
 	smoothing = 0.05
+	// rateMemory is the time that the mean rate of answers covers. Were it a number of rounds, the records of a start
+	// would count for a minute in a large fleet, where rounds are long.
+	rateMemory = 4 * time.Second
 	// usable is the part of the budget that is planned; the rest is kept free for greetings and records.
-	usable = 0.9
+	usable = 0.85
 	// answerShare is the part of the budget that answers may take.
 	answerShare = 0.5
 	// leastAsked is the part of the planned budget that requests keep when answers need more than the rest.
-	leastAsked = 0.25
+	leastAsked = 0.35
 	// answerBurst is how much of unused answer budget is kept, in seconds.
 	answerBurst = 2
 	// rowBytes is the usual size of a heartbeat in a message.
@@ -59,7 +62,7 @@
 	if n := t.answers - p.last.answers; n > 0 {
 		p.answered += smoothing * (float64(t.answered-p.last.answered)/float64(n) - p.answered)
 	}
-	p.rate += smoothing * (float64(t.answered-p.last.answered)/p.interval.Seconds() - p.rate)
+	p.rate += min(0.5, p.interval.Seconds()/rateMemory.Seconds()) * (float64(t.answered-p.last.answered)/p.interval.Seconds() - p.rate)
 	p.last = t
 	// The means start at zero, so that the greetings of a start do not lengthen the first intervals.
 	planned := usable * p.budget
