internal/fleet/member: rank the watchers without copying the members

Cause: an entry asks at each tick whether it watches the store, and each time copied all members and hashed all names.

Change: the table keeps the rank of each name and finds the best three in one pass; gossip asks the table.

--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -147,7 +147,11 @@
 }
 
 // Watchers returns the entries that watch the configuration in the store, as far as this entry knows.
-func (s *Service) Watchers() []string { return member.Watchers(s.Members(), watchers) }
+func (s *Service) Watchers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Watchers(watchers)
+}
 
 // Interval returns the present time between two exchanges.
 func (s *Service) Interval() time.Duration {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -127,34 +127,3 @@
 	}
 	return bytes.Compare(a.f.Incarnation[:], b.f.Incarnation[:])
 }
-
-// Watchers returns the names of the n live members that watch the configuration, by rendezvous rank.
-func Watchers(members []Member, n int) []string {
-	best := make([]ranked, 0, n+1)
-	for i := range members {
-		if m := &members[i]; m.Live() {
-			r := ranked{m.f.Name, xxhash.Sum64String("config/head\x00" + m.f.Name)}
-			at, _ := slices.BinarySearchFunc(best, r, ranked.compare)
-			if at < n {
-				best = slices.Insert(best, at, r)
-				best = best[:min(n, len(best))]
-			}
-		}
-	}
-	names := make([]string, len(best))
-	for i, r := range best {
-		names[i] = r.name
-	}
-	return names
-}
-
-// ranked is a member's place among the watchers.
-type ranked struct {
-	name string
-	rank uint64
-}
-
-// compare puts the highest rank first.
-func (r ranked) compare(o ranked) int {
-	return cmp.Or(cmp.Compare(o.rank, r.rank), cmp.Compare(r.name, o.name))
-}
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -44,6 +44,7 @@
 	digest uint32
 	heard  time.Time
 	rooms  []Room
+	rank   uint64 // place among the watchers, which depends on the name alone
 }
 
 type stopped struct {
@@ -97,7 +98,7 @@
 	name := m.f.Name
 	r := t.records[name]
 	if r == nil {
-		r = &record{}
+		r = &record{rank: rankOf(name)}
 		t.records[name] = r
 		i, _ := t.place(name)
 		t.sorted = slices.Insert(t.sorted, i, r)
--- a/internal/fleet/member/table_test.go
+++ b/internal/fleet/member/table_test.go
@@ -149,3 +149,15 @@
 		t.Errorf("digests %v, want %v", got, want[:1])
 	}
 }
+
+// Guards against entries that disagree about the watchers, because one ranks its table and another a list of members.
+func TestWatchersOfTableAndListAgree(t *testing.T) {
+	table := member.NewTable(start, entry("self", 1, 0, 1))
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		table.Merge(start, []member.Member{entry(name, 1, 0, 1)})
+		all := table.Watchers(100)
+		if got := table.Watchers(3); !slices.Equal(got, all[:min(3, len(all))]) || !slices.Equal(got, member.Watchers(table.Members(), 3)) {
+			t.Errorf("%v of the table, %v of the list, ranks %v", got, member.Watchers(table.Members(), 3), all)
+		}
+	}
+}
--- a/internal/measure/capacity/steer.go
+++ b/internal/measure/capacity/steer.go
@@ -54,8 +54,8 @@
 	return out, nil
 }
 
-// reads returns what a tick reads from the membership before the systems run: all members for the input and once more
-// for the rank among the watchers, and all free slots.
+// reads returns what a tick reads from the membership before the systems run: all members and free slots for the
+// input, and the rank among the watchers.
 func reads(size int) func() {
 	now := time.Now()
 	all := members(size)
@@ -72,6 +72,6 @@
 		for _, r := range t.Rooms() {
 			in.Rooms = append(in.Rooms, table.Room{Entry: r.Entry(), Service: r.Service(), Free: r.Free(), At: r.At()})
 		}
-		member.Watchers(t.Members(), watchers)
+		t.Watchers(watchers)
 	}
 }
