--- a/internal/fleet/gossip/run.go
+++ b/internal/fleet/gossip/run.go
@@ -36,11 +36,13 @@
 		}
 		interval, peers := s.round()
 		for _, address := range peers {
-			group.TryGo(func() error {
+			if !group.TryGo(func() error {
 				// A peer that fails is in backoff and shows in the membership; the round goes on.
 				_ = s.exchange(ctx, s.link(address), false)
 				return nil
-			})
+			}) {
+				s.count.skipped.Add(1)
+			}
 		}
 		timer.Reset(interval)
 	}
@@ -86,7 +88,7 @@
 			peers = append(peers, m.Peer())
 		}
 	}
-	s.pace.update(s.count.sent.Load()-s.count.bulk.Load(), len(s.table.Members()))
+	s.pace.update(s.traffic(), s.table.Size())
 	interval := s.pace.interval
 	regions := s.regions()
 	s.mu.Unlock()
@@ -98,6 +100,14 @@
 	return interval, peers
 }
 
+// traffic returns the totals of bytes that count against the budget; configurations are excepted.
+func (s *Service) traffic() traffic {
+	answered := s.count.answered.Load()
+	return traffic{
+		asked: s.count.sent.Load() - answered, answered: answered - s.count.bulk.Load(), answers: s.count.answers.Load(),
+	}
+}
+
 // unused removes the links to addresses that no known member has any more and returns them.
 func (s *Service) unused() []*link {
 	if s.turn%renewEvery != 0 {
