internal/entry/node, internal/standin: add switches that scenarios need

Cause: a test could neither pause an entry, nor place clients in a region, nor restart a target, nor let the store go down right after a write took effect. The caller stand-in also called an order not run when its last attempt was not sent, although an earlier attempt might have run; the comparison of the records then reported a broken P4 that no entry had caused. Change: node.Dependencies.Hold is called before each tick and may block. network.Place has an address from which connections start, and Network.Move leads an address to another port. store.FallAfter loses the answer of a write and takes the store down. target.Cool empties the cache. A caller has spare addresses for look-ups and may choose order keys itself; an attempt that was not sent keeps may-have-run when an earlier one may have run. Conclusion: the product is unchanged but for the hook, which does nothing by default.

--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -39,6 +39,8 @@
 type Dependencies struct {
 	Dial   Dial // Dial opens all connections of the node; nil means a plain dialer.
 	Events *event.Log
+	// Hold is called before each tick and may block, as a pause of the process does; nil means that nothing holds ticks.
+	Hold func(ctx context.Context)
 }
 
 // Node is one run of an entry. Run is called once; the other methods are safe for concurrent use.
@@ -92,6 +94,9 @@
 	if d.Dial == nil {
 		d.Dial = (&net.Dialer{Timeout: dialTime}).DialContext
 	}
+	if d.Hold == nil {
+		d.Hold = func(context.Context) {}
+	}
 	n := &Node{
 		s: s, d: d, metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
 		reports: newReports(), push: make(chan struct{}, 1), drained: make(chan struct{}),
--- a/internal/entry/node/tick.go
+++ b/internal/entry/node/tick.go
@@ -31,7 +31,10 @@
 // ticking runs the steering systems at each tick until ctx ends.
 func (n *Node) ticking(ctx context.Context) {
 	n.step(time.Now())
-	every(ctx, tick, func() { n.step(time.Now()) })
+	every(ctx, tick, func() {
+		n.d.Hold(ctx)
+		n.step(time.Now())
+	})
 }
 
 // step computes and publishes one snapshot.
--- a/internal/standin/caller/directory.go
+++ b/internal/standin/caller/directory.go
@@ -34,6 +34,7 @@
 	http   *http.Client
 	client string
 	seeds  []string
+	spare  []string
 	mu     sync.Mutex
 	cached map[string]cachedAnswer
 	broken map[string]time.Time // broken holds addresses that failed and until when they are passed over.
@@ -47,8 +48,8 @@
 	until   time.Time
 }
 
-func newDirectory(c *http.Client, client string, seeds []string) *directory {
-	return &directory{http: c, client: client, seeds: seeds, cached: make(map[string]cachedAnswer), broken: make(map[string]time.Time)}
+func newDirectory(c *http.Client, client string, seeds, spare []string) *directory {
+	return &directory{http: c, client: client, seeds: seeds, spare: spare, cached: make(map[string]cachedAnswer), broken: make(map[string]time.Time)}
 }
 
 // entries returns the entries for the service from the cache or from a new look-up.
@@ -75,7 +76,7 @@
 	return nil, fmt.Errorf("caller: no look-up for %s: %w", service, last)
 }
 
-// candidates returns the addresses to ask: those of the last answer, then the seeds, each from a random start.
+// candidates returns the addresses to ask: those of the last answer, then the seeds, each from a random start, then the spare ones.
 func (d *directory) candidates(known []entry, draw int) []string {
 	var all []string
 	for _, e := range known {
@@ -87,7 +88,7 @@
 			all = append(all, s)
 		}
 	}
-	return all
+	return append(all, d.spare...)
 }
 
 func (d *directory) ask(ctx context.Context, address, service string) (answer, error) {
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,9 @@
 			continue
 		}
 		e := c.directory.pick(entries, first+i)
+		if l.Kind == Order && l.Own {
+			key = "own-" + r.ID
+		}
 		if l.Kind == Order && key == "" {
 			if key, err = c.tickets.next(ctx, e.Address, l.Service); err != nil {
 				continue
@@ -42,6 +46,10 @@
 			id = fmt.Sprintf("%s.%d", r.ID, i)
 		}
 		t, after := c.attempt(ctx, &r, l, e, Try{ID: id, Key: key})
+		if t.Reason == "unreached" && l.Kind == Order && uncertain(r.Tries) {
+			// This attempt was not sent, but nobody knows whether the order has run before.
+			t.Verdict = "may-have-run"
+		}
 		r.Tries = append(r.Tries, t)
 		if t.Verdict == "ran" || ctx.Err() != nil || (t.Verdict != "not-run" && l.Kind == Upload) || !again(t) {
 			break
@@ -58,6 +66,11 @@
 	return r
 }
 
+// uncertain reports whether one of the attempts may have run.
+func uncertain(tries []Try) bool {
+	return slices.ContainsFunc(tries, func(t Try) bool { return t.Verdict == "may-have-run" })
+}
+
 // again reports whether another attempt can help; bad input stays bad.
 func again(t Try) bool {
 	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests
--- a/internal/standin/caller/settings.go
+++ b/internal/standin/caller/settings.go
@@ -25,6 +25,7 @@
 	Body    int           // Body is the size of the request body in bytes.
 	Answer  int           // Answer is the size of the response body that is asked for, in bytes.
 	Work    time.Duration // Work is how long the target is asked to run the request; 0 leaves it to the target.
+	Own     bool          // Own makes the caller choose the keys of orders itself; otherwise they are tickets.
 	Timeout time.Duration // Timeout is the deadline of one attempt.
 }
 
@@ -35,6 +36,7 @@
 	Secret  string // Secret is the tenant's key, or empty.
 	Client  string // Client is the client address named in look-ups, or empty.
 	Entries []string
+	Spare   []string // Spare are addresses for look-ups when none of Entries answers.
 	Loads   []Load
 	Seed    uint64
 	Tries   int // Tries is the most attempts per request.
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -23,6 +23,7 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	places map[string]Place
+	moves  map[string]string // moves are the addresses to which dials of others go.
 	cuts   map[Pair]bool
 	links  map[Pair]*link
 	conns  map[*conn]struct{}
@@ -36,6 +37,7 @@
 		s:      s,
 		random: rand.New(rand.NewPCG(s.Seed, 0x6e6574)),
 		places: make(map[string]Place),
+		moves:  make(map[string]string),
 		cuts:   make(map[Pair]bool),
 		links:  make(map[Pair]*link),
 		conns:  make(map[*conn]struct{}),
@@ -49,6 +51,13 @@
 	n.places[address] = p
 }
 
+// Move makes dials of the address go to another one, where its process listens now.
+func (n *Network) Move(address, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.moves[address] = to
+}
+
 // Dialer returns a dial function for connections that start at p.
 func (n *Network) Dialer(p Place) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -60,6 +69,9 @@
 	n.mu.Lock()
 	to, known := n.places[address]
 	cut := n.cutBetween(from, to)
+	if moved, ok := n.moves[address]; ok {
+		address = moved
+	}
 	n.mu.Unlock()
 	if !known {
 		to = from
@@ -75,6 +87,9 @@
 		return nil, err
 	}
 	var d net.Dialer
+	if from.Address.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: from.Address.AsSlice()}
+	}
 	c, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
--- a/internal/standin/network/place.go
+++ b/internal/standin/network/place.go
@@ -1,12 +1,17 @@
 package network
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Place is where a process runs.
 type Place struct {
 	Name   string // Name identifies the process.
 	Zone   string // Zone is the availability zone, or empty for a client.
 	Region string // Region is the region, or for a client the region it is nearest to.
+	// Address is the loopback address from which connections start; the zero value leaves it to the system.
+	Address netip.Addr
 }
 
 // client reports whether the place lies outside the regions' own network.
--- a/internal/standin/store/fault.go
+++ b/internal/standin/store/fault.go
@@ -12,6 +12,7 @@
 	delay   time.Duration
 	lost    int
 	prefix  string
+	fall    bool // fall takes the store down with the next lost answer.
 	silent  bool
 	restart chan struct{} // closed and replaced at each restart
 }
@@ -40,6 +41,13 @@
 	s.faults.lost, s.faults.prefix = n, prefix
 }
 
+// FallAfter loses the answer of the next write whose key begins with prefix and takes the store down with it.
+func (s *Server) FallAfter(prefix string) {
+	s.faults.mu.Lock()
+	defer s.faults.mu.Unlock()
+	s.faults.lost, s.faults.prefix, s.faults.fall = 1, prefix, true
+}
+
 // SetSilent makes watches wait without ever answering, not even at the end of their poll.
 func (s *Server) SetSilent(on bool) {
 	s.faults.mu.Lock()
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -192,7 +192,14 @@
 	if lost {
 		s.faults.lost--
 	}
+	fall := lost && s.faults.fall
+	if fall {
+		s.faults.fall = false
+	}
 	s.faults.mu.Unlock()
+	if fall {
+		s.SetDown(true)
+	}
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -57,6 +57,13 @@
 	t.drain = on
 }
 
+// Cool empties the cache: the next requests take as long as the first ones did.
+func (t *Target) Cool() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served = 0
+}
+
 // Busy returns the number of requests that hold a slot.
 func (t *Target) Busy() int {
 	t.mu.Lock()
