internal/demo/deployment: let tests control a small running deployment

Cause: Run plays one fixed script; scenarios need to start, act and check step by step. The demo's own run shares the parts and the check of link and region use. Conclusion: scenarios use the same parts and checks as the demo.

--- a/internal/demo/deployment/document.go
+++ b/internal/demo/deployment/document.go
@@ -47,7 +47,7 @@
 
 // document returns the encoded configuration with the addresses of the targets by name.
 func (p plan) document(addresses map[string]netip.AddrPort) ([]byte, error) {
-	f := document.Fields{Version: 1}
+	f := document.Fields{Version: 1, Blocks: p.clientBlocks()}
 	for _, s := range p.services {
 		f.Services = append(f.Services, document.NewService(document.ServiceFields{
 			Name: s.name, Once: s.once, Priority: s.rank, Timeout: timeout, Ceiling: 10 * timeout,
@@ -61,7 +61,7 @@
 		}
 		for _, z := range zoneNames(r) {
 			f.Zones = append(f.Zones, document.NewZone(z, r))
-			for _, e := range entryNames(z) {
+			for _, e := range p.entryNames(z) {
 				f.Entries = append(f.Entries, document.NewEntry(document.EntryFields{Name: e, Zone: z}))
 			}
 		}
--- a/internal/demo/deployment/fault.go
+++ b/internal/demo/deployment/fault.go
@@ -89,7 +89,7 @@
 
 // visit sends a read to a target directly.
 func (w *world) visit(ctx context.Context, m *machine, id string) error {
-	url := fmt.Sprintf("http://%s/read/%s?size=1", m.listen.Addr(), id)
+	url := fmt.Sprintf("http://%s/read/%s?size=1", m.address, id)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
--- a/internal/demo/deployment/machine.go
+++ b/internal/demo/deployment/machine.go
@@ -32,12 +32,14 @@
 type machine struct {
 	spot   spot
 	region string
-	target *target.Target
-	fault  atomic.Pointer[Fault]
-	server *http.Server
-	listen net.Listener
-	mu     sync.Mutex
-	stays  []promise.Run
+	// address is where the configuration says that the target listens.
+	address string
+	target  *target.Target
+	fault   atomic.Pointer[Fault]
+	mu      sync.Mutex
+	server  *http.Server
+	listen  net.Listener
+	stays   []promise.Run
 }
 
 func newMachine(s spot, region string, seed uint64) (*machine, error) {
@@ -45,7 +47,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("deployment: %s: %w", s.name, err)
 	}
-	m := &machine{spot: s, region: region, listen: l, target: target.New(target.Settings{
+	m := &machine{spot: s, region: region, address: l.Addr().String(), listen: l, target: target.New(target.Settings{
 		Name: s.name, Slots: s.service.slots, Seed: seed, Mean: s.service.work, Spread: spread,
 		Cold: coldRequests, Chill: chill, Open: connectCost,
 	})}
@@ -55,9 +57,12 @@
 
 // serve answers until ctx ends.
 func (m *machine) serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = m.server.Close() })
+	m.mu.Lock()
+	server, listen := m.server, m.listen
+	m.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := m.server.Serve(m.listen); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listen); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/demo/deployment/people.go
+++ b/internal/demo/deployment/people.go
@@ -43,7 +43,7 @@
 func (w *world) calls(region string) []string {
 	var all []string
 	for _, z := range zoneNames(region) {
-		for _, e := range entryNames(z) {
+		for _, e := range w.plan.entryNames(z) {
 			call, _, _, _ := w.site(e).node.Addresses()
 			all = append(all, call)
 		}
--- a/internal/demo/deployment/plan.go
+++ b/internal/demo/deployment/plan.go
@@ -18,6 +18,8 @@
 	rate     int64 // rate is the limit of each link in bytes per second each way.
 	services []servicePlan
 	tenants  []string
+	blocks   bool // blocks gives the clients of each region addresses of their own and a client block.
+	perZone  int  // perZone is the number of entries in each availability zone.
 }
 
 // servicePlan describes a service, its targets and the traffic to it.
@@ -33,7 +35,7 @@
 	hot     float64       // hot multiplies the traffic of the second region, so that it spills.
 }
 
-// perZone is the number of entries in each availability zone.
+// perZone is the number of entries in each availability zone of the demo.
 const perZone = 2
 
 // timeout is the deadline of the demo's requests.
@@ -49,7 +51,7 @@
 	return plan{
 		name: "letters", regions: []string{"marmara", "ege", "anadolu"}, store: "marmara",
 		zones: 3 * time.Millisecond, between: 35 * time.Millisecond, clients: time.Millisecond,
-		rate: 4_000_000_000 / 8, tenants: []string{"parents", "teachers"},
+		rate: 4_000_000_000 / 8, tenants: []string{"parents", "teachers"}, perZone: perZone,
 		services: []servicePlan{
 			{
 				name: "status", rank: 0, targets: 14, slots: 6, work: 20 * time.Millisecond, shift: 40, hot: 1,
@@ -75,7 +77,7 @@
 	return plan{
 		name: "cartridge", regions: []string{"pl-central", "pl-south", "pl-north"}, store: "pl-central",
 		zones: 5 * time.Millisecond, between: 12 * time.Millisecond, clients: 8 * time.Millisecond,
-		rate: 280_000_000 / 8, tenants: []string{"rura", "zawor"},
+		rate: 280_000_000 / 8, tenants: []string{"rura", "zawor"}, perZone: perZone,
 		services: []servicePlan{
 			{
 				name: "search", rank: 0, targets: 14, slots: 3, work: 20 * time.Millisecond, shift: 40, hot: 1,
@@ -124,9 +126,9 @@
 }
 
 // entryNames returns the names of the entries of a zone.
-func entryNames(zone string) []string {
+func (p plan) entryNames(zone string) []string {
 	var names []string
-	for i := range perZone {
+	for i := range p.perZone {
 		names = append(names, fmt.Sprintf("%s-%d", zone, i+1))
 	}
 	return names
--- a/internal/demo/deployment/run.go
+++ b/internal/demo/deployment/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"tamarackspool/internal/demo/promise"
@@ -26,7 +27,7 @@
 		return Summary{}, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	w := newWorld(s)
+	w := newWorld(s, plans()[s.Deployment])
 	defer func() {
 		cancel()
 		w.close()
@@ -131,13 +132,18 @@
 		l.Breach(promise.Versions, "%s", text)
 	}
 	s := w.summary(records, runs, stays, n)
-	for _, u := range append(s.Links, s.Regions...) {
+	w.usage(l, stays)
+	s.Broken = l.Breaches()
+	return s
+}
+
+// usage compares the peak use of the links and regions with their limits.
+func (w *world) usage(l *promise.Ledger, stays []promise.Run) {
+	for _, u := range slices.Concat(w.linkUse(), w.regionUse(stays)) {
 		if u.Peak > u.Limit*usageSlack {
 			l.Breach(promise.Link, "%s: peak %.0f %s above the limit of %.0f", u.Name, u.Peak, u.Unit, u.Limit)
 		}
 	}
-	s.Broken = l.Breaches()
-	return s
 }
 
 // usageSlack allows for the bytes of gossip and headers, which are not charged to the link.
--- a/internal/demo/deployment/script.go
+++ b/internal/demo/deployment/script.go
@@ -112,7 +112,7 @@
 
 // patch changes the cap of the first service and waits until every entry has the change.
 func (w *world) patch(ctx context.Context, n *notes) error {
-	entry := entryNames(zoneNames(w.plan.regions[2])[0])[0]
+	entry := w.plan.entryNames(zoneNames(w.plan.regions[2])[0])[0]
 	begin := time.Now()
 	version, err := w.operate(ctx, entry, "/patch", map[string]any{
 		"base": w.site(entry).node.Version(), "id": "demo-patch", "who": "demo", "why": "more room for shifts",
@@ -156,7 +156,7 @@
 			break
 		}
 	}
-	entry := entryNames(zoneNames(w.plan.regions[0])[0])[0]
+	entry := w.plan.entryNames(zoneNames(w.plan.regions[0])[0])[0]
 	n.drainStart = time.Now()
 	_, err := w.operate(ctx, entry, "/drain", map[string]any{
 		"id": "demo-drain", "who": "demo", "why": "maintenance", "name": "maintenance", "targets": []string{n.drained},
@@ -167,7 +167,7 @@
 // lose kills an entry and starts its replacement, which has empty memory.
 func (w *world) lose(ctx context.Context, n *notes) error {
 	zone := zoneNames(w.plan.regions[1])[1]
-	n.lost = entryNames(zone)[0]
+	n.lost = w.plan.entryNames(zone)[0]
 	w.site(n.lost).kill()
 	w.list.Remove(n.lost)
 	wait(ctx, replaceAfter)
@@ -178,7 +178,7 @@
 // stop shuts an entry down gracefully and starts its replacement.
 func (w *world) stop(ctx context.Context, n *notes) error {
 	zone := zoneNames(w.plan.regions[0])[1]
-	n.stopped = entryNames(zone)[1]
+	n.stopped = w.plan.entryNames(zone)[1]
 	s := w.site(n.stopped)
 	n.stopStart = time.Now()
 	w.list.Set(n.stopped, true)
--- a/internal/demo/deployment/site.go
+++ b/internal/demo/deployment/site.go
@@ -28,6 +28,7 @@
 	name, zone, region string
 	node               *node.Node
 	cancel             context.CancelFunc
+	pause              *pause
 	done               chan struct{}
 	err                error
 }
@@ -46,7 +47,8 @@
 		return nil, err
 	}
 	place := network.Place{Name: name, Zone: zone, Region: region}
-	n, err := node.New(ctx, checked, node.Dependencies{Dial: w.network.Dialer(place), Events: event.New(log.With(w.logger, "by", name))})
+	held := newPause()
+	n, err := node.New(ctx, checked, node.Dependencies{Dial: w.network.Dialer(place), Events: event.New(log.With(w.logger, "by", name)), Hold: held.hold})
 	if err != nil {
 		return nil, fmt.Errorf("deployment: %w", err)
 	}
@@ -56,7 +58,7 @@
 	}
 	w.list.Set(name, false)
 	run, cancel := context.WithCancel(ctx)
-	s := &site{name: name, zone: zone, region: region, node: n, cancel: cancel, done: make(chan struct{})}
+	s := &site{name: name, zone: zone, region: region, node: n, cancel: cancel, pause: held, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		s.err = n.Run(run)
@@ -86,3 +88,13 @@
 	}
 	return all
 }
+
+// running reports whether the process has not ended.
+func (s *site) running() bool {
+	select {
+	case <-s.done:
+		return false
+	default:
+		return true
+	}
+}
--- a/internal/demo/deployment/summary.go
+++ b/internal/demo/deployment/summary.go
@@ -75,17 +75,30 @@
 			s.Services = append(s.Services, one)
 		}
 	}
+	s.Links, s.Regions = w.linkUse(), w.regionUse(stays)
+	s.Drain = drainOf(stays, n)
+	s.Twice = promise.Twice(records, runs)
+	return s
+}
+
+// linkUse returns the peak use of each link direction, by name.
+func (w *world) linkUse() []Usage {
+	var all []Usage
 	for pair, u := range w.network.Uses() {
-		s.Links = append(s.Links, Usage{pair.From + " to " + pair.To, "MB/s", u.Peak / 1e6, w.linkLimit() / 1e6})
+		all = append(all, Usage{pair.From + " to " + pair.To, "MB/s", u.Peak / 1e6, w.linkLimit() / 1e6})
 	}
+	slices.SortFunc(all, func(a, b Usage) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// regionUse returns the peak use of each region.
+func (w *world) regionUse(stays []promise.Run) []Usage {
+	var all []Usage
 	peaks := promise.Peaks(stays)
 	for _, r := range w.plan.regions {
-		s.Regions = append(s.Regions, Usage{r, "requests", float64(peaks[r]), float64(w.plan.limit(r))})
+		all = append(all, Usage{r, "requests", float64(peaks[r]), float64(w.plan.limit(r))})
 	}
-	slices.SortFunc(s.Links, func(a, b Usage) int { return cmp.Compare(a.Name, b.Name) })
-	s.Drain = drainOf(stays, n)
-	s.Twice = promise.Twice(records, runs)
-	return s
+	return all
 }
 
 func service(c *caller.Summary) Service {
--- a/internal/demo/deployment/world.go
+++ b/internal/demo/deployment/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"tamarackspool/internal/config/codec"
 	"tamarackspool/internal/config/history"
 	storeclient "tamarackspool/internal/platform/store"
 	"tamarackspool/internal/standin/network"
@@ -33,6 +34,7 @@
 	plan      plan
 	network   *network.Network
 	list      *roster.Server
+	values    *store.Server
 	storeURL  string
 	rosterURL string
 	history   *history.History
@@ -44,8 +46,7 @@
 	failed    error
 }
 
-func newWorld(s Settings) *world {
-	p := plans()[s.Deployment]
+func newWorld(s Settings, p plan) *world {
 	rates := make(map[network.Pair]float64)
 	for _, a := range p.regions {
 		for _, b := range p.regions {
@@ -63,6 +64,7 @@
 		network: network.New(network.Settings{
 			Zones: p.zones, Regions: p.between, Clients: p.clients, Jitter: 0.3, Loss: 0.002, Rates: rates, Seed: s.Seed,
 		}),
+		values:   store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites}),
 		list:     roster.New(listLag, nil),
 		machines: make(map[string]*machine),
 		sites:    make(map[string]*site),
@@ -93,12 +95,16 @@
 		return err
 	}
 	w.history = history.New(history.Settings{Store: storeclient.New(w.storeURL, storeKey, http.DefaultClient)})
-	if _, err := w.history.Create(ctx, data, nil); err != nil {
+	blocks, err := codec.EncodeBlocks(w.plan.clientBlocks())
+	if err != nil {
+		return err
+	}
+	if _, err := w.history.Create(ctx, data, blocks); err != nil {
 		return fmt.Errorf("deployment: %w", err)
 	}
 	for _, r := range w.plan.regions {
 		for _, z := range zoneNames(r) {
-			for _, e := range entryNames(z) {
+			for _, e := range w.plan.entryNames(z) {
 				if _, err := w.boot(ctx, e, z); err != nil {
 					return err
 				}
@@ -109,7 +115,7 @@
 }
 
 func (w *world) startPlatform(ctx context.Context) error {
-	runner, err := store.Listen(ctx, "127.0.0.1:0", store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites}))
+	runner, err := store.Listen(ctx, "127.0.0.1:0", w.values)
 	if err != nil {
 		return fmt.Errorf("deployment: %w", err)
 	}
