internal/demo/scenario: run scripted scenarios with testscript

Cause: the faults that the design names were tested part by part, not against a whole deployment. Conclusion: store outage, operators, repeated orders, planned stop, lost and parted regions, silent connections, a paused entry, drain and false reports are covered.

--- /dev/null
+++ b/internal/demo/scenario/check.go
@@ -0,0 +1,141 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"tamarackspool/internal/demo/promise"
+)
+
+// check compares the records of callers, targets and the store.
+func (s *stage) check(_ io.Writer, args []string) error {
+	if len(args) == 0 {
+		return errUsage
+	}
+	switch {
+	case args[0] == "promises":
+		return s.checkPromises(args[1:])
+	case args[0] == "agree" && len(args) == 1:
+		return s.checkAgree()
+	case args[0] == "audit" && len(args) == 3:
+		last, err := strconv.ParseUint(args[2], 10, 64)
+		if err != nil {
+			return errUsage
+		}
+		return s.checkAudit(args[1], last)
+	}
+	return errUsage
+}
+
+// checkPromises ends all loads and finds breaches of the promises whose names
+// begin with one of the prefixes. Without prefixes it finds breaches of all but
+// P1, whose check needs callers that stay with the entries of their home region.
+func (s *stage) checkPromises(prefixes []string) error {
+	s.live.Unload()
+	var broken []string
+	for _, b := range s.live.Judge(slices.Contains(prefixes, "P1")) {
+		if len(prefixes) == 0 || slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(b.Promise, p) }) {
+			broken = append(broken, describe(b))
+		}
+	}
+	if len(broken) > 0 {
+		return fmt.Errorf("scenario: broken: %s", strings.Join(broken, "; "))
+	}
+	return nil
+}
+
+func describe(b promise.Breach) string {
+	return fmt.Sprintf("%s, %d times: %s", b.Promise, b.Count, b.Example)
+}
+
+// checkAgree requires that all running entries have the same version and content.
+func (s *stage) checkAgree() error {
+	held := make(map[string][]string)
+	for _, e := range s.live.Entries() {
+		base, err := s.admin(e)
+		if err != nil {
+			return err
+		}
+		resp, err := s.fetch(base + "/config")
+		if err != nil {
+			return err
+		}
+		held[resp] = append(held[resp], e)
+	}
+	if len(held) != 1 {
+		return fmt.Errorf("scenario: entries hold %d different configurations", len(held))
+	}
+	return nil
+}
+
+// fetch reads a resource of an operators' API.
+func (s *stage) fetch(url string) (string, error) {
+	req, err := http.NewRequestWithContext(s.live.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.live.Token())
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("scenario: %s answered %d: %s", url, resp.StatusCode, data)
+	}
+	return string(data), err
+}
+
+// Record is a record of the audit trail.
+type Record struct {
+	Version uint64 `json:"version"`
+	ID      string `json:"id"`
+}
+
+// checkAudit requires one record for each version from 2 to the last.
+func (s *stage) checkAudit(entry string, last uint64) error {
+	base, err := s.admin(entry)
+	if err != nil {
+		return err
+	}
+	text, err := s.fetch(base + "/audit")
+	if err != nil {
+		return err
+	}
+	var trail struct {
+		Audit []Record `json:"audit"`
+	}
+	if err := json.Unmarshal([]byte(text), &trail); err != nil {
+		return err
+	}
+	return Trail(trail.Audit, last)
+}
+
+// Trail returns an error unless the records hold each version from 2 to the
+// last exactly once and each change's id exactly once. Version 1 is the first
+// configuration, which no patch made.
+func Trail(records []Record, last uint64) error {
+	versions, ids := make(map[uint64]int), make(map[string]int)
+	for _, r := range records {
+		versions[r.Version]++
+		ids[r.ID]++
+		if ids[r.ID] > 1 {
+			return fmt.Errorf("scenario: the change %q stands in the audit trail twice", r.ID)
+		}
+		if r.Version > last {
+			return fmt.Errorf("scenario: version %d in the audit trail, the last is %d", r.Version, last)
+		}
+	}
+	for v := uint64(2); v <= last; v++ {
+		if versions[v] != 1 {
+			return fmt.Errorf("scenario: %d records of version %d", versions[v], v)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/scenario/fault.go
@@ -0,0 +1,214 @@
+package scenario
+
+import (
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tamarackspool/internal/demo/deployment"
+	"tamarackspool/internal/standin/target"
+)
+
+// fault switches a fault on or off.
+func (s *stage) fault(_ io.Writer, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	rest := args[1:]
+	switch args[0] {
+	case "store":
+		return s.faultStore(rest)
+	case "list":
+		return s.faultList(rest)
+	case "target":
+		return s.each(rest, s.faultTarget)
+	case "reports":
+		return s.each(rest, s.faultReports)
+	}
+	if len(rest) != 2 {
+		return errUsage
+	}
+	switch args[0] + " " + rest[1] {
+	case "region lost":
+		return s.live.Lose(rest[0])
+	case "region back":
+		return s.live.Return(rest[0])
+	}
+	switch args[0] {
+	case "part":
+		s.live.Network().Cut(rest[0], rest[1])
+	case "join":
+		s.live.Network().Heal(rest[0], rest[1])
+	case "silence":
+		s.live.Network().Silence(rest[0], rest[1])
+	default:
+		return errUsage
+	}
+	return nil
+}
+
+func (s *stage) faultStore(args []string) error {
+	store := s.live.Store()
+	switch strings.Join(args, " ") {
+	case "down":
+		store.SetDown(true)
+		return nil
+	case "up":
+		store.SetDown(false)
+		return nil
+	case "silent":
+		store.SetSilent(true)
+		return nil
+	case "heard":
+		store.SetSilent(false)
+		return nil
+	case "restart":
+		store.Restart(false)
+		return nil
+	case "stale":
+		store.Restart(true)
+		return nil
+	}
+	switch {
+	case len(args) == 2 && args[0] == "slow":
+		d, err := time.ParseDuration(args[1])
+		store.SetDelay(d)
+		return err
+	case len(args) == 2 && args[0] == "fall":
+		store.FallAfter(args[1])
+		return nil
+	case len(args) == 3 && args[0] == "lose":
+		n, err := strconv.Atoi(args[1])
+		store.LoseAnswers(n, args[2])
+		return err
+	}
+	return errUsage
+}
+
+func (s *stage) faultList(args []string) error {
+	switch list := s.live.List(); {
+	case slices.Equal(args, []string{"down"}):
+		list.SetDown(true)
+	case slices.Equal(args, []string{"up"}):
+		list.SetDown(false)
+	case slices.Equal(args, []string{"frozen"}):
+		list.SetFrozen(true)
+	case slices.Equal(args, []string{"moving"}):
+		list.SetFrozen(false)
+	case len(args) == 2 && args[0] == "lag":
+		d, err := time.ParseDuration(args[1])
+		list.SetLag(d)
+		return err
+	case len(args) == 2 && args[0] == "leaving":
+		if s.live.Target(args[1]) != nil {
+			s.live.Leaving(args[1])
+		}
+		list.Set(args[1], true)
+	default:
+		return errUsage
+	}
+	return nil
+}
+
+// each calls f for the target, or for all targets of the region, that args begins with.
+func (s *stage) each(args []string, f func(name string, args []string) error) error {
+	found := false
+	for _, t := range s.live.Targets() {
+		if t != args[0] && s.live.Region(t) != args[0] {
+			continue
+		}
+		found = true
+		if err := f(t, args[1:]); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return errUsage
+	}
+	return nil
+}
+
+func (s *stage) faultTarget(name string, args []string) error {
+	t := s.live.Target(name)
+	if len(args) == 2 && args[0] == "slow" {
+		d, err := time.ParseDuration(args[1])
+		t.Set(target.Faults{Late: d})
+		return err
+	}
+	if len(args) != 1 {
+		return errUsage
+	}
+	switch f := args[0]; f {
+	case "cold":
+		t.Cool()
+	case "shed":
+		t.Set(target.Faults{Shedding: true})
+	case "cut":
+		t.Set(target.Faults{Cut: true})
+	case "twice":
+		t.Set(target.Faults{Twice: true})
+	case "lie", "mixed", "short":
+		return s.live.Misbehave(name, deployment.Fault(f))
+	case "die":
+		return s.live.Die(name)
+	case "revive":
+		return s.live.Revive(name)
+	case "well":
+		t.Set(target.Faults{})
+		return s.live.Misbehave(name, "")
+	default:
+		return errUsage
+	}
+	return nil
+}
+
+func (s *stage) faultReports(name string, args []string) error {
+	t := s.live.Target(name)
+	switch {
+	case slices.Equal(args, []string{"stop"}):
+		t.Set(target.Faults{Mute: true})
+	case slices.Equal(args, []string{"true"}):
+		t.Set(target.Faults{})
+	case len(args) == 2 && args[0] == "false":
+		factor, err := strconv.ParseFloat(args[1], 64)
+		t.Set(target.Faults{Factor: factor})
+		return err
+	case len(args) == 2 && args[0] == "old":
+		d, err := time.ParseDuration(args[1])
+		t.Set(target.Faults{Lag: d})
+		return err
+	default:
+		return errUsage
+	}
+	return nil
+}
+
+// entry acts on the process of an entry.
+func (s *stage) entry(_ io.Writer, args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	switch args[0] {
+	case "kill":
+		return s.live.Kill(args[1])
+	case "replace":
+		return s.live.Replace(args[1])
+	case "pause":
+		return s.live.Pause(args[1], true)
+	case "wake":
+		return s.live.Pause(args[1], false)
+	case "stop":
+		return s.live.Stop(args[1])
+	}
+	return errUsage
+}
+
+// visit sends a read to a target past all entries.
+func (s *stage) visit(_ io.Writer, args []string) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	return s.live.Visit(s.live.Context(), args[0], "visit")
+}
--- /dev/null
+++ b/internal/demo/scenario/operate.go
@@ -0,0 +1,112 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+
+	"tamarackspool/internal/entry/console"
+)
+
+// admin returns the base URL of the operators' API of a running entry.
+func (s *stage) admin(entry string) (string, error) {
+	n := s.live.Node(entry)
+	if n == nil {
+		return "", fmt.Errorf("scenario: entry %q does not run", entry)
+	}
+	_, _, _, address := n.Addresses()
+	return "http://" + address, nil
+}
+
+// console returns the operators' commands against an entry.
+func (s *stage) console(entry string, out io.Writer) (*console.Console, error) {
+	base, err := s.admin(entry)
+	if err != nil {
+		return nil, err
+	}
+	return &console.Console{Client: console.NewClient([]string{base}, s.live.Token(), http.DefaultClient), Out: out}, nil
+}
+
+// patch submits a JSON patch through an entry as the command does.
+func (s *stage) patch(out io.Writer, args []string) error {
+	ch := console.Change{Who: "script", Why: "scenario"}
+	f := flags("patch")
+	f.Uint64Var(&ch.Base, "base", 0, "")
+	f.StringVar(&ch.ID, "id", "", "")
+	if f.Parse(args) != nil || f.NArg() != 2 {
+		return errUsage
+	}
+	c, err := s.console(f.Arg(0), out)
+	if err != nil {
+		return err
+	}
+	return c.Patch(s.live.Context(), ch, []byte(f.Arg(1)), nil)
+}
+
+// race submits the same patch under two ids and for the same base through two
+// entries at once and prints the two exit statuses, the lower one first.
+func (s *stage) race(out io.Writer, args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	version, _ := s.lowest(nil)
+	codes := make([]int, 2)
+	var wg sync.WaitGroup
+	for i, entry := range args[:2] {
+		c, err := s.console(entry, io.Discard)
+		if err != nil {
+			return err
+		}
+		ch := console.Change{Base: uint64(version), ID: fmt.Sprintf("race-%d-%d", version, i), Who: "operator-" + entry, Why: "race"}
+		wg.Go(func() { codes[i] = code(c.Patch(s.live.Context(), ch, []byte(args[2]), nil)) })
+	}
+	wg.Wait()
+	slices.Sort(codes)
+	_, err := fmt.Fprintf(out, "exits %d and %d\n", codes[0], codes[1])
+	return err
+}
+
+// drain plans the emptying of targets that begins now.
+func (s *stage) drain(out io.Writer, args []string) error {
+	ch := console.Change{Who: "script", Why: "scenario"}
+	f := flags("drain")
+	f.StringVar(&ch.ID, "id", "", "")
+	if f.Parse(args) != nil || f.NArg() < 3 {
+		return errUsage
+	}
+	c, err := s.console(f.Arg(0), out)
+	if err != nil {
+		return err
+	}
+	err = c.Drain(s.live.Context(), ch, console.Drain{Name: f.Arg(1), Targets: f.Args()[2:]})
+	if err == nil {
+		for _, t := range f.Args()[2:] {
+			s.live.Leaving(t)
+		}
+	}
+	return err
+}
+
+// audit prints the audit trail.
+func (s *stage) audit(out io.Writer, args []string) error {
+	return s.print(out, args, func(ctx context.Context, c *console.Console) error { return c.Audit(ctx, 0) })
+}
+
+// status prints the status of an entry.
+func (s *stage) status(out io.Writer, args []string) error {
+	return s.print(out, args, func(ctx context.Context, c *console.Console) error { return c.Status(ctx) })
+}
+
+func (s *stage) print(out io.Writer, args []string, f func(context.Context, *console.Console) error) error {
+	if len(args) != 1 {
+		return errUsage
+	}
+	c, err := s.console(args[0], out)
+	if err != nil {
+		return err
+	}
+	return f(s.live.Context(), c)
+}
--- /dev/null
+++ b/internal/demo/scenario/order.go
@@ -0,0 +1,133 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"tamarackspool/internal/standin/caller"
+)
+
+// client returns an HTTP client of a caller in the entry's region. Its
+// connections end with each response, so that none outlives the script.
+func (s *stage) client(entry string) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: s.live.Dial(s.live.Region(entry)), DisableKeepAlives: true}}
+}
+
+// ticket fetches an order ticket from an entry and keeps it under a name.
+func (s *stage) ticket(_ io.Writer, args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	url := fmt.Sprintf("http://%s.entry:80/ticket?service=%s&count=1", args[1], s.live.Service(caller.Order))
+	req, err := http.NewRequestWithContext(s.live.Context(), http.MethodPost, url, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Tenant", s.live.Tenant())
+	resp, err := s.client(args[1]).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Tickets []string `json:"tickets"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return err
+	}
+	if len(body.Tickets) != 1 {
+		return fmt.Errorf("scenario: status %d without a ticket", resp.StatusCode)
+	}
+	s.tickets[args[0]] = body.Tickets[0]
+	return nil
+}
+
+// answerTime is how long a client waits for an answer, above every deadline of a request.
+const answerTime = 10 * time.Second
+
+// order sends an order once through an entry, with a ticket by name or with a
+// key of the caller's own, and prints its verdict and reason.
+func (s *stage) order(out io.Writer, args []string) error {
+	if len(args) != 4 {
+		return errUsage
+	}
+	name, entry, key := args[0], args[1], args[3]
+	if args[2] == "ticket" {
+		key = s.tickets[args[3]]
+	}
+	if key == "" || (args[2] != "ticket" && args[2] != "key") {
+		return errUsage
+	}
+	service := s.live.Service(caller.Order)
+	r, ok := s.orders[name]
+	if !ok {
+		r = &caller.Record{ID: name, Caller: "script", Tenant: s.live.Tenant(), Service: service, Kind: caller.Order}
+		s.orders[name] = r
+	}
+	t := s.send(service, entry, caller.Try{ID: name, Key: key, Entry: entry})
+	if t.Reason == "unreached" && len(r.Tries) > 0 {
+		t.Verdict = "may-have-run" // This attempt was not sent, but an earlier one was.
+	}
+	r.Tries = append(r.Tries, t)
+	s.live.Note(*r, s.live.Region(entry))
+	_, err := fmt.Fprintf(out, "%s %s %d %s\n", t.Verdict, t.Reason, t.Status, t.Detail)
+	return err
+}
+
+func (s *stage) send(service, entry string, t caller.Try) caller.Try {
+	ctx, cancel := context.WithTimeout(s.live.Context(), answerTime)
+	defer cancel()
+	var written atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { written.Store(true) }})
+	t.Start = time.Now()
+	defer func() { t.End = time.Now() }()
+	url := fmt.Sprintf("http://%s.entry:80/run/%s/order/%s?size=64", entry, service, t.ID)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("order"))
+	if err == nil {
+		req.Header = http.Header{"Tenant": {s.live.Tenant()}, "Idempotency-Key": {t.Key}}
+		var resp *http.Response
+		if resp, err = s.client(entry).Do(req); err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			err = errors.Join(err, resp.Body.Close())
+			t.Verdict, t.Reason, t.Status = resp.Header.Get("Verdict"), resp.Header.Get("Reason"), resp.StatusCode
+			t.Target = resp.Header.Get("Served-By")
+		}
+	}
+	if err != nil {
+		t.Verdict, t.Reason, t.Detail = "may-have-run", "lost", err.Error()
+		if !written.Load() {
+			t.Verdict, t.Reason = "not-run", "unreached"
+		}
+	}
+	t.End = time.Now()
+	return t
+}
+
+// lookup prints the answer of an entry to a look-up for a kind of request by a client in a region.
+func (s *stage) lookup(out io.Writer, args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	service := s.live.Service(caller.Kind(args[2]))
+	url := fmt.Sprintf("http://%s.entry:80/lookup?service=%s", args[0], service)
+	req, err := http.NewRequestWithContext(s.live.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	transport := &http.Transport{DialContext: s.live.Dial(args[1]), DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(out, resp.Body)
+	return err
+}
--- /dev/null
+++ b/internal/demo/scenario/page_test.go
@@ -0,0 +1,60 @@
+package scenario_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"tamarackspool/internal/demo/scenario"
+)
+
+const page = "../../../docs/SCENARIOS.md"
+
+var row = regexp.MustCompile("(?m)^\\| `(\\w+)` \\| `([^`]*)` \\|$")
+
+// Guards against verbs that the page leaves out, or that only the page knows.
+func TestPageNamesVerbs(t *testing.T) {
+	data, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := make(map[string]string)
+	for _, m := range row.FindAllStringSubmatch(string(data), -1) {
+		named[m[1]] = strings.ReplaceAll(m[2], `\|`, "|")
+	}
+	usage := scenario.Usage()
+	for name, use := range usage {
+		if got, ok := named[name]; !ok || got != use {
+			t.Errorf("verb %s %s: the page has %q", name, use, got)
+		}
+	}
+	for name := range named {
+		if _, ok := usage[name]; !ok {
+			t.Errorf("the page names the verb %s, which does not exist", name)
+		}
+	}
+}
+
+// Guards against an audit check that overlooks a gap, a double entry or a record too many.
+func TestTrail(t *testing.T) {
+	record := func(version uint64) scenario.Record {
+		return scenario.Record{Version: version, ID: fmt.Sprint(version)}
+	}
+	whole := []scenario.Record{record(2), record(3), record(4)}
+	if err := scenario.Trail(whole, 4); err != nil {
+		t.Errorf("whole trail: %v", err)
+	}
+	for name, records := range map[string][]scenario.Record{
+		"gap":      {record(2), record(4)},
+		"double":   append(slices.Clone(whole), record(3)),
+		"same id":  {record(2), record(3), {Version: 4, ID: "2"}},
+		"too many": append(slices.Clone(whole), record(5)),
+	} {
+		if scenario.Trail(records, 4) == nil {
+			t.Errorf("%s: not found", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/scenario/start.go
@@ -0,0 +1,83 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"strconv"
+
+	"tamarackspool/internal/demo/deployment"
+	"tamarackspool/internal/standin/caller"
+)
+
+// start starts a deployment and waits until every entry serves and every
+// target has an owner that admits requests.
+func (s *stage) start(out io.Writer, args []string) error {
+	if s.live != nil {
+		return errors.New("scenario: the deployment is already there")
+	}
+	size := deployment.Size{Log: s.log}
+	f := flags("start")
+	f.StringVar(&size.Deployment, "deployment", "letters", "")
+	f.IntVar(&size.Regions, "regions", 2, "")
+	f.IntVar(&size.Entries, "entries", 1, "")
+	f.IntVar(&size.Targets, "targets", 4, "")
+	f.IntVar(&size.Slots, "slots", 4, "")
+	f.Float64Var(&size.Shift, "shift", 20, "")
+	f.Int64Var(&size.Rate, "rate", 20_000_000, "")
+	f.Uint64Var(&size.Seed, "seed", 1, "")
+	if f.Parse(args) != nil || f.NArg() > 0 {
+		return errUsage
+	}
+	live, err := deployment.Start(context.Background(), size)
+	if err != nil {
+		return err
+	}
+	s.live = live
+	return s.await(out, []string{"owned"})
+}
+
+func flags(name string) *flag.FlagSet {
+	f := flag.NewFlagSet(name, flag.ContinueOnError)
+	f.SetOutput(io.Discard)
+	return f
+}
+
+// The sizes of the requests of a load in bytes.
+const (
+	smallBody  = 1 << 10
+	uploadBody = 64 << 10
+	answerSize = 2 << 10
+)
+
+// load switches callers on or off.
+func (s *stage) load(_ io.Writer, args []string) error {
+	if len(args) == 1 && args[0] == "off" {
+		s.live.Unload()
+		return nil
+	}
+	if len(args) < 2 {
+		return errUsage
+	}
+	rate, err := strconv.ParseFloat(args[1], 64)
+	if err != nil || rate <= 0 {
+		return errUsage
+	}
+	l := caller.Load{Rate: rate, Answer: answerSize}
+	switch args[0] {
+	case "reads":
+		l.Kind = caller.Read
+	case "orders":
+		l.Kind, l.Body = caller.Order, smallBody
+	case "keyed":
+		l.Kind, l.Body, l.Own = caller.Order, smallBody, true
+	case "uploads":
+		l.Kind, l.Body = caller.Upload, uploadBody
+	default:
+		return errUsage
+	}
+	l.Service = s.live.Service(l.Kind)
+	s.live.Load(l, args[2:]...)
+	return nil
+}
