--- a/cmd/tamarackspool/main.go
+++ b/cmd/tamarackspool/main.go
@@ -12,8 +12,8 @@
 	"github.com/alecthomas/kong"
 )
 
-// commands are the subcommands; every flag can also be set by an environment
-// variable TAMARACK_<FLAG>.
+// commands are the subcommands; every flag but those that
+// docs/SETTINGS.md lists without one can also be set by an environment variable TAMARACK_<FLAG>.
 type commands struct {
 	Entry  entryCommand  `cmd:"" help:"Run one entry."`
 	Demo   demoCommand   `cmd:"" help:"Run a whole deployment in this process and check the promises."`
@@ -21,7 +21,7 @@
 	Target targetCommand `cmd:"" help:"Run the stand-in of a target."`
 	Patch  patchCommand  `cmd:"" help:"Submit a JSON patch (RFC 6902) to the configuration."`
 	Config configCommand `cmd:"" help:"Print the configuration in force at an entry."`
-	Status statusCommand `cmd:"" help:"Print the status of an entry."`
+	Status statusCommand `cmd:"" help:"Print the status of the fleet as one entry collects it."`
 	Drain  drainCommand  `cmd:"" help:"Plan the emptying of targets."`
 	Audit  auditCommand  `cmd:"" help:"Print the audit trail."`
 	Lookup lookupCommand `cmd:"" help:"Ask an entry which entries a caller should use."`
--- a/internal/demo/deployment/live.go
+++ b/internal/demo/deployment/live.go
@@ -75,9 +75,12 @@
 	count    int
 	late     []string // late are the reverted versions once the watch has ended.
 	leaving  map[string]time.Time
-	stopped  map[string]time.Time
+	stopped  map[string]span
 }
 
+// span is the time from the beginning of a planned stop to the end of the process.
+type span struct{ start, end time.Time }
+
 // Start starts a deployment and returns without waiting until it serves.
 func Start(ctx context.Context, s Size) (*Live, error) {
 	p, err := s.plan()
@@ -89,7 +92,7 @@
 		w:   newWorld(Settings{Deployment: s.Deployment, Seed: s.Seed, Log: s.Log}, p),
 		ctx: ctx, cancel: cancel, reverted: make(chan []string, 1), homes: make(map[string]string),
 		records: make(map[string]caller.Record),
-		leaving: make(map[string]time.Time), stopped: make(map[string]time.Time),
+		leaving: make(map[string]time.Time), stopped: make(map[string]span),
 	}
 	if err := l.w.build(ctx); err != nil {
 		cancel()
@@ -231,8 +234,11 @@
 	for name, since := range l.leaving {
 		g.CheckLeaving(name, since)
 	}
-	for name, since := range l.stopped {
-		g.CheckStop(name, since, ttl)
+	for name, s := range l.stopped {
+		if s.end.IsZero() {
+			s.end = time.Now()
+		}
+		g.CheckStop(name, s.start, s.end, ttl)
 	}
 	l.mu.Unlock()
 	if shift {
--- a/internal/demo/deployment/live_fault.go
+++ b/internal/demo/deployment/live_fault.go
@@ -69,11 +69,16 @@
 		return fmt.Errorf("deployment: entry %q does not run", name)
 	}
 	l.mu.Lock()
-	l.stopped[name] = time.Now()
+	begin := time.Now()
+	l.stopped[name] = span{start: begin}
 	l.mu.Unlock()
 	l.w.list.Set(name, true)
 	l.w.own(func() error {
 		s.node.Drain(l.ctx)
+		<-s.done
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.stopped[name] = span{begin, time.Now()}
 		return nil
 	})
 	return nil
--- a/internal/demo/deployment/script.go
+++ b/internal/demo/deployment/script.go
@@ -92,7 +92,7 @@
 		return 0, err
 	}
 	req.Header.Set("Authorization", "Bearer "+operatorKey)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := w.client.Do(req)
 	if err != nil {
 		return 0, err
 	}
@@ -171,6 +171,9 @@
 	w.site(n.lost).kill()
 	w.list.Remove(n.lost)
 	wait(ctx, replaceAfter)
+	if w.settings.has(FaultStale) {
+		return w.bootStale(ctx, n.lost, zone)
+	}
 	_, err := w.boot(ctx, n.lost, zone)
 	return err
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -48,6 +48,7 @@
 	s           setting.Settings
 	d           Dependencies
 	incarnation ticket.Incarnation
+	began       time.Time
 	metrics     metrics.Registry
 	listeners   listeners
 	client      *http.Client
@@ -81,6 +82,7 @@
 	reports  *reports
 	flight   atomic.Int64
 	leaving  atomic.Bool
+	asked    atomic.Bool // asked means that the store and the peers were asked once since the start.
 	push     chan struct{}
 	drained  chan struct{}
 	steps    tickState
@@ -98,7 +100,7 @@
 		d.Hold = func(context.Context) {}
 	}
 	n := &Node{
-		s: s, d: d, metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
+		s: s, d: d, began: time.Now(), metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
 		reports: newReports(), push: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	if _, err := rand.Read(n.incarnation[:]); err != nil {
@@ -116,6 +118,7 @@
 		n.listeners.close()
 		return nil, err
 	}
+	n.gauges()
 	return n, nil
 }
 
@@ -157,7 +160,7 @@
 		gossip.Settings{Self: self, Key: []byte(n.s.Peerkey()), Seeds: n.s.Peers()},
 		gossip.Dependencies{
 			Dial: n.d.Dial, Holder: n.current, Now: time.Now, Seed: n.s.Seed(), Events: n.d.Events,
-			Tickets: n.inherit,
+			Tickets: n.inherit, Status: n.part,
 		},
 	)
 	n.lookups = lookup.New(lookup.Settings{
@@ -195,7 +198,7 @@
 	n.forward, err = forward.New(forward.Settings{
 		Name: n.s.Name(), Region: n.s.Region(), Key: n.s.Peerkey(), Header: n.s.Header(),
 	}, forward.Dependencies{
-		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: n.current, Links: links{n}, Home: n.home,
+		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: state{n}, Links: links{n}, Home: n.home,
 		Targets: n.targets, Entries: n.entries, Log: n.d.Events, Metrics: n.metrics, Seed: n.s.Seed(),
 	})
 	return err
@@ -216,8 +219,9 @@
 	return v
 }
 
-// Ready reports whether the entry has a configuration that it may serve.
-func (n *Node) Ready() bool { return n.current.Ready() }
+// Ready reports whether the entry has a configuration that it may serve: it has
+// asked for its floor and holds a version at or above it.
+func (n *Node) Ready() bool { return n.asked.Load() && n.current.Ready() }
 
 // Leaving reports whether a graceful shutdown has begun.
 func (n *Node) Leaving() bool { return n.leaving.Load() }
--- a/internal/entry/node/node_test.go
+++ b/internal/entry/node/node_test.go
@@ -36,6 +36,7 @@
 	targets []*target.Target
 	peers   []string
 	client  *http.Client
+	adjust  func(*setting.Raw) // adjust changes the settings of entries that start; it may be nil
 }
 
 // running is a started entry.
@@ -57,6 +58,7 @@
 	s.background(runner.Run)
 	f := document.Fields{
 		Services: []document.Service{
+			document.NewService(document.ServiceFields{Name: "bare", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "status", Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 			document.NewService(document.ServiceFields{Name: "gifts", Once: true, Timeout: 2 * time.Second, Ceiling: 5 * time.Second, Body: 1 << 20, Shift: 10}),
 		},
@@ -120,11 +122,15 @@
 func (s *site) start(name, zone string) running {
 	s.t.Helper()
 	const any = "127.0.0.1:0"
-	checked, err := setting.New(setting.Raw{
+	raw := setting.Raw{
 		Name: name, Zone: zone, Region: strings.TrimSuffix(zone, zone[len(zone)-2:]), Call: any, Peer: any, Pass: any, Admin: any, Store: s.url, Peers: s.peers,
 		Peerkey: "peer-secret", Opkey: "operator-secret-token", Stop: time.Minute, TTL: time.Second,
 		Retention: time.Hour, Keys: 1000, Header: 32 << 10, Seed: 1,
-	})
+	}
+	if s.adjust != nil {
+		s.adjust(&raw)
+	}
+	checked, err := setting.New(raw)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -205,7 +211,8 @@
 }
 
 // Guards against a wiring in which an entry serves only the targets that it
-// owns, a look-up names no entry, or a repeat of an order through another entry runs again.
+// owns, a look-up names no entry, a repeat of an order through another entry
+// runs again, or a key used for another path gets the first request's answer.
 func TestRequestsThroughOwnerAndRelay(t *testing.T) {
 	s := newSite(t)
 	a := s.start("e1", "ege-a")
@@ -227,6 +234,9 @@
 	if first.verdict != "ran" || second.verdict != "ran" || second.body != first.body {
 		t.Errorf("order = %+v, repeat = %+v", first, second)
 	}
+	if r := s.send("POST", a.url("/run/gifts/two"), key); r.status != http.StatusUnprocessableEntity || r.verdict != "may-have-run" {
+		t.Errorf("the key with another path = %+v", r)
+	}
 	if n := s.runs(key); n > 1 {
 		t.Errorf("the order ran %d times", n)
 	}
@@ -294,18 +304,34 @@
 	s.serving(a)
 	s.serving(b)
 	_, _, _, admin := a.Addresses()
-	out := s.operate("POST", "http://"+admin+"/drain", `{"id":"d","who":"w","why":"w","name":"d","targets":["status-1"]}`)
+	out := s.operate("POST", "http://"+admin+"/drain", `{"id":"d","who":"w","why":"w","name":"d","targets":["status-1","gifts-1"]}`)
 	if !strings.Contains(out, `"applied"`) {
 		t.Fatalf("drain: %s", out)
 	}
-	s.eventually("the drain is quiet", func() bool {
-		status := s.operate("GET", "http://"+admin+"/status", "")
-		quiet := strings.Contains(status, `"quiet":true`)
-		if quiet && !strings.Contains(status, `"leaving":true`) {
-			t.Errorf("quiet with an open gate: %s", status)
-		}
-		return quiet
-	})
+	// The drained targets have different owners; each entry must show both.
+	for _, e := range []running{a, b} {
+		_, _, _, admin = e.Addresses()
+		s.eventually("the drain is quiet at "+e.Name(), func() bool {
+			var status struct {
+				Drains  []struct{ Quiet bool }
+				Targets []struct {
+					Owner   string
+					Leaving bool
+				}
+			}
+			text := s.operate("GET", "http://"+admin+"/status", "")
+			if err := json.Unmarshal([]byte(text), &status); err != nil {
+				t.Fatal(err)
+			}
+			quiet := len(status.Drains) == 1 && status.Drains[0].Quiet
+			for _, one := range status.Targets {
+				if quiet && (!one.Leaving || one.Owner == "") {
+					t.Errorf("quiet with an open gate: %s", text)
+				}
+			}
+			return quiet && len(status.Targets) == 2
+		})
+	}
 }
 
 // Guards against client blocks that the configuration names and look-ups do not use.
@@ -338,6 +364,37 @@
 	}
 }
 
+// Guards against the rest of a refused upload that is taken for the next
+// request on its connection, whose answer another request could then receive.
+func TestRestOfARefusedUploadIsNoRequest(t *testing.T) {
+	s := newSite(t)
+	a := s.start("e1", "ege-a")
+	s.eventually("e1 refuses for want of targets", func() bool {
+		return s.send("GET", a.url("/run/bare/x"), "").reason == "no-room"
+	})
+	c, err := net.Dial("tcp", a.call)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	half := make([]byte, 100_000)
+	fmt.Fprintf(c, "POST /run/bare/x HTTP/1.1\r\nHost: e\r\nTenant: parents\r\nContent-Length: %d\r\n\r\n", 2*len(half))
+	_, _ = c.Write(half)
+	first := make([]byte, 4096)
+	n, err := c.Read(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The connection may be closed already, which is right.
+	_, _ = c.Write(half)
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	rest, _ := io.ReadAll(c)
+	all := string(first[:n]) + string(rest)
+	if strings.Count(all, "HTTP/1.1 ") != 1 || !strings.Contains(all, "Connection: close") {
+		t.Errorf("responses to one request:\n%s", all)
+	}
+}
+
 // operate sends a request to the operators' API and returns the response's body.
 func (s *site) operate(method, url, body string) string {
 	s.t.Helper()
--- a/internal/standin/caller/record.go
+++ b/internal/standin/caller/record.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -13,7 +14,7 @@
 	Entry   string
 	Target  string
 	Verdict string // Verdict is ran, not-run or may-have-run; a lost response counts as may-have-run.
-	Reason  string // Reason is what the entry gave, or lost or unreached when there was no response.
+	Reason  string // Reason is what the entry gave, or lost, timeout or unreached when there was no response.
 	Detail  string // Detail is the error of an attempt without a response.
 	Status  int
 	Start   time.Time
@@ -41,6 +42,11 @@
 	return r.Tries[len(r.Tries)-1]
 }
 
+// uncertain reports whether an earlier attempt of the order's key may have run.
+func (r Record) uncertain(key string) bool {
+	return key != "" && slices.ContainsFunc(r.Tries, func(t Try) bool { return t.Key == key && t.Verdict != "not-run" })
+}
+
 // Latency returns the time from the first attempt to the end of the last one.
 func (r Record) Latency() time.Duration {
 	if len(r.Tries) == 0 {
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -46,8 +46,8 @@
 			id = fmt.Sprintf("%s.%d", r.ID, i)
 		}
 		t, after := c.attempt(ctx, &r, l, e, Try{ID: id, Key: key})
-		if t.Reason == "unreached" && l.Kind == Order && uncertain(r.Tries) {
-			// This attempt was not sent, but nobody knows whether the order has run before.
+		if t.Reason == "unreached" && r.uncertain(key) {
+			// Nothing was told about the key, and an earlier attempt of it may have run.
 			t.Verdict = "may-have-run"
 		}
 		r.Tries = append(r.Tries, t)
@@ -66,14 +66,10 @@
 	return r
 }
 
-// uncertain reports whether one of the attempts may have run.
-func uncertain(tries []Try) bool {
-	return slices.ContainsFunc(tries, func(t Try) bool { return t.Verdict == "may-have-run" })
-}
-
-// again reports whether another attempt can help; bad input stays bad.
+// again reports whether another attempt can help; bad input stays bad,
+// but a ticket whose issuer is gone can be replaced by a new one.
 func again(t Try) bool {
-	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests
+	return t.Status < 400 || t.Status >= 500 || t.Status == http.StatusTooManyRequests || t.Reason == "issuer-gone"
 }
 
 // attempt sends the request once and returns what was told and how long to wait before the next attempt.
@@ -93,6 +89,9 @@
 		r.Short = r.Short || resp != nil
 		t.Verdict, t.Reason, t.Detail = "may-have-run", "lost", err.Error()
 		c.directory.avoid(e.Address)
+		if errors.Is(err, context.DeadlineExceeded) {
+			t.Reason = "timeout"
+		}
 		if !sent {
 			t.Verdict, t.Reason = "not-run", "unreached"
 		}
