--- a/internal/demo/deployment/live_fault.go
+++ b/internal/demo/deployment/live_fault.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"tamarackspool/internal/demo/promise"
 )
 
 // Kill ends the process of an entry at once.
@@ -111,6 +113,14 @@
 	l.leaving[target] = time.Now()
 }
 
+// Late reports whether work at the leaving target is a breach by now.
+func (l *Live) Late(target string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, ok := l.leaving[target]
+	return ok && time.Since(since) > promise.LeavingTime
+}
+
 // Misbehave gives a target the fault lie, mixed or short; an empty one ends it.
 func (l *Live) Misbehave(target string, f Fault) error {
 	m, ok := l.w.machines[target]
--- a/internal/demo/promise/ledger.go
+++ b/internal/demo/promise/ledger.go
@@ -118,13 +118,13 @@
 	}
 }
 
-// leavingTime is how long a leaving target may still receive new work.
-const leavingTime = 3 * time.Second
+// LeavingTime is how long a leaving target may still receive new work.
+const LeavingTime = 3 * time.Second
 
 // CheckLeaving finds work that reached the target after its leaving time.
 func (l *Ledger) CheckLeaving(target string, since time.Time) {
 	for _, x := range l.runs {
-		if x.Target == target && x.Start.After(since.Add(leavingTime)) {
+		if x.Target == target && x.Start.After(since.Add(LeavingTime)) {
 			l.Breach(Leaving, "%s received %s at %s, %s after the drain began",
 				target, x.ID, clock(x.Start), x.Start.Sub(since).Round(time.Millisecond))
 		}
--- a/internal/demo/scenario/await.go
+++ b/internal/demo/scenario/await.go
@@ -1,13 +1,13 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"regexp"
 	"strconv"
 	"time"
+
+	"tamarackspool/internal/entry/operator"
 )
 
 const (
@@ -67,6 +67,8 @@
 		return func() (bool, string) { return s.reaches(args[0] == "up") }, nil
 	case name == "logged" && len(args) == 1:
 		return s.logged(args[0])
+	case name == "late" && len(args) == 1:
+		return func() (bool, string) { return s.live.Late(args[0]), "its leaving time is not over" }, nil
 	case name == "quiet" && len(args) == 1:
 		return func() (bool, string) { return s.quiet(args[0]) }, nil
 	case name == "version" && len(args) >= 1:
@@ -136,7 +138,12 @@
 	if err != nil {
 		return false, err.Error()
 	}
-	got := st.of(name)
+	got := ""
+	for _, m := range st.Members {
+		if m.Name == name {
+			got = m.State
+		}
+	}
 	return got == state, fmt.Sprintf("%s sees %s as %q", observer, name, got)
 }
 
@@ -211,46 +218,11 @@
 	return count
 }
 
-// stateWire is what the scripts read of GET /status.
-type stateWire struct {
-	Version int  `json:"version"`
-	Store   bool `json:"store"`
-	Drains  []struct {
-		Name  string `json:"name"`
-		Busy  int    `json:"busy"`
-		Quiet bool   `json:"quiet"`
-	} `json:"drains"`
-	Members []struct {
-		Name  string `json:"name"`
-		State string `json:"state"`
-	} `json:"members"`
-}
-
-func (w stateWire) of(name string) string {
-	for _, m := range w.Members {
-		if m.Name == name {
-			return m.State
-		}
-	}
-	return ""
-}
-
-// state reads the status of an entry.
-func (s *stage) state(entry string) (stateWire, error) {
-	var w stateWire
-	base, err := s.admin(entry)
-	if err != nil {
-		return w, err
-	}
-	req, err := http.NewRequestWithContext(s.live.Context(), http.MethodGet, base+"/status", nil)
-	if err != nil {
-		return w, err
-	}
-	req.Header.Set("Authorization", "Bearer "+s.live.Token())
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return w, err
+// state returns the status of a running entry.
+func (s *stage) state(entry string) (operator.Status, error) {
+	n := s.live.Node(entry)
+	if n == nil {
+		return operator.Status{}, fmt.Errorf("scenario: entry %q does not run", entry)
 	}
-	defer resp.Body.Close()
-	return w, json.NewDecoder(resp.Body).Decode(&w)
+	return n.Status(), nil
 }
--- a/internal/entry/node/operator.go
+++ b/internal/entry/node/operator.go
@@ -51,6 +51,9 @@
 	return data
 }
 
+// Status returns what the entry knows about itself and the fleet.
+func (n *Node) Status() operator.Status { return reporter{n}.Status() }
+
 // reporter gives the status of the entry to operators.
 type reporter struct{ n *Node }
 
