--- a/internal/request/order/table.go
+++ b/internal/request/order/table.go
@@ -49,6 +49,7 @@
 	answers  *list.List // answers holds the *record values with a recorded answer, oldest first.
 	bytes    int
 	closed   bool
+	newest   time.Time // newest is the latest time at which a request began.
 }
 
 // NewTable returns an empty table.
@@ -148,8 +149,12 @@
 	return t.outcome(r)
 }
 
-// Finish records the complete answer of the target at the given time.
+// Finish records the complete answer of the target at the given time; of a nil answer only the verdict is kept.
 func (r *Run) Finish(a *Answer, now time.Time) {
+	if a == nil {
+		r.Fail(verdict.Ran, now)
+		return
+	}
 	t := r.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -195,7 +200,20 @@
 	}
 }
 
+// latest returns the time up to which records have been dropped.
+func (t *Table) latest() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.newest
+}
+
 func (t *Table) expire(now time.Time) {
+	if now.After(t.newest) {
+		t.newest = now
+	}
+	if t.closed {
+		return // The handover must hold every record above the floor that its caller has read.
+	}
 	for e := t.finished.Front(); e != nil; e = t.finished.Front() {
 		r := e.Value.(*record)
 		if now.Sub(r.finished) < Retention {
