--- a/internal/demo/deployment/world.go
+++ b/internal/demo/deployment/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"tamarackspool/internal/config/codec"
 	"tamarackspool/internal/config/history"
 	storeclient "tamarackspool/internal/platform/store"
 	"tamarackspool/internal/standin/network"
@@ -33,6 +34,7 @@
 	plan      plan
 	network   *network.Network
 	list      *roster.Server
+	values    *store.Server
 	storeURL  string
 	rosterURL string
 	first     []byte       // first is the first version of the configuration.
@@ -45,8 +47,7 @@
 	failed    error
 }
 
-func newWorld(s Settings) *world {
-	p := plans()[s.Deployment]
+func newWorld(s Settings, p plan) *world {
 	rates := make(map[network.Pair]float64)
 	for _, a := range p.regions {
 		for _, b := range p.regions {
@@ -64,6 +65,7 @@
 		network: network.New(network.Settings{
 			Zones: p.zones, Regions: p.between, Clients: p.clients, Jitter: 0.3, Loss: 0.002, Rates: rates, Seed: s.Seed,
 		}),
+		values:   newValues(),
 		list:     roster.New(listLag, nil),
 		client:   &http.Client{Transport: &http.Transport{}},
 		machines: make(map[string]*machine),
@@ -99,7 +101,7 @@
 	}
 	for _, r := range w.plan.regions {
 		for _, z := range zoneNames(r) {
-			for _, e := range entryNames(z) {
+			for _, e := range w.plan.entryNames(z) {
 				if _, err := w.boot(ctx, e, z); err != nil {
 					return err
 				}
@@ -109,9 +111,14 @@
 	return nil
 }
 
-// startStore starts a key-value service and returns its base address.
-func (w *world) startStore(ctx context.Context) (string, error) {
-	runner, err := store.Listen(ctx, "127.0.0.1:0", store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites}))
+// newValues returns an empty key-value service.
+func newValues() *store.Server {
+	return store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites})
+}
+
+// startStore serves a key-value service and returns its base address.
+func (w *world) startStore(ctx context.Context, values *store.Server) (string, error) {
+	runner, err := store.Listen(ctx, "127.0.0.1:0", values)
 	if err != nil {
 		return "", fmt.Errorf("deployment: %w", err)
 	}
@@ -124,7 +131,11 @@
 // commit stores the first version of the configuration.
 func (w *world) commit(ctx context.Context, url string) error {
 	h := history.New(history.Settings{Store: storeclient.New(url, storeKey, w.client)})
-	if _, err := h.Create(ctx, w.first, nil); err != nil {
+	blocks, err := codec.EncodeBlocks(w.plan.clientBlocks())
+	if err != nil {
+		return err
+	}
+	if _, err := h.Create(ctx, w.first, blocks); err != nil {
 		return fmt.Errorf("deployment: %w", err)
 	}
 	return nil
@@ -132,7 +143,7 @@
 
 func (w *world) startPlatform(ctx context.Context) error {
 	var err error
-	if w.storeURL, err = w.startStore(ctx); err != nil {
+	if w.storeURL, err = w.startStore(ctx, w.values); err != nil {
 		return err
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -33,6 +33,9 @@
 			continue
 		}
 		e := c.directory.pick(entries, first+i)
+		if l.Kind == Order && l.Own {
+			key = "own-" + r.ID
+		}
 		if l.Kind == Order && key == "" {
 			if key, err = c.tickets.next(ctx, e.Address, l.Service); err != nil {
 				continue
