internal/steer/split: pause relays to an entry that refuses connections

Cause: only a refusal lowered the relays to a peer, so entries kept relaying to a killed entry until its membership noticed.

Change: a relay for which no connection could be opened closes the peer's gates at once. The tick keeps them closed for 1 s, doubling to 4 s, and then lets one relay through per service; an answer or a refusal by the peer, or its return from the dead, ends the pause. Cut responses do not count, because they do not prove that the peer is gone.

--- a/internal/measure/policy/ours.go
+++ b/internal/measure/policy/ours.go
@@ -236,6 +236,10 @@
 }
 
 func (o *ours) done(_ *world, _ *request, _ int, h *hop, x end) {
+	if x.unopened {
+		h.choice.Done(decision.Result{Kind: decision.Failed, Unopened: true})
+		return
+	}
 	h.choice.Done(decision.Result{Kind: x.kind, Latency: x.latency, Counted: h.peer >= 0 && x.counted, Free: x.free})
 }
 
--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -19,6 +19,8 @@
 	free    int // free is the relaying owner's count of free slots
 	counted bool
 	latency time.Duration
+	// unopened means that no connection to the relaying peer could be opened.
+	unopened bool
 }
 
 // hop is what one entry holds for a request.
@@ -175,12 +177,12 @@
 	from, to := &w.entries[h.entry], &w.entries[h.peer]
 	d := w.between(h.entry, h.peer)
 	if !to.up || !w.reach(from.region, to.region) {
-		w.plan(w.now+refused, func() { w.back(r, end{kind: decision.Shed}) })
+		w.plan(w.now+refused, func() { w.back(r, end{kind: decision.Shed, unopened: true}) })
 		return
 	}
 	w.plan(w.now+d, func() {
 		if !to.up {
-			w.back(r, end{kind: decision.Shed})
+			w.back(r, end{kind: decision.Shed, unopened: true})
 			return
 		}
 		w.follow(r, h.peer, true)
@@ -291,6 +293,7 @@
 	r.hops = r.hops[:len(r.hops)-1]
 	x.latency = w.now - h.began
 	w.policy.done(w, r, h.entry, h, x)
+	x.unopened = false
 	if o, ok := w.policy.(*ours); ok && h.entry != r.origin {
 		x.free, x.counted = o.free(h.entry, r.arrival.work), true
 	}
--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -40,7 +40,9 @@
 	start   time.Time
 	latency time.Duration
 	kind    Kind
-	resp    *http.Response
+	// unopened means that no connection could be opened.
+	unopened bool
+	resp     *http.Response
 	values
 
 	// What an attempt needs once lies here and not in allocations of its own.
@@ -64,7 +66,7 @@
 	if t.j.body.rest != nil {
 		out = t.j.body.rest.count.Load()
 	}
-	r := Result{Kind: k, Latency: t.latency, Out: out, In: in}
+	r := Result{Kind: k, Latency: t.latency, Out: out, In: in, Unopened: t.unopened}
 	if t.relay && t.resp != nil {
 		n, err := strconv.Atoi(t.resp.Header.Get(headerFree))
 		r.Free, r.Counted = n, err == nil && n >= 0
@@ -158,6 +160,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonConnect, 502, err)
 	}
 	reason, status := t.classify(f.Kind())
+	t.unopened = f.Kind() == pool.Connect
 	if !f.Written() {
 		if status == 502 {
 			status = 503
--- a/internal/request/forward/dependencies.go
+++ b/internal/request/forward/dependencies.go
@@ -43,6 +43,8 @@
 	Out, In int64         // Out and In are the bytes of the bodies of request and response.
 	Counted bool          // Counted means that the other entry sent its count of free slots.
 	Free    int           // Free is that count.
+	// Unopened means that no connection could be opened.
+	Unopened bool
 }
 
 // Choice is where an attempt goes. It holds a slot until Done, which is called exactly once.
--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -27,6 +27,7 @@
 		p := &t.Peers[i]
 		n := c.peerGates[i].Harvest()
 		p.InFlight, p.Started, p.Refused = n.InFlight, n.Started, n.Shed
+		p.Unopened, p.Reached = n.Unopened, n.Answered+n.Shed
 		if n.Counted && now.After(p.Room.At) {
 			// A count that came with a relayed response is newer than those from gossip.
 			p.Room = table.Room{Entry: p.Entry, Service: p.Name, Free: n.Free, Slots: p.Room.Slots, At: now}
--- a/internal/steer/decision/choice.go
+++ b/internal/steer/decision/choice.go
@@ -36,6 +36,8 @@
 	In, Out int64 // In and Out are the bytes received and sent.
 	Counted bool  // Counted means that the peer's answer carried its count of free slots.
 	Free    int   // Free is that count.
+	// Unopened means that no connection could be opened, which says more about a peer than a cut response does.
+	Unopened bool
 }
 
 // Choice is a slot that a request holds. It must not be copied after its first use.
@@ -69,6 +71,11 @@
 		// A peer that refused has no room until it reports again.
 		c.gate.SetLimit(min(c.gate.Limit(), c.gate.InFlight()))
 	}
+	if c.entry != "" && r.Unopened {
+		// The next tick decides when the peer is tried again; until then nothing is relayed to it.
+		c.gate.unopened.Add(1)
+		c.gate.SetLimit(0)
+	}
 	if c.total != nil {
 		c.total.inFlight.Add(-1)
 	}
--- a/internal/steer/decision/gate.go
+++ b/internal/steer/decision/gate.go
@@ -16,6 +16,7 @@
 	failed   atomic.Int64
 	silent   atomic.Int64
 	latency  atomic.Int64
+	unopened atomic.Int64
 	hint     atomic.Int64 // hint is a peer's last count of free slots plus one, or 0 without one.
 }
 
@@ -53,6 +54,7 @@
 	Shed     int
 	Failed   int
 	Silent   int
+	Unopened int           // Unopened counts the relays for which no connection could be opened.
 	Latency  time.Duration // Latency is the sum over the answered requests.
 	Counted  bool          // Counted means that a peer has told its count of free slots.
 	Free     int           // Free is that count.
@@ -70,6 +72,7 @@
 		Shed:     int(g.shed.Swap(0)),
 		Failed:   int(g.failed.Swap(0)),
 		Silent:   int(g.silent.Swap(0)),
+		Unopened: int(g.unopened.Swap(0)),
 		Latency:  time.Duration(g.latency.Swap(0)),
 	}
 }
--- a/internal/steer/split/split.go
+++ b/internal/steer/split/split.go
@@ -24,15 +24,19 @@
 	if t.Changed || t.Moved {
 		owned(t)
 	}
+	down := unopened(now, t)
 	spilled := make([]int, len(t.Services))
 	for i := range t.Peers {
 		p := &t.Peers[i]
 		if p.Region == t.Region {
 			p.Limit = near(now, p)
-			continue
+		} else {
+			p.Limit = far(now, p, others[p.Region])
+			spilled[p.Service] += p.Started
+		}
+		if e := down[p.Entry]; e != nil {
+			p.Limit = probe(now, e, p)
 		}
-		p.Limit = far(now, p, others[p.Region])
-		spilled[p.Service] += p.Started
 	}
 	smooth(t, spilled)
 }
--- a/internal/steer/table/rebuild.go
+++ b/internal/steer/table/rebuild.go
@@ -20,9 +20,12 @@
 }
 
 func (t *Tables) rebuildEntries() {
-	t.Entries = t.Entries[:0]
+	old := keep(t.Entries, func(e Entry) string { return e.Spec.Name() })
+	t.Entries = nil
 	for _, e := range t.Document.Entries() {
-		t.Entries = append(t.Entries, Entry{Spec: e, Region: t.Document.RegionOf(e.Zone())})
+		row := old[e.Name()]
+		row.Spec, row.Region = e, t.Document.RegionOf(e.Zone())
+		t.Entries = append(t.Entries, row)
 	}
 }
 
--- a/internal/steer/table/rows.go
+++ b/internal/steer/table/rows.go
@@ -72,6 +72,8 @@
 	InFlight int // InFlight counts this entry's relays to the peer.
 	Started  int // Started counts the relays started since the last tick.
 	Refused  int // Refused counts the relays that the peer refused since the last tick.
+	Unopened int // Unopened counts the relays since the last tick for which no connection could be opened.
+	Reached  int // Reached counts the relays since the last tick that the peer has answered or refused.
 	Room     Room
 	Heard    bool
 	Used     time.Time // Used is the time of the room that Limit was set from.
@@ -111,6 +113,8 @@
 	Spec   document.Entry
 	Region string
 	State  State
+	Down   int       // Down counts the ticks with connections that could not be opened, without an answer in between.
+	Retry  time.Time // Retry is when an entry that is down gets its next relay.
 }
 
 // Drain is the row of a planned drain.
--- a/internal/steer/table/tables.go
+++ b/internal/steer/table/tables.go
@@ -75,9 +75,6 @@
 }
 
 func (t *Tables) takeMembers(members []Member) {
-	for i := range t.Entries {
-		t.Entries[i].State = Dead
-	}
 	next := make(map[string]State, len(members))
 	for _, m := range members {
 		next[m.Name] = m.State
@@ -90,7 +87,13 @@
 	}
 	t.states = next
 	for i := range t.Entries {
-		t.Entries[i].State = next[t.Entries[i].Spec.Name()]
+		e := &t.Entries[i]
+		before := e.State
+		e.State = next[e.Spec.Name()]
+		if before == Dead && e.State != Dead {
+			// Another process uses the name, so earlier failures say nothing about it.
+			e.Down, e.Retry = 0, time.Time{}
+		}
 	}
 }
 
