internal/entry/loan: lend unused link share to entries that are short

Cause: the link system applies loans, but nothing decided on them, so an entry with more than its share of a link's traffic refused requests while the link was idle.

Change: an entry tells peers the links on which it is short. A peer with unused share counts a loan in its own next tick and only then answers the borrower's calls with it. A loan ends 15 s after its last renewal; the borrower stops 1 s before and the lender resumes 1 s after that.

Faults found while testing with the real systems, and their repair: - A call that carried a loan started its remaining time at the receipt, which a paused borrower delays. Loans now travel in answers only and count from the question. - The replacement of a killed lender did not know its loans. An entry lends at most half of a share and uses only the other half in its first 16 s. - Streams of a paused process used the old rate until the next tick. A bucket now closes 1 s after its last tick. - WaitOut and WaitIn let bytes pass a closed bucket uncharged after 1 s. They now ask again until the bytes are charged. - A lender whose configuration refused its own loan used the whole share.

--- /dev/null
+++ b/internal/entry/node/lend.go
@@ -0,0 +1,37 @@
+package node
+
+import (
+	"time"
+
+	"tamarackspool/internal/entry/loan"
+	"tamarackspool/internal/fleet/gossip"
+	"tamarackspool/internal/steer/decision"
+	"tamarackspool/internal/steer/table"
+)
+
+// loans returns the loans that the tick has to count: those given and those received.
+func (n *Node) loans(now time.Time) []table.Loan {
+	all := n.book.Given(now)
+	for _, l := range n.gossip.Loans() {
+		if a, b, ok := loan.Regions(l.Link); ok {
+			all = append(all, table.Loan{From: l.From, To: l.To, A: a, B: b, Rate: l.Rate, Until: l.Until})
+		}
+	}
+	return all
+}
+
+// lend tells borrowers of the loans that the tick has counted, decides on the
+// next ones and asks for loans on the links where this entry is short.
+func (n *Node) lend(now time.Time, s decision.Status) {
+	var told []gossip.Loan
+	for _, l := range n.book.Told(now) {
+		told = append(told, gossip.Loan{From: l.From, To: l.To, Link: loan.Name(l.A, l.B), Rate: l.Rate, Until: l.Until})
+	}
+	n.gossip.SetLoans(told)
+	var needs []loan.Need
+	for _, d := range n.gossip.Needs() {
+		needs = append(needs, loan.Need{Entry: d.Entry, Link: d.Link})
+	}
+	n.book.Decide(now, s, needs)
+	n.gossip.SetNeeds(n.book.Needs(s))
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -14,6 +14,7 @@
 
 	"tamarackspool/internal/config/current"
 	"tamarackspool/internal/config/history"
+	"tamarackspool/internal/entry/loan"
 	"tamarackspool/internal/entry/operator"
 	"tamarackspool/internal/entry/queue"
 	"tamarackspool/internal/entry/setting"
@@ -73,6 +74,7 @@
 
 	operator *operator.API
 	waiting  *queue.Queue
+	book     *loan.Book
 
 	snapshot atomic.Pointer[decision.Snapshot]
 	vms      atomic.Pointer[vmList]
@@ -161,6 +163,7 @@
 	n.lookups = lookup.New(lookup.Settings{
 		Entry: n.s.Name(), Zone: n.s.Zone(), Region: n.s.Region(), Seed: n.s.Seed(),
 	})
+	n.book = loan.New(n.s.Name(), n.s.Region())
 	n.core = core.New(core.Settings{Entry: n.s.Name(), Region: n.s.Region(), Zone: n.s.Zone()})
 }
 
--- a/internal/entry/node/tick.go
+++ b/internal/entry/node/tick.go
@@ -47,8 +47,10 @@
 		st.confirmed = true
 		n.d.Events.Log(event.Confirmed, "entry", n.s.Name())
 	}
+	in.Loans = n.loans(now)
 	s := n.core.Step(now, in)
 	n.snapshot.Store(s)
+	n.lend(now, s.Status())
 	n.log(s.Status().Events)
 	n.gossip.SetRooms(n.rooms(s, now))
 	n.follower.SetWatching(n.gossip.Watches())
--- a/internal/fleet/gossip/exchange.go
+++ b/internal/fleet/gossip/exchange.go
@@ -13,7 +13,7 @@
 	}
 	name := l.name()
 	s.mu.Lock()
-	request := s.compose(name, nil)
+	request := s.compose(nil)
 	request.Fresh = fresh
 	s.mu.Unlock()
 	answer, err := s.swap(ctx, l, name, request)
@@ -38,14 +38,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(request.Loans) > 0 {
-		delete(s.owed, name)
-	}
 	peer, ok := s.table.Member(name)
 	if !ok {
 		peer = member.New(member.Fields{Name: name, Peer: l.address})
 	}
-	s.absorb(peer, answer, sent)
+	s.absorb(peer, answer)
+	if len(answer.Loans) > 0 {
+		s.loans[name] = takeLoans(name, s.settings.Self.Name(), answer.Loans, sent)
+	}
 	if answer.Sure {
 		s.table.Confirm()
 		s.sureAt = sent
@@ -61,7 +61,7 @@
 	if known, ok := s.table.Member(peer.Name()); ok && known.Incarnation() == peer.Incarnation() {
 		peer = known
 	}
-	s.absorb(peer, m, s.deps.Now())
+	s.absorb(peer, m)
 	answer := s.answerTo(peer, m)
 	answer.Floor = s.table.Floor(peer.Name())
 	answer.Sure = s.table.Current(peer.Name(), peer.Incarnation())
@@ -82,7 +82,9 @@
 	if len(m.Beats) == 0 {
 		return exchangeForm{Version: m.Version, Hash: m.Hash}
 	}
-	return s.compose(peer.Name(), m.Doubt)
+	answer := s.compose(m.Doubt)
+	answer.Loans = s.loansFor(peer.Name())
+	return answer
 }
 
 // introduction returns records for an entry with empty memory: stopped incarnations and a part of the members.
--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -18,8 +18,8 @@
 	self  bool
 }
 
-// compose makes a message for the named peer. The caller holds the lock.
-func (s *Service) compose(peer string, first []uint32) exchangeForm {
+// compose makes a message. The caller holds the lock.
+func (s *Service) compose(first []uint32) exchangeForm {
 	version, hash, _ := s.deps.Holder.Raw()
 	m := exchangeForm{Version: version}
 	if version > 0 {
@@ -32,7 +32,7 @@
 	}
 	m.Want = s.wanted()
 	m.Doubt = s.doubts()
-	m.Loans = s.loansFor(peer)
+	m.Needs = s.needs
 	return m
 }
 
@@ -140,22 +140,8 @@
 	return out
 }
 
-func (s *Service) loansFor(peer string) []loanForm {
-	if !s.owed[peer] {
-		return nil
-	}
-	now := s.deps.Now()
-	var out []loanForm
-	for _, l := range s.lent {
-		if left := l.Until.Sub(now); l.To == peer && left > 0 {
-			out = append(out, loanForm{Link: l.Link, Rate: l.Rate, Left: left.Milliseconds()})
-		}
-	}
-	return out
-}
-
 // absorb takes over a message from the named peer. The caller holds the lock.
-func (s *Service) absorb(peer member.Member, m exchangeForm, sent time.Time) {
+func (s *Service) absorb(peer member.Member, m exchangeForm) {
 	now := s.deps.Now()
 	before := s.table.Standing()
 	s.table.Merge(now, membersOf(m.Members, 4*maxMembers))
@@ -174,22 +160,14 @@
 	if self := s.table.Self().Digest(); slices.Contains(m.Doubt, self) {
 		s.table.Refute(now)
 	}
-	if len(m.Loans) > 0 {
-		s.loans[peer.Name()] = takeLoans(peer.Name(), s.settings.Self.Name(), m.Loans, sent)
+	if len(m.Beats) > 0 {
+		// A call that carries only records says nothing about needs.
+		s.asked[peer.Name()] = wish{m.Needs[:min(len(m.Needs), maxNeeds)], now}
 	}
 	s.compare(peer, m)
 	s.reportStanding(before)
 }
 
-// takeLoans starts a loan's remaining time when its message was asked for, so that it ends no later than the lender counts.
-func takeLoans(from, to string, forms []loanForm, sent time.Time) []Loan {
-	var out []Loan
-	for _, f := range forms {
-		out = append(out, Loan{From: from, To: to, Link: f.Link, Rate: f.Rate, Until: sent.Add(time.Duration(f.Left) * time.Millisecond)})
-	}
-	return out
-}
-
 // compare looks at the peer's configuration version.
 func (s *Service) compare(peer member.Member, m exchangeForm) {
 	version, hash, _ := s.deps.Holder.Raw()
--- a/internal/fleet/gossip/run.go
+++ b/internal/fleet/gossip/run.go
@@ -81,10 +81,9 @@
 	if ok {
 		peers = append(peers, a)
 	}
-	for name := range s.owed {
-		if m, ok := s.table.Member(name); ok && m.Live() && len(peers) < 2 && m.Peer().IsValid() {
-			peers = append(peers, m.Peer())
-		}
+	if b, more := s.pick((s.turn + 1) % 2); more && ok && len(s.needs) > 0 && b != a {
+		// Loans come only in answers, so an entry in need asks twice as many peers.
+		peers = append(peers, b)
 	}
 	s.pace.update(s.count.sent.Load()-s.count.bulk.Load(), len(s.table.Members()))
 	interval := s.pace.interval
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -28,7 +28,8 @@
 	turn   int
 	pace   pace
 	lent   []Loan
-	owed   map[string]bool // peers that have not received their loans yet
+	needs  []string        // needs names the links on which this entry is short
+	asked  map[string]wish // asked holds the last needs of each peer
 	loans  map[string][]Loan
 	alive  map[string]int // live members by region
 	sureAt time.Time
@@ -47,7 +48,7 @@
 		random:   rand.New(rand.NewPCG(deps.Seed, deps.Seed^0x9e3779b97f4a7c15)),
 		links:    make(map[netip.AddrPort]*link),
 		wants:    make(map[uint32]time.Time),
-		owed:     make(map[string]bool),
+		asked:    make(map[string]wish),
 		loans:    make(map[string][]Loan),
 		alive:    make(map[string]int),
 		pace:     newPace(settings),
@@ -94,33 +95,6 @@
 	return s.table.Heirs(incarnation)
 }
 
-// SetLoans replaces the shares that this entry lends; each goes to its borrower only.
-func (s *Service) SetLoans(loans []Loan) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lent = append([]Loan(nil), loans...)
-	clear(s.owed)
-	for _, l := range loans {
-		s.owed[l.To] = true
-	}
-}
-
-// Loans returns the shares that peers lend to this entry and that have not expired.
-func (s *Service) Loans() []Loan {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.deps.Now()
-	var out []Loan
-	for _, all := range s.loans {
-		for _, l := range all {
-			if l.Until.After(now) {
-				out = append(out, l)
-			}
-		}
-	}
-	return out
-}
-
 // Standing returns whether this entry's incarnation is the current one of its name.
 func (s *Service) Standing() member.Standing {
 	s.mu.Lock()
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -43,7 +43,8 @@
 		Members  []memberForm `json:"members,omitempty"`
 		Want     []uint32     `json:"want,omitempty"`
 		Doubt    []uint32     `json:"doubt,omitempty"`
-		Loans    []loanForm   `json:"loans,omitempty"`
+		Needs    []string     `json:"needs,omitempty"` // links on which the sender is short
+		Loans    []loanForm   `json:"loans,omitempty"` // only in answers
 		Fresh    bool         `json:"fresh,omitempty"`
 		Floor    uint64       `json:"floor,omitempty"`
 		Sure     bool         `json:"sure,omitempty"`
--- a/internal/measure/policy/ours.go
+++ b/internal/measure/policy/ours.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"tamarackspool/internal/entry/loan"
 	"tamarackspool/internal/request/verdict"
 	"tamarackspool/internal/steer/core"
 	"tamarackspool/internal/steer/decision"
@@ -28,6 +29,9 @@
 	confirmed bool
 	ticks     int
 	reports   []table.Report
+	book      *loan.Book
+	needs     map[string]need
+	received  map[string][]table.Loan
 }
 
 // ours drives the product's core and snapshots.
@@ -35,6 +39,7 @@
 	brains  []*brain
 	timings timings
 	events  map[int]int
+	alone   bool // alone means that no entry lends its share of a link
 }
 
 func newOurs() *ours { return &ours{events: make(map[int]int)} }
@@ -44,7 +49,11 @@
 		o.brains = append(o.brains, nil)
 	}
 	x := &w.entries[e]
-	b := &brain{rooms: make(map[string]table.Room), heard: make([]time.Duration, len(w.entries))}
+	b := &brain{
+		rooms: make(map[string]table.Room), heard: make([]time.Duration, len(w.entries)),
+		needs: make(map[string]need), received: make(map[string][]table.Loan),
+		book: loan.New(x.spec.Name(), w.place.regions[x.region]),
+	}
 	b.core = core.New(core.Settings{Entry: x.spec.Name(), Region: w.place.regions[x.region], Zone: x.spec.Zone()})
 	if w.now == 0 {
 		// Before the run everyone has been heard from.
@@ -85,12 +94,16 @@
 			}
 		}
 	}
+	in.Loans = b.loans(w)
 	began := time.Now()
 	b.snapshot = b.core.Step(w.clock(), in)
 	o.timings.tick(time.Since(began))
 	for _, v := range b.snapshot.Status().Events {
 		o.events[int(v.Number)]++
 	}
+	if !o.alone {
+		b.lend(w)
+	}
 	b.reports = nil
 	if b.ticks%polls == 0 {
 		b.reports = o.poll(w, b)
@@ -147,6 +160,7 @@
 		}
 		d := w.between(e, p)
 		o.send(w, e, p, d, func() { o.send(w, p, e, d, func() { o.brains[e].confirmed = true }) })
+		o.borrow(w, e, p, d)
 	}
 }
 
--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -50,7 +50,11 @@
 // begin lets a caller send its request to an entry of its home, or of another region when its home is lost.
 func (w *world) begin(a *arrival) {
 	travel := w.place.client
-	e := w.entryIn(a.home, a.entry)
+	draw := a.entry
+	if w.script.crowded && w.script.active(w.now) && a.home == 0 && a.work == len(w.place.works)-1 {
+		draw = 0
+	}
+	e := w.entryIn(a.home, draw)
 	if e < 0 {
 		travel += w.place.region
 		e = w.entryIn((a.home+1+int(a.entry>>32)%2)%len(w.place.regions), a.entry)
--- a/internal/measure/policy/run.go
+++ b/internal/measure/policy/run.go
@@ -59,6 +59,7 @@
 func policies() map[string]func() policy {
 	return map[string]func() policy{
 		nameOurs:   func() policy { return newOurs() },
+		"unlent":   func() policy { return &ours{events: make(map[int]int), alone: true} },
 		"least":    func() policy { return &baseline{pick: least, spill: true} },
 		"robin":    func() policy { return &baseline{pick: robin} },
 		"two":      func() policy { return &baseline{pick: two} },
@@ -68,7 +69,7 @@
 	}
 }
 
-var order = []string{nameOurs, "least", "robin", "two", "fixed", "lent", nameOracle}
+var order = []string{nameOurs, "unlent", "least", "robin", "two", "fixed", "lent", nameOracle}
 
 // workers bounds the scenarios that run at once.
 const workers = 4
--- a/internal/measure/policy/scenario.go
+++ b/internal/measure/policy/scenario.go
@@ -22,6 +22,7 @@
 	lies     bool
 	parted   bool // regions do not reach each other
 	slow     bool // one target takes ten times as long
+	crowded  bool // the first region has no targets of the last work and its callers of that work all use one entry
 }
 
 // warmup is the time before anything is measured.
@@ -53,6 +54,7 @@
 		with("burst", func(s *scenario) { s.load, s.factor, s.only = 0.4, 5, 1 }),
 		with("slow", func(s *scenario) { s.slow = true }),
 		with("two", func(s *scenario) { s.lost, s.slow, s.length = true, true, 75*time.Second }),
+		with("crowded", func(s *scenario) { s.crowded, s.load, s.to, s.length = true, 0.5, 70*time.Second, 75*time.Second }),
 	}
 }
 
--- a/internal/measure/policy/world.go
+++ b/internal/measure/policy/world.go
@@ -85,6 +85,9 @@
 		place: d, script: s, policy: p, rng: rand.New(rand.NewPCG(seed, 2)),
 		byName: make(map[string]int), entryBy: make(map[string]int),
 	}
+	if s.crowded {
+		w.move(f.Targets)
+	}
 	if s.drain {
 		f.Drains = append(f.Drains, w.planned(&f))
 	}
@@ -113,6 +116,20 @@
 // leaves picks every third target of a region, in turn.
 func (w *world) leaves(i int) bool { return i/len(w.place.regions)%3 == 0 }
 
+// move puts the first region's targets of the last work into the other regions in turn.
+func (w *world) move(targets []document.Target) {
+	k := w.place.works[len(w.place.works)-1]
+	moved := 0
+	for i, t := range targets {
+		if t.Service() != k.service || w.regionOf(t.Zone()) != 0 {
+			continue
+		}
+		zone := zoneName(w.place.regions[1+moved%2], moved/2%2)
+		moved++
+		targets[i] = document.NewTarget(document.TargetFields{Name: t.Name(), Service: k.service, Zone: zone, Slots: k.slots, Conns: t.Conns()})
+	}
+}
+
 func (w *world) planned(f *document.Fields) document.Drain {
 	var names []string
 	for i, t := range f.Targets {
--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -95,6 +95,7 @@
 			c.buckets[r.Region] = b
 		}
 		b.SetRate(r.Rate)
+		b.Expire(now.Add(Gap))
 		buckets[r.Region] = b
 	}
 	return buckets
--- a/internal/steer/decision/bucket.go
+++ b/internal/steer/decision/bucket.go
@@ -12,6 +12,7 @@
 // Bucket paces the bytes that this entry sends and receives over the link to a region.
 type Bucket struct {
 	epoch time.Time
+	end   atomic.Int64 // end is when the rate ceases to be valid, in nanoseconds since the epoch; 0 means never.
 	out   pacer
 	in    pacer
 }
@@ -28,33 +29,64 @@
 	b.in.rate.Store(rate)
 }
 
+// Expire closes the bucket after the given time unless it is called again before,
+// so that streams of a paused process do not use a loan that has ended.
+func (b *Bucket) Expire(at time.Time) { b.end.Store(int64(at.Sub(b.epoch))) }
+
+// RateAt returns the bytes per second of each direction that may pass at the given time.
+func (b *Bucket) RateAt(now time.Time) int64 {
+	if end := b.end.Load(); end != 0 && int64(now.Sub(b.epoch)) > end {
+		return 0
+	}
+	return b.Rate()
+}
+
 // Rate returns the bytes per second of each direction.
 func (b *Bucket) Rate() int64 { return b.out.rate.Load() }
 
 // Open reports whether a relay may start: the bucket has a rate and neither direction is in debt.
 func (b *Bucket) Open(now time.Time) bool {
 	at := int64(now.Sub(b.epoch))
-	return b.Rate() > 0 && b.out.due.Load() <= at && b.in.due.Load() <= at
+	return b.RateAt(now) > 0 && b.out.due.Load() <= at && b.in.due.Load() <= at
 }
 
 // TakeOut charges n bytes sent and returns how long the stream has to wait before it goes on.
 func (b *Bucket) TakeOut(now time.Time, n int64) time.Duration {
-	return b.out.take(int64(now.Sub(b.epoch)), n)
+	d, _ := b.take(&b.out, now, n)
+	return d
 }
 
 // TakeIn charges n bytes received and returns how long the stream has to wait before it goes on.
 func (b *Bucket) TakeIn(now time.Time, n int64) time.Duration {
-	return b.in.take(int64(now.Sub(b.epoch)), n)
+	d, _ := b.take(&b.in, now, n)
+	return d
 }
 
 // WaitOut charges n bytes sent and waits until they fit the rate or the context ends.
-func (b *Bucket) WaitOut(ctx context.Context, n int64) error {
-	return wait(ctx, b.TakeOut(time.Now(), n))
-}
+func (b *Bucket) WaitOut(ctx context.Context, n int64) error { return b.pass(ctx, &b.out, n) }
 
 // WaitIn charges n bytes received and waits until they fit the rate or the context ends.
-func (b *Bucket) WaitIn(ctx context.Context, n int64) error {
-	return wait(ctx, b.TakeIn(time.Now(), n))
+func (b *Bucket) WaitIn(ctx context.Context, n int64) error { return b.pass(ctx, &b.in, n) }
+
+// pass asks a closed bucket again until it takes the charge, so that no byte passes without one.
+func (b *Bucket) pass(ctx context.Context, p *pacer, n int64) error {
+	for {
+		d, charged := b.take(p, time.Now(), n)
+		if err := wait(ctx, d); err != nil || charged {
+			return err
+		}
+	}
+}
+
+// take reports how long to wait and whether the bytes were charged, which a closed bucket does not do.
+func (b *Bucket) take(p *pacer, now time.Time, n int64) (time.Duration, bool) {
+	if n <= 0 {
+		return 0, true
+	}
+	if b.RateAt(now) <= 0 {
+		return closedWait, false
+	}
+	return p.take(int64(now.Sub(b.epoch)), n), true
 }
 
 func wait(ctx context.Context, d time.Duration) error {
@@ -80,16 +112,10 @@
 }
 
 // closedWait is how long a stream waits when the rate is zero before it may ask again.
-const closedWait = time.Second
+const closedWait = 100 * time.Millisecond
 
 func (p *pacer) take(at, n int64) time.Duration {
-	rate := p.rate.Load()
-	if n <= 0 {
-		return 0
-	}
-	if rate <= 0 {
-		return closedWait
-	}
+	rate := max(1, p.rate.Load())
 	p.used.Add(n)
 	cost := int64(float64(n) / float64(rate) * float64(time.Second))
 	for {
--- a/internal/steer/link/link.go
+++ b/internal/steer/link/link.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"slices"
 	"time"
 
 	"tamarackspool/internal/record/event"
@@ -21,10 +22,21 @@
 // Grace is how much earlier the borrower stops than the lender resumes.
 const Grace = time.Second
 
+// Terms that the lender and its replacement rely on. The replacement of a
+// killed lender knows none of its loans, so an entry lends at most Most of a
+// share and uses no more than the rest until every earlier loan has ended.
+const (
+	Longest = 15 * time.Second // longest time from the decision or renewal of a loan to its end
+	Most    = 0.5              // largest part of a share that is lent at once
+)
+
 // Update sets this entry's rate on each link from its fixed share and the loans in force.
 func Update(now time.Time, t *table.Tables) {
 	for i := range t.Links {
 		t.Links[i].Rate = t.Links[i].Share
+		if now.Sub(t.Began) < Longest+Grace {
+			t.Links[i].Rate -= int64(Most * float64(t.Links[i].Share))
+		}
 	}
 	for _, l := range t.Input.Loans {
 		apply(now, t, l)
@@ -48,7 +60,8 @@
 	// The use falls by half in about five seconds, longer than a burst lasts.
 	r.Used = max(float64(r.Bytes)/seconds, r.Used*(1-min(1, seconds*fall)))
 	r.Spare = max(0, int64(lendable*(float64(min(r.Rate, r.Share))-2*r.Used)))
-	r.Short = r.Used > near*float64(r.Rate)
+	// The own share counts and not the loans, so that a loan is renewed as long as it is used.
+	r.Short = r.Used > near*float64(min(r.Rate, int64(Safety*float64(r.Share))))
 }
 
 func apply(now time.Time, t *table.Tables, l table.Loan) {
@@ -56,9 +69,12 @@
 		return
 	}
 	r := row(t, l)
-	if r == nil || l.Rate <= 0 || l.Rate > r.Share || l.From == l.To {
+	if r == nil || l.Rate <= 0 || l.Rate > r.Share || l.From == l.To || !configured(t, l.From) {
 		t.Emit(event.LoanRefused, "from", l.From, "to", l.To, "rate", l.Rate)
-		return
+		if r == nil || l.Rate <= 0 || l.From != t.Self {
+			return
+		}
+		// A borrower with another version of the configuration may still use what was lent.
 	}
 	switch {
 	case l.From == t.Self && now.Before(l.Until.Add(Grace)):
@@ -68,6 +84,11 @@
 	}
 }
 
+// configured reports whether the entry has a share at all.
+func configured(t *table.Tables, name string) bool {
+	return slices.ContainsFunc(t.Entries, func(e table.Entry) bool { return e.Spec.Name() == name })
+}
+
 func row(t *table.Tables, l table.Loan) *table.Link {
 	for i := range t.Links {
 		r := t.Links[i].Region
