--- a/internal/demo/scenario/params.go
+++ b/internal/demo/scenario/params.go
@@ -12,7 +12,7 @@
 
 // together is how many scripts run at once: each has up to six entries, which
 // need their ticks in time under the race detector.
-const together = 3
+const together = 4
 
 // LongVariable is the environment variable with which long scenarios run, too.
 const LongVariable = "TAMARACK_SCENARIOS"
