--- a/internal/fleet/gossip/frame.go
+++ b/internal/fleet/gossip/frame.go
@@ -41,9 +41,10 @@
 // wire counts the bytes of a connection and bounds how long a write or the wait for a message may take.
 type wire struct {
 	net.Conn
-	count *counters
-	write time.Duration
-	idle  time.Duration
+	count    *counters
+	accepted bool // accepted means that the peer opened the connection, so that this entry only answers on it
+	write    time.Duration
+	idle     time.Duration
 }
 
 // Read reads from the connection and fails after the idle time without a byte.
@@ -64,6 +65,10 @@
 	n, err := w.Conn.Write(p)
 	w.count.sent.Add(int64(n) + segmentOverhead)
 	w.count.messages.Add(1)
+	if w.accepted {
+		w.count.answered.Add(int64(n) + segmentOverhead)
+		w.count.answers.Add(1)
+	}
 	return n, err
 }
 
@@ -71,25 +76,33 @@
 type counters struct {
 	sent, received, messages, bulk         atomic.Int64
 	late, refused, stale, silent, unknowns atomic.Int64
+	fetched, failed, dropped, skipped      atomic.Int64
+	answered, answers                      atomic.Int64
 }
 
 // Counts are the totals of a service since its start.
 type Counts struct {
 	Sent, Received int64 // bytes on the wire
+	Bulk           int64 // bytes of configurations among those sent
 	Messages       int64 // messages sent
 	Late           int64 // answers that matched no open call
 	Refused        int64 // connections refused for a wrong key
 	Stale          int64 // configurations that were not newer
 	Silent         int64 // calls without an answer within the deadline
 	Unknown        int64 // heartbeats without a known record
+	Fetched        int64 // configurations asked for
+	Failed         int64 // configurations asked for without an answer
+	Dropped        int64 // hints of a newer version that were dropped, because a fetch was already waiting
+	Skipped        int64 // exchanges not started, because too many were open
 }
 
 // Counts returns the totals since the start.
 func (s *Service) Counts() Counts {
 	c := &s.count
 	return Counts{
-		Sent: c.sent.Load(), Received: c.received.Load(), Messages: c.messages.Load(),
+		Sent: c.sent.Load(), Received: c.received.Load(), Bulk: c.bulk.Load(), Messages: c.messages.Load(),
 		Late: c.late.Load(), Refused: c.refused.Load(), Stale: c.stale.Load(),
 		Silent: c.silent.Load(), Unknown: c.unknowns.Load(),
+		Fetched: c.fetched.Load(), Failed: c.failed.Load(), Dropped: c.dropped.Load(), Skipped: c.skipped.Load(),
 	}
 }
--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -18,14 +18,15 @@
 	self  bool
 }
 
-// compose makes a message for the named peer. The caller holds the lock.
-func (s *Service) compose(peer string, first []uint32) exchangeForm {
+// compose makes a message for the named peer without the heartbeats that it was told by the peer itself, at most the
+// given number of them. The caller holds the lock.
+func (s *Service) compose(peer string, first []uint32, told map[uint32]uint64, most int) exchangeForm {
 	version, hash, _ := s.deps.Holder.Raw()
 	m := exchangeForm{Version: version}
 	if version > 0 {
 		m.Hash = hex.EncodeToString(hash[:hashBytes])
 	}
-	beats := s.choose(first)
+	beats := s.choose(first, told, most)
 	m.Services = servicesOf(beats)
 	for _, b := range beats {
 		m.Beats = append(m.Beats, rowOf(b.beat, m.Version, m.Services))
@@ -38,10 +39,12 @@
 
 // choose returns the heartbeats for a message: the entry's own, those asked for, then two thirds newest and
 // one third at random, so that no member is starved by others with newer news.
-func (s *Service) choose(first []uint32) []heardBeat {
+func (s *Service) choose(first []uint32, told map[uint32]uint64, most int) []heardBeat {
 	var all []heardBeat
 	s.table.Beats(func(b member.Beat, heard time.Time, self bool) {
-		all = append(all, heardBeat{b, heard, self})
+		if sequence, ok := told[b.Digest]; !ok || sequence < b.Sequence {
+			all = append(all, heardBeat{b, heard, self})
+		}
 	})
 	prior := func(b heardBeat) int {
 		switch {
@@ -60,7 +63,6 @@
 		}
 		return b.heard.Compare(a.heard)
 	})
-	most := s.pace.beats
 	if len(all) <= most {
 		return all
 	}
@@ -69,6 +71,18 @@
 	return all[:most]
 }
 
+// toldBy returns the sequences by digest that a message carries. Without this an answer would mostly repeat the
+// request, because the heartbeats taken over from it are the newest.
+func toldBy(m exchangeForm) map[uint32]uint64 {
+	told := make(map[uint32]uint64, len(m.Beats))
+	for _, row := range m.Beats {
+		if b, ok := beatOf(row, m.Version, nil); ok {
+			told[b.Digest] = b.Sequence
+		}
+	}
+	return told
+}
+
 func servicesOf(beats []heardBeat) []string {
 	var names []string
 	for _, b := range beats {
@@ -130,14 +144,11 @@
 	return out
 }
 
+// doubts returns the members to ask for news of: those that have been silent for half the time to suspicion. A peer
+// answers with what it has heard first, so that a member is asked after through many peers before it is called dead.
 func (s *Service) doubts() []uint32 {
-	var out []uint32
-	for _, m := range s.table.Members() {
-		if m.State() == member.Suspect && len(out) < maxDoubts {
-			out = append(out, m.Digest())
-		}
-	}
-	return out
+	age := max(member.SuspectFloor, member.SuspectIntervals*s.pace.refresh(s.table.Size())) / 2
+	return s.table.Oldest(s.deps.Now(), age, maxDoubts)
 }
 
 func (s *Service) loansFor(peer string) []loanForm {
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -127,25 +127,3 @@
 	}
 	return bytes.Compare(a.f.Incarnation[:], b.f.Incarnation[:])
 }
-
-// Watchers returns the names of the n live members that watch the configuration, by rendezvous rank.
-func Watchers(members []Member, n int) []string {
-	type ranked struct {
-		name string
-		rank uint64
-	}
-	var all []ranked
-	for _, m := range members {
-		if m.Live() {
-			all = append(all, ranked{m.f.Name, xxhash.Sum64String("config/head\x00" + m.f.Name)})
-		}
-	}
-	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.name, b.name))
-	})
-	names := make([]string, 0, n)
-	for _, r := range all[:min(n, len(all))] {
-		names = append(names, r.name)
-	}
-	return names
-}
