--- a/cmd/tamarackmeasure/capacity.go
+++ b/cmd/tamarackmeasure/capacity.go
@@ -16,16 +16,17 @@
 
 // Capacity measures how the cost of each role of a node grows, and judges it at the design size.
 type Capacity struct {
-	JSON  bool     `help:"Write JSON." name:"json"`
-	Plot  string   `help:"Write drawings into this directory." type:"existingdir"`
-	Seed  uint64   `help:"Seed of the random choices." default:"1"`
-	Sizes []int    `help:"Fleet sizes of the gossip role." default:"48,192,400"`
-	Roles []string `help:"Roles to measure; none means all." name:"role"`
+	JSON   bool     `help:"Write JSON." name:"json"`
+	Plot   string   `help:"Write drawings into this directory." type:"existingdir"`
+	Seed   uint64   `help:"Seed of the random choices." default:"1"`
+	Sizes  []int    `help:"Fleet sizes of the gossip role." default:"48,192,400"`
+	Deaths bool     `help:"Measure how long the death of an entry goes unnoticed; takes up to 90 s more per fleet size."`
+	Roles  []string `help:"Roles to measure; none means all." name:"role"`
 }
 
 func (c *Capacity) roles() []capacity.Role {
 	all := []capacity.Role{
-		capacity.Gossip{Seed: c.Seed, Sizes: c.Sizes},
+		capacity.Gossip{Seed: c.Seed, Sizes: c.Sizes, Deaths: c.Deaths},
 		capacity.Steer{},
 		capacity.Directory{},
 		capacity.Config{},
--- a/internal/measure/capacity/fleet.go
+++ b/internal/measure/capacity/fleet.go
@@ -30,8 +30,9 @@
 
 // Gossip measures the exchange between entries that all run in this process, over TCP on loopback.
 type Gossip struct {
-	Seed  uint64
-	Sizes []int // Sizes are the fleet sizes; none means the default.
+	Seed   uint64
+	Sizes  []int // Sizes are the fleet sizes; none means the default.
+	Deaths bool  // Deaths stops an entry at the end and takes up to 90 s more per size.
 }
 
 // Name returns the name of the role.
@@ -82,6 +83,7 @@
 type entry struct {
 	*gossip.Service
 	holder *holder
+	stop   context.CancelFunc
 }
 
 type fleet struct {
@@ -90,7 +92,7 @@
 	cancel  context.CancelFunc
 }
 
-// Measure runs a fleet of the given size for about a minute.
+// Measure runs a fleet of the given size for one to two minutes.
 func (g Gossip) Measure(ctx context.Context, nodes int) (map[string]float64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	before := heap()
@@ -103,6 +105,9 @@
 	out := map[string]float64{"memory-MB": (heap() - before) / float64(nodes) / 1e6}
 	f.steady(out)
 	f.propagate(ctx, out)
+	if g.Deaths {
+		f.die(ctx, out)
+	}
 	return out, nil
 }
 
@@ -129,9 +134,10 @@
 			Dial: dialer.DialContext, Holder: h, Now: time.Now, Seed: seed + uint64(i), Events: silent{},
 		})
 		s.SetRooms([]member.Room{member.NewRoom(self.Name(), "status", i%9, time.Now()), member.NewRoom(self.Name(), "gifts", i%5, time.Now())})
-		f.entries = append(f.entries, entry{s, h})
-		f.wait.Go(func() { _ = s.Serve(ctx, l) })
-		f.wait.Go(func() { _ = s.Run(ctx) })
+		own, stop := context.WithCancel(ctx)
+		f.entries = append(f.entries, entry{s, h, stop})
+		f.wait.Go(func() { _ = s.Serve(own, l) })
+		f.wait.Go(func() { _ = s.Run(own) })
 	}
 	return nil
 }
