internal/steer/load: keep the trust in reports during a takeover

Cause: a new owner compared reports with its own count of requests, which is 0 during the hold. Honest reports of the former owner's requests lowered the trust, and the ramp began below slots - busy.

Change: reports change the trust only after the ramp has begun.

--- a/internal/steer/load/load.go
+++ b/internal/steer/load/load.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		r.Report, r.Heard = p, true
-		compare(r, p)
+		compare(now, r, p)
 	}
 }
 
@@ -79,9 +79,13 @@
 // compare moves the trust towards whether the report agrees with this entry's
 // own count, and the excess towards the difference. Its sign is kept because a
 // report lags: single differences mean nothing, their mean does.
-func compare(r *table.Target, p table.Report) {
+func compare(now time.Time, r *table.Target, p table.Report) {
 	excess := float64(p.Busy - r.Seen.InFlight)
 	r.Foreign += 0.1 * (excess - r.Foreign)
+	if !r.Mine || r.Fresh || now.Before(r.Hold) {
+		// The requests of the former owner explain a difference until the hold ends and the ramp has begun.
+		return
+	}
 	agrees := math.Abs(excess) <= 1+0.5*float64(r.Seen.InFlight)
 	if !agrees && (excess < 0 || r.Seen.Shed == 0) {
 		r.Trust *= 0.95
