internal/steer/core: free the gates of removed targets

Cause: gates of targets and peers that a configuration removes stayed in memory for the life of the process.

Change: a change of the rows drops gates without a row once nothing is in flight there.

--- a/internal/steer/core/core.go
+++ b/internal/steer/core/core.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Gates returns the number of targets and peer services that the core counts requests for.
+func (c *Core) Gates() int { return len(c.gates) + len(c.peers) }
+
 // Step runs all systems once and returns the decisions until the next tick.
 // The events of the tick are in the snapshot's status.
 func (c *Core) Step(now time.Time, in *table.Input) *decision.Snapshot {
--- a/internal/steer/core/exchange.go
+++ b/internal/steer/core/exchange.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"tamarackspool/internal/steer/decision"
@@ -57,11 +58,26 @@
 	for i := range t.Peers {
 		c.peerGates = append(c.peerGates, entry(c.peers, t.Peers[i].Entry+"\x00"+t.Peers[i].Name))
 	}
+	prune(c.gates, c.targetGates)
+	prune(c.peers, c.peerGates)
 	for i := range t.Shifts {
 		c.rowMeters = append(c.rowMeters, entry(c.meters, t.Shifts[i].Name+"\x00"+t.Shifts[i].Home))
 	}
 }
 
+// prune drops the gates without a row. One with requests in flight stays until a
+// later change, so that they stay counted when the row comes back.
+func prune(all map[string]*decision.Gate, used []*decision.Gate) {
+	if len(all) == len(used) {
+		return
+	}
+	keep := make(map[*decision.Gate]bool, len(used))
+	for _, g := range used {
+		keep[g] = true
+	}
+	maps.DeleteFunc(all, func(_ string, g *decision.Gate) bool { return !keep[g] && g.InFlight() == 0 })
+}
+
 // publish sets the limits of the counters and makes the snapshot.
 func (c *Core) publish(now time.Time) *decision.Snapshot {
 	t := c.tables
