internal/steer/overload: wait for a slot in proportion to the work

A request waited 10 ms for each slot; three slots with work of 300 ms become free too seldom for that, so an entry refused while its slots were about to become free.

Change: a request waits also 1.35 times the usual time of an answer, at most 1 s. In one step a cap lets at most 1.5 times its mean through and no longer one more, because more waiting requests start in the same tick.

--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -109,7 +109,7 @@
 
 // hold keeps a relayed request in the owner's queue for a short time.
 func (w *world) hold(r *request, e int) bool {
-	patience := w.patience(r)
+	patience := w.patience(r, e)
 	if r.waited || w.now+patience > r.deadline {
 		return false
 	}
@@ -127,7 +127,7 @@
 
 // wait keeps a request without a slot in the entry's queue for a short time.
 func (w *world) wait(r *request, reason string) {
-	patience := w.patience(r)
+	patience := w.patience(r, r.origin)
 	if r.waited || w.now+patience > r.deadline || patience <= 0 {
 		w.figures.refuse(w, r, reason)
 		return
@@ -143,9 +143,12 @@
 	})
 }
 
-// patience is 10 ms for each slot that the entry has on average.
-func (w *world) patience(r *request) time.Duration {
+// patience is that of the product's snapshot, for the other policies 10 ms for each slot that an entry has on average.
+func (w *world) patience(r *request, e int) time.Duration {
 	k := &w.place.works[r.arrival.work]
+	if o, ok := w.policy.(*ours); ok && o.brains[e].snapshot != nil {
+		return o.brains[e].snapshot.Patience(k.service)
+	}
 	return 10 * time.Millisecond * time.Duration(max(1, k.targets*k.slots/len(w.entries)))
 }
 
--- a/internal/steer/overload/overload.go
+++ b/internal/steer/overload/overload.go
@@ -12,8 +12,13 @@
 	most = 0.5 // largest part withheld
 )
 
-// wait is how long a request may wait for a slot, for each open slot.
-const wait = 10 * time.Millisecond
+// A request may wait for a slot for each open slot and in proportion to the
+// work: three slots with work of 300 ms become free too seldom for a shorter wait.
+const (
+	wait    = 10 * time.Millisecond // for each open slot
+	busy    = 1.35                   // part of the usual time of an answer
+	longest = time.Second
+)
 
 // Update sets how much of the region share each service may use and how long
 // its requests may wait.
@@ -25,6 +30,6 @@
 			part := min(most, step*float64(max(0, s.Spec.Priority())))
 			s.Reserve = int(part * float64(t.Share))
 		}
-		s.Patience = min(time.Second, wait*time.Duration(s.Slots))
+		s.Patience = min(longest, wait*time.Duration(max(1, s.Slots))+time.Duration(busy*s.Latency*float64(time.Second)))
 	}
 }
--- a/internal/steer/shift/shift.go
+++ b/internal/steer/shift/shift.go
@@ -45,7 +45,7 @@
 	r.Open = r.Home == t.Region && !refilling(now, t, r)
 	r.Left = max(0, int(math.Floor(r.Allow+1e-9))-recent)
 	// An even pace keeps seconds that begin within a step close to those counted.
-	r.Left = min(r.Left, 1+int(math.Ceil(pace*r.Allow/window)))
+	r.Left = min(r.Left, max(1, int(math.Ceil(pace*r.Allow/window))))
 	if t.Closed || t.Idle {
 		r.Left = 0
 	}
