internal/steer/decision: test that a closed bucket lets nothing pass

Cause: the repair of WaitOut and WaitIn had no test. Change: a test with a bucket without a rate and one whose rate has expired.

--- a/internal/steer/decision/gate_test.go
+++ b/internal/steer/decision/gate_test.go
@@ -1,9 +1,11 @@
 package decision_test
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"tamarackspool/internal/config/document"
@@ -107,3 +109,26 @@
 		t.Error("a bucket without a rate is open")
 	}
 }
+
+// Guards against bytes that pass a closed bucket after a wait, without being charged.
+func TestClosedBucketLetsNothingPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := decision.NewBucket(time.Now())
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		if err := b.WaitOut(ctx, 1000); err == nil {
+			t.Error("1000 bytes passed a bucket without a rate")
+		}
+		b.SetRate(1e6)
+		b.Expire(time.Now().Add(-time.Millisecond))
+		short, stop := context.WithTimeout(t.Context(), 5*time.Second)
+		defer stop()
+		if err := b.WaitIn(short, 1000); err == nil {
+			t.Error("1000 bytes passed a bucket whose rate has expired")
+		}
+		b.Expire(time.Now().Add(time.Second))
+		if err := b.WaitIn(t.Context(), 1000); err != nil || b.Used() != 1000 {
+			t.Errorf("open bucket: error %v, bytes charged differ from 1000", err)
+		}
+	})
+}
--- a/internal/steer/overload/overload.go
+++ b/internal/steer/overload/overload.go
@@ -16,7 +16,7 @@
 // work: three slots with work of 300 ms become free too seldom for a shorter wait.
 const (
 	wait    = 10 * time.Millisecond // for each open slot
-	busy    = 1.35                   // part of the usual time of an answer
+	busy    = 1.35                  // part of the usual time of an answer
 	longest = time.Second
 )
 
