internal/measure/policy: measure callers that repeat refusals

Cause: the measurement had no callers that come back after Retry-After, so it could not show an overload that keeps itself up.

Change: scenarios repeats and persist, policy unbudgeted without a retry budget, and the part answered at the first call from 10 s and 30 s after the overload. The stated target of full goodput after 10 s applies to both.

--- a/internal/measure/policy/figures.go
+++ b/internal/measure/policy/figures.go
@@ -10,6 +10,7 @@
 const (
 	settle = 15 * time.Second // after a region was lost
 	regain = 10 * time.Second // after an overload has ended
+	calm   = 30 * time.Second // after an overload has ended, when repeats must have ended too
 	tail   = 5 * time.Second  // at the end, in which requests may not have ended
 )
 
@@ -19,12 +20,14 @@
 	good     int
 	shed     int // refusals by targets
 	late     int
+	repeated int // refused requests that were sent again
 	refusals map[string]int
 	ends     map[string]int
 	all      *hdrhistogram.Histogram
 	reads    *hdrhistogram.Histogram
 	settled  *hdrhistogram.Histogram
 	after    struct{ offered, good int }
+	later    struct{ offered, good int }
 }
 
 func newFigures(*deployment) *figures {
@@ -47,6 +50,9 @@
 	f.offered++
 	if f.recovered(w, r) {
 		f.after.offered++
+		if r.arrival.at >= w.script.to+calm {
+			f.later.offered++
+		}
 	}
 }
 
@@ -63,8 +69,11 @@
 		return
 	}
 	f.good++
-	if f.recovered(w, r) {
+	if f.recovered(w, r) && r.repeats == 0 {
 		f.after.good++
+		if r.arrival.at >= w.script.to+calm {
+			f.later.good++
+		}
 	}
 	took := int64((w.now - r.arrival.at) / time.Microsecond)
 	_ = f.all.RecordValue(took) // the deadline keeps it in the range
@@ -78,6 +87,9 @@
 }
 
 func (f *figures) refuse(w *world, r *request, reason string) {
+	if w.repeat(r) {
+		return
+	}
 	if !r.ended && f.counted(w, r) {
 		f.refusals[reason]++
 	}
--- a/internal/measure/policy/judge.go
+++ b/internal/measure/policy/judge.go
@@ -46,7 +46,7 @@
 	if o.Scenario == "drain" {
 		add("no work at a leaving target after 3 s", o.Last <= drainMost, "%.2f s", o.Last)
 	}
-	if o.Scenario == "double" || o.Scenario == "burst" {
+	if slices.Contains([]string{"double", "burst", "repeats", "persist"}, o.Scenario) {
 		add("full goodput 10 s after overload", o.After >= goodputPart*best.After, "%.3f of %.3f", o.After, best.After)
 	}
 	add("one choice under 1 us", o.Choice < choiceMost, "%v", o.Choice)
--- a/internal/measure/policy/ours.go
+++ b/internal/measure/policy/ours.go
@@ -39,6 +39,7 @@
 	brains  []*brain
 	timings timings
 	events  map[int]int
+	freely  bool // freely means that retries need no budget
 	alone   bool // alone means that no entry lends its share of a link
 }
 
@@ -222,7 +223,7 @@
 	// A refusal by a peer has reached no target and costs no retry.
 	if !relayed && r.attempted > r.charged {
 		r.charged = r.attempted
-		if !s.Retry(service) {
+		if !o.freely && !s.Retry(service) {
 			none.reason = "retry-budget"
 			return none
 		}
--- a/internal/measure/policy/request.go
+++ b/internal/measure/policy/request.go
@@ -45,6 +45,7 @@
 	queued    bool
 	waited    bool
 	ended     bool
+	repeats   int // repeats counts the refusals that the caller has answered by a repeat
 }
 
 // begin lets a caller send its request to an entry of its home, or of another region when its home is lost.
@@ -84,6 +85,9 @@
 		return
 	}
 	if w.now >= r.deadline || r.tries >= attempts {
+		if w.repeat(r) {
+			return
+		}
 		w.figures.end(w, r, "not-run")
 		return
 	}
--- a/internal/measure/policy/run.go
+++ b/internal/measure/policy/run.go
@@ -32,11 +32,12 @@
 	Refused    int            `json:"refused"`  // told not-run
 	Unknown    int            `json:"unknown"`  // told may-have-run, or lost with the entry
 	Shed       int            `json:"shed"`
-	Excess     float64        `json:"excess"` // slot-seconds over the targets' slots
-	Link       float64        `json:"link"`   // highest use of a link against its limit
-	Region     float64        `json:"region"` // highest use of a region against its limit
-	Shift      float64        `json:"shift"`  // fastest shift against its cap
-	Over       int            `json:"over"`   // ticks over any limit
+	Repeated   int            `json:"repeated"` // refused requests that callers sent again
+	Excess     float64        `json:"excess"`   // slot-seconds over the targets' slots
+	Link       float64        `json:"link"`     // highest use of a link against its limit
+	Region     float64        `json:"region"`   // highest use of a region against its limit
+	Shift      float64        `json:"shift"`    // fastest shift against its cap
+	Over       int            `json:"over"`     // ticks over any limit
 	OverLink   int            `json:"overlink"`
 	OverRegion int            `json:"overregion"`
 	OverShift  int            `json:"overshift"`
@@ -44,6 +45,7 @@
 	Quiet      float64        `json:"quiet"` // seconds until leaving targets were empty
 	Head       float64        `json:"head"`  // mean free part of the usable slots
 	After      float64        `json:"after"` // part answered from 10 s after an overload
+	Later      float64        `json:"later"` // part answered at the first request from 30 s after an overload
 	Choice     time.Duration  `json:"choice"`
 	Tick       time.Duration  `json:"tick"`
 	Reasons    map[string]int `json:"reasons"`
@@ -58,18 +60,19 @@
 
 func policies() map[string]func() policy {
 	return map[string]func() policy{
-		nameOurs:   func() policy { return newOurs() },
-		"unlent":   func() policy { return &ours{events: make(map[int]int), alone: true} },
-		"least":    func() policy { return &baseline{pick: least, spill: true} },
-		"robin":    func() policy { return &baseline{pick: robin} },
-		"two":      func() policy { return &baseline{pick: two} },
-		"fixed":    func() policy { return &baseline{pick: fixed} },
-		"lent":     func() policy { return newLent() },
-		nameOracle: func() policy { return newOracle() },
+		nameOurs:     func() policy { return newOurs() },
+		"unlent":     func() policy { return &ours{events: make(map[int]int), alone: true} },
+		"unbudgeted": func() policy { return &ours{events: make(map[int]int), freely: true} },
+		"least":      func() policy { return &baseline{pick: least, spill: true} },
+		"robin":      func() policy { return &baseline{pick: robin} },
+		"two":        func() policy { return &baseline{pick: two} },
+		"fixed":      func() policy { return &baseline{pick: fixed} },
+		"lent":       func() policy { return newLent() },
+		nameOracle:   func() policy { return newOracle() },
 	}
 }
 
-var order = []string{nameOurs, "unlent", "least", "robin", "two", "fixed", "lent", nameOracle}
+var order = []string{nameOurs, "unlent", "unbudgeted", "least", "robin", "two", "fixed", "lent", nameOracle}
 
 // workers bounds the scenarios that run at once.
 const workers = 4
@@ -139,11 +142,12 @@
 		Goodput: float64(f.good) / span, Complete: float64(f.good) / float64(max(1, f.offered)),
 		P50: ms(f.all.ValueAtQuantile(50)), P99: ms(f.all.ValueAtQuantile(99)),
 		Reads: ms(f.reads.ValueAtQuantile(99)), Settled: ms(f.settled.ValueAtQuantile(99)),
-		Refused: f.ends["not-run"], Unknown: f.ends["may-have-run"] + f.ends["lost"], Shed: f.shed,
+		Refused: f.ends["not-run"], Unknown: f.ends["may-have-run"] + f.ends["lost"], Shed: f.shed, Repeated: f.repeated,
 		Excess: m.Excess, Link: m.Link, Region: m.Region, Shift: m.Shift,
 		Over: m.Over, OverLink: m.OverLink, OverRegion: m.OverRegion, OverShift: m.OverShift,
 		Last: m.Last.Seconds(), Quiet: m.Quiet.Seconds(), Head: m.Head / float64(max(1, m.ticks)),
 		After:   float64(f.after.good) / float64(max(1, f.after.offered)),
+		Later:   float64(f.later.good) / float64(max(1, f.later.offered)),
 		Reasons: f.refusals,
 	}
 }
--- a/internal/measure/policy/scenario.go
+++ b/internal/measure/policy/scenario.go
@@ -22,6 +22,8 @@
 	lies     bool
 	parted   bool // regions do not reach each other
 	slow     bool // one target takes ten times as long
+	repeats  int  // callers repeat a refused request up to this many times
+	persist  bool // each repeat has the whole timeout again, else that of the first request
 	crowded  bool // the first region has no targets of the last work and its callers of that work all use one entry
 }
 
@@ -52,6 +54,10 @@
 		with("parted", func(s *scenario) { minute(s); s.parted = true }),
 		with("double", func(s *scenario) { s.load, s.factor = 0.7, 2 }),
 		with("burst", func(s *scenario) { s.load, s.factor, s.only = 0.4, 5, 1 }),
+		with("repeats", func(s *scenario) { s.load, s.factor, s.repeats, s.length = 0.7, 2, 20, 90*time.Second }),
+		with("persist", func(s *scenario) {
+			s.load, s.factor, s.repeats, s.persist, s.length = 0.7, 2, 10, true, 90*time.Second
+		}),
 		with("slow", func(s *scenario) { s.slow = true }),
 		with("two", func(s *scenario) { s.lost, s.slow, s.length = true, true, 75*time.Second }),
 		with("crowded", func(s *scenario) { s.crowded, s.load, s.to, s.length = true, 0.5, 70*time.Second, 75*time.Second }),
