internal/steer/link: lend nothing in the first 16 s of a process

Cause: the replacement of a lender could lend again while loans of the process before it were in use. A second replacement would have counted on half of the share with more than that lent.

Change: nothing is to spare until all earlier loans have ended. Tests for this and for the way of loans and needs through gossip.

--- /dev/null
+++ b/internal/fleet/gossip/loan_test.go
@@ -0,0 +1,43 @@
+package gossip_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tamarackspool/internal/fleet/gossip"
+)
+
+// Guards against loans and needs that do not arrive or reach others, and a loan that a slow answer prolongs.
+func TestLoansReachTheirBorrowerOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1)
+		defer f.stop()
+		f.net.mu.Lock()
+		f.net.delay = func() time.Duration { return 300 * time.Millisecond }
+		f.net.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		until := time.Now().Add(15 * time.Second)
+		f.nodes[0].SetNeeds([]string{"a|b"})
+		f.nodes[1].SetLoans([]gossip.Loan{{From: "entry-001", To: "entry-000", Link: "a|b", Rate: 7, Until: until}})
+		time.Sleep(10 * time.Second)
+		got := f.nodes[0].Loans()
+		if len(got) != 1 || got[0].From != "entry-001" || got[0].Link != "a|b" || got[0].Rate != 7 {
+			t.Fatalf("the borrower has %+v", got)
+		}
+		if got[0].Until.After(until) || got[0].Until.Before(until.Add(-3*time.Second)) {
+			t.Errorf("the borrower's loan ends %v after the lender's", got[0].Until.Sub(until))
+		}
+		if n := len(f.nodes[2].Loans()); n != 0 {
+			t.Errorf("an entry that borrows nothing has %d loans", n)
+		}
+		if d := f.nodes[1].Needs(); len(d) != 1 || d[0] != (gossip.Need{Entry: "entry-000", Link: "a|b"}) {
+			t.Errorf("the lender knows the needs %+v", d)
+		}
+		f.nodes[0].SetNeeds(nil)
+		time.Sleep(10 * time.Second)
+		if n, d := len(f.nodes[0].Loans()), f.nodes[1].Needs(); n != 0 || len(d) != 0 {
+			t.Errorf("%d loans and the needs %+v remain after their end", n, d)
+		}
+	})
+}
--- a/internal/steer/core/link_test.go
+++ b/internal/steer/core/link_test.go
@@ -24,3 +24,17 @@
 		t.Errorf("use %d of a share of %d after 300000 bytes/s in the busier direction", l.Used, l.Share)
 	}
 }
+
+// Guards against a link over its limit after a lender was replaced twice: the second process must not lend
+// while loans of the first may be in use.
+func TestNoLoansSoonAfterTheStart(t *testing.T) {
+	f := fields(8, 4)
+	in := &table.Input{Document: document.New(f), Members: everyone(f), Confirmed: true}
+	c := newCore()
+	if l := run(c, start, 15*time.Second, in).Status().Links[0]; l.Spare != 0 || l.Rate != 475_000 {
+		t.Errorf("15 s after the start: %d to spare at a rate of %d, want 0 and half of the share", l.Spare, l.Rate)
+	}
+	if l := run(c, start.Add(15100*time.Millisecond), 2*time.Second, in).Status().Links[0]; l.Spare == 0 || l.Rate != 950_000 {
+		t.Errorf("17 s after the start: %d to spare at a rate of %d, want some and the whole share", l.Spare, l.Rate)
+	}
+}
--- a/internal/steer/link/link.go
+++ b/internal/steer/link/link.go
@@ -47,12 +47,12 @@
 		if t.Closed || t.Idle {
 			r.Rate = 0
 		}
-		measure(t, r)
+		measure(now, t, r)
 	}
 }
 
 // measure says how much of the rate may be lent and whether a loan would help.
-func measure(t *table.Tables, r *table.Link) {
+func measure(now time.Time, t *table.Tables, r *table.Link) {
 	seconds := t.Elapsed.Seconds()
 	if seconds <= 0 {
 		return
@@ -60,6 +60,10 @@
 	// The use falls by half in about five seconds, longer than a burst lasts.
 	r.Used = max(float64(r.Bytes)/seconds, r.Used*(1-min(1, seconds*fall)))
 	r.Spare = max(0, int64(lendable*(float64(min(r.Rate, r.Share))-2*r.Used)))
+	if now.Sub(t.Began) < Longest+Grace {
+		// The next replacement would know neither these loans nor those of the process before.
+		r.Spare = 0
+	}
 	// The own share counts and not the loans, so that a loan is renewed as long as it is used.
 	r.Short = r.Used > near*float64(min(r.Rate, int64(Safety*float64(r.Share))))
 }
