--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -79,6 +79,7 @@
 	book     *loan.Book
 
 	snapshot atomic.Pointer[decision.Snapshot]
+	roll     atomic.Pointer[roll]
 	vms      atomic.Pointer[vmList]
 	near     atomic.Pointer[nearness]
 	reports  *reports
@@ -105,6 +106,7 @@
 		s: s, d: d, began: time.Now(), metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
 		reports: newReports(), push: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
+	n.roll.Store(newRoll(nil))
 	if _, err := rand.Read(n.incarnation[:]); err != nil {
 		return nil, fmt.Errorf("node: no random bytes: %w", err)
 	}
@@ -202,7 +204,7 @@
 		Name: n.s.Name(), Region: n.s.Region(), Key: n.s.Peerkey(), Header: n.s.Header(),
 	}, forward.Dependencies{
 		Chooser: chooser{n}, Peers: peers{n}, Orders: orders{n}, Configuration: state{n}, Links: links{n}, Home: n.home,
-		Targets: n.targets, Entries: n.entries, Log: n.d.Events, Metrics: n.metrics, Seed: n.s.Seed(),
+		Targets: n.targets, Entries: n.entries, Log: n.d.Events, Metrics: n.metrics, Seed: n.s.Seed(), Free: n.free,
 	})
 	return err
 }
--- a/internal/entry/node/orders.go
+++ b/internal/entry/node/orders.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tamarackspool/internal/fleet/member"
 	"tamarackspool/internal/record/event"
 	"tamarackspool/internal/request/claim"
@@ -56,16 +53,14 @@
 
 // Holder returns the entry that runs as the incarnation, or one that holds its outcomes.
 func (h homes) Holder(i ticket.Incarnation) (string, bool) {
-	members := h.n.gossip.Members()
+	r := h.n.roll.Load()
 	heirs := h.n.gossip.Heirs(i)
-	for _, m := range members {
-		if m.Incarnation() == i && m.State() != member.Dead && len(heirs) == 0 {
-			return m.Name(), true
-		}
+	if name, ok := r.holders[i]; ok && len(heirs) == 0 {
+		return name, true
 	}
-	for _, m := range members {
-		if m.State() == member.Alive && slices.Contains(heirs, m.Name()) {
-			return m.Name(), true
+	for _, name := range heirs {
+		if r.alive[name] {
+			return name, true
 		}
 	}
 	return "", false
@@ -73,17 +68,8 @@
 
 // Keeper returns the live entry with the highest rendezvous rank for the key's range.
 func (h homes) Keeper(tenant, service, text string) (string, bool) {
-	number := claim.Range(tenant, service, text)
-	best, top := "", uint64(0)
-	for _, m := range h.n.gossip.Members() {
-		if !m.Live() {
-			continue
-		}
-		if rank := xxhash.Sum64String(fmt.Sprintf("claim/%02d\x00%s", number, m.Name())); best == "" || rank > top {
-			best, top = m.Name(), rank
-		}
-	}
-	return best, best != ""
+	name := h.n.roll.Load().keepers[claim.Range(tenant, service, text)]
+	return name, name != ""
 }
 
 // inherit takes over the ticket outcomes of a stopping peer.
--- a/internal/entry/node/path.go
+++ b/internal/entry/node/path.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"tamarackspool/internal/entry/queue"
-	"tamarackspool/internal/fleet/member"
 	"tamarackspool/internal/request/forward"
 	"tamarackspool/internal/request/verdict"
 	"tamarackspool/internal/steer/decision"
@@ -74,6 +73,7 @@
 func (c *choice) Done(r forward.Result) {
 	c.Choice.Done(decision.Result{
 		Kind: kindOf(r.Kind), Latency: r.Latency, In: r.In, Out: r.Out, Unopened: r.Unopened,
+		Counted: r.Counted, Free: r.Free,
 	})
 	c.waiting.Wake()
 }
@@ -98,12 +98,18 @@
 
 // Pass returns the address and whether the entry is known and not dead.
 func (p peers) Pass(entry string) (netip.AddrPort, bool) {
-	for _, m := range p.n.gossip.Members() {
-		if m.Name() == entry && m.State() != member.Dead && m.Pass().IsValid() {
-			return m.Pass(), true
-		}
+	at, ok := p.n.roll.Load().pass[entry]
+	return at, ok
+}
+
+// free returns the free slots of a service here, which answers to relayed requests carry.
+func (n *Node) free(service string) (int, bool) {
+	s := n.snapshot.Load()
+	if s == nil {
+		return 0, false
 	}
-	return netip.AddrPort{}, false
+	r, ok := s.Room(service)
+	return r.Free, ok
 }
 
 // links finds the buckets of the newest snapshot.
--- a/internal/entry/node/tick.go
+++ b/internal/entry/node/tick.go
@@ -68,6 +68,9 @@
 	}
 	st.last = now
 	fresh := st.read(n.gossip)
+	if fresh {
+		n.roll.Store(newRoll(st.members))
+	}
 	in := n.input()
 	if in.Confirmed && !st.confirmed {
 		st.confirmed = true
--- /dev/null
+++ b/internal/measure/capacity/role_test.go
@@ -0,0 +1,18 @@
+package capacity_test
+
+import (
+	"testing"
+
+	"tamarackspool/internal/measure/capacity"
+)
+
+// Guards against a role that no longer runs: the command measures for minutes
+// before it gets there.
+func TestRolesMeasureSmallSizes(t *testing.T) {
+	for _, r := range []capacity.Role{capacity.Lookup{}, capacity.Steer{}, capacity.Directory{}, capacity.Config{}, capacity.Operators{}} {
+		figures, err := r.Measure(t.Context(), 12)
+		if err != nil || len(figures) == 0 {
+			t.Errorf("%s: figures %v, error %v", r.Name(), figures, err)
+		}
+	}
+}
--- a/internal/steer/decision/snapshot.go
+++ b/internal/steer/decision/snapshot.go
@@ -94,23 +94,35 @@
 func (s *Snapshot) Rooms() []Room {
 	rooms := make([]Room, 0, len(s.f.Services))
 	for i := range s.f.Services {
-		sv := &s.f.Services[i]
-		r := Room{Service: sv.Spec.Name()}
-		for _, g := range sv.Gates {
-			r.Free += g.Gate.Free()
-			r.Slots += g.Gate.Limit()
-		}
-		if limit := s.f.Total.Limit(); limit >= 0 {
-			r.Free = min(r.Free, max(0, limit-sv.Reserve-s.f.Total.InFlight()))
-		}
-		if s.f.Closed {
-			r.Free, r.Slots = 0, 0
-		}
-		rooms = append(rooms, r)
+		rooms = append(rooms, s.room(&s.f.Services[i]))
 	}
 	return rooms
 }
 
+// Room returns the free and open slots of one service and whether the service exists.
+func (s *Snapshot) Room(service string) (Room, bool) {
+	i, ok := s.services[service]
+	if !ok {
+		return Room{}, false
+	}
+	return s.room(&s.f.Services[i]), true
+}
+
+func (s *Snapshot) room(sv *Service) Room {
+	r := Room{Service: sv.Spec.Name()}
+	if s.f.Closed {
+		return r
+	}
+	for _, g := range sv.Gates {
+		r.Free += g.Gate.Free()
+		r.Slots += g.Gate.Limit()
+	}
+	if limit := s.f.Total.Limit(); limit >= 0 {
+		r.Free = min(r.Free, max(0, limit-sv.Reserve-s.f.Total.InFlight()))
+	}
+	return r
+}
+
 // Retry reports whether the service's budget allows another retry, and uses it.
 func (s *Snapshot) Retry(service string) bool {
 	i, ok := s.services[service]
