--- a/internal/config/document/service.go
+++ b/internal/config/document/service.go
@@ -43,7 +43,7 @@
 // Shift returns the cap on the growth of traffic served away from its home region, in requests/s per second.
 func (s Service) Shift() float64 { return s.f.Shift }
 
-// Tenant is a customer of the operators whose requests are kept apart from those of others.
+// Tenant is a group of callers whose requests are kept apart from those of others.
 type Tenant struct {
 	name     string
 	digest   string
--- a/internal/demo/deployment/people.go
+++ b/internal/demo/deployment/callers.go
@@ -14,15 +14,15 @@
 // tries is the most attempts that a caller makes for one request.
 const tries = 4
 
-// person is a caller with the region in which it stands.
-type person struct {
+// placedCaller is a caller with the region in which it stands.
+type placedCaller struct {
 	caller *caller.Caller
 	home   string
 }
 
-// people returns one caller for each region and tenant.
-func (w *world) people() []person {
-	var all []person
+// placedCallers returns one caller for each region and tenant.
+func (w *world) placedCallers() []placedCaller {
+	var all []placedCaller
 	for i, region := range w.plan.regions {
 		for k, tenant := range w.plan.tenants {
 			name := fmt.Sprintf("%s-%s", region, tenant)
@@ -33,7 +33,7 @@
 				Path: func(id string, l caller.Load) string { return fmt.Sprintf("%s/%s?size=%d", l.Kind, id, l.Answer) },
 			}
 			s.Check = answerCheck(tenant)
-			all = append(all, person{caller.New(s), region})
+			all = append(all, placedCaller{caller.New(s), region})
 		}
 	}
 	return all
@@ -92,7 +92,7 @@
 }
 
 // talk runs all callers until arrivals is done and their requests have ended.
-func talk(ctx, arrivals context.Context, all []person) {
+func talk(ctx, arrivals context.Context, all []placedCaller) {
 	var wg sync.WaitGroup
 	for _, p := range all {
 		wg.Go(func() { p.caller.Run(ctx, arrivals) })
--- a/internal/demo/deployment/fault.go
+++ b/internal/demo/deployment/fault.go
@@ -12,7 +12,7 @@
 // setFault gives the targets the fault where they carry it out: those of the
 // order service run twice or lie, the others answer wrongly.
 func (w *world) setFault(f Fault) {
-	for _, m := range w.machines {
+	for _, m := range w.targetVMs {
 		once := m.spot.service.once
 		switch {
 		case f == FaultTwice && once:
@@ -58,7 +58,7 @@
 func (w *world) intrude(ctx context.Context, n notes) (map[string]string, error) {
 	if w.settings.has(FaultLate) {
 		wait(ctx, time.Until(n.drainStart.Add(lateBy)))
-		if err := w.visit(ctx, w.machines[n.drained], "late"); err != nil {
+		if err := w.visit(ctx, w.targetVMs[n.drained], "late"); err != nil {
 			return nil, err
 		}
 	}
@@ -73,7 +73,7 @@
 	homes := make(map[string]string)
 	first := w.plan.services[0]
 	for i := 0; len(homes) < leap; i++ {
-		for _, m := range w.machines {
+		for _, m := range w.targetVMs {
 			if m.spot.service.name != first.name || m.region != w.plan.regions[2] {
 				continue
 			}
@@ -88,7 +88,7 @@
 }
 
 // visit sends a read to a target directly.
-func (w *world) visit(ctx context.Context, m *machine, id string) error {
+func (w *world) visit(ctx context.Context, m *targetVM, id string) error {
 	url := fmt.Sprintf("http://%s/read/%s?size=1", m.address, id)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/internal/demo/deployment/live.go
+++ b/internal/demo/deployment/live.go
@@ -67,15 +67,15 @@
 	unwatch  context.CancelFunc
 	talks    sync.WaitGroup
 
-	mu       sync.Mutex
-	arrivals context.CancelFunc
-	people   []person
-	records  map[string]caller.Record // records are of requests that the test sent itself, by ID.
-	homes    map[string]string
-	count    int
-	late     []string // late are the reverted versions once the watch has ended.
-	leaving  map[string]time.Time
-	stopped  map[string]span
+	mu            sync.Mutex
+	arrivals      context.CancelFunc
+	placedCallers []placedCaller
+	records       map[string]caller.Record // records are of requests that the test sent itself, by ID.
+	homes         map[string]string
+	count         int
+	late          []string // late are the reverted versions once the watch has ended.
+	leaving       map[string]time.Time
+	stopped       map[string]span
 }
 
 // span is the time from the beginning of a planned stop to the end of the process.
@@ -134,7 +134,7 @@
 	if s := l.w.site(name); s != nil {
 		return s.region
 	}
-	if m, ok := l.w.machines[name]; ok {
+	if m, ok := l.w.targetVMs[name]; ok {
 		return m.region
 	}
 	return l.w.plan.regionOf(name)
@@ -172,7 +172,7 @@
 
 // Target returns a target's stand-in, or nil.
 func (l *Live) Target(name string) *target.Target {
-	if m, ok := l.w.machines[name]; ok {
+	if m, ok := l.w.targetVMs[name]; ok {
 		return m.target
 	}
 	return nil
@@ -194,7 +194,7 @@
 // Runs returns how many requests ran at the target, or at all targets of the region.
 func (l *Live) Runs(name string) int {
 	count := 0
-	for _, m := range l.w.machines {
+	for _, m := range l.w.targetVMs {
 		if m.spot.name == name || m.region == name {
 			count += len(m.target.Runs())
 		}
@@ -224,7 +224,7 @@
 func (l *Live) Judge(shift bool) []promise.Breach {
 	records, homes := l.collect()
 	var runs, stays []promise.Run
-	for _, m := range l.w.machines {
+	for _, m := range l.w.targetVMs {
 		runs = append(runs, m.Runs()...)
 		stays = append(stays, m.Stays()...)
 	}
--- a/internal/demo/deployment/live_fault.go
+++ b/internal/demo/deployment/live_fault.go
@@ -40,7 +40,7 @@
 			errs = append(errs, l.Kill(name))
 		}
 	}
-	for _, m := range l.w.machines {
+	for _, m := range l.w.targetVMs {
 		if m.region == region {
 			errs = append(errs, l.Die(m.spot.name))
 		}
@@ -51,7 +51,7 @@
 // Return starts all processes of a lost region again.
 func (l *Live) Return(region string) error {
 	var errs []error
-	for _, m := range l.w.machines {
+	for _, m := range l.w.targetVMs {
 		if m.region == region {
 			errs = append(errs, l.Revive(m.spot.name))
 		}
@@ -123,7 +123,7 @@
 
 // Misbehave gives a target the fault lie, mixed or short; an empty one ends it.
 func (l *Live) Misbehave(target string, f Fault) error {
-	m, ok := l.w.machines[target]
+	m, ok := l.w.targetVMs[target]
 	if !ok {
 		return fmt.Errorf("deployment: no target %q", target)
 	}
@@ -137,7 +137,7 @@
 
 // Die ends a target's process with all its connections.
 func (l *Live) Die(target string) error {
-	m, ok := l.w.machines[target]
+	m, ok := l.w.targetVMs[target]
 	if !ok {
 		return fmt.Errorf("deployment: no target %q", target)
 	}
@@ -150,7 +150,7 @@
 
 // Revive starts a target again; the network leads its old address to the new port.
 func (l *Live) Revive(target string) error {
-	m, ok := l.w.machines[target]
+	m, ok := l.w.targetVMs[target]
 	if !ok {
 		return fmt.Errorf("deployment: no target %q", target)
 	}
@@ -169,7 +169,7 @@
 
 // Visit sends a request to a target directly, as work that no entry sent.
 func (l *Live) Visit(ctx context.Context, target, id string) error {
-	m, ok := l.w.machines[target]
+	m, ok := l.w.targetVMs[target]
 	if !ok {
 		return fmt.Errorf("deployment: no target %q", target)
 	}
--- a/internal/demo/deployment/live_load.go
+++ b/internal/demo/deployment/live_load.go
@@ -54,7 +54,7 @@
 	for _, region := range regions {
 		l.count++
 		tenant := l.w.plan.tenants[0]
-		p := person{caller.New(caller.Settings{
+		p := placedCaller{caller.New(caller.Settings{
 			Name: fmt.Sprintf("%s-%d", region, l.count), Tenant: tenant,
 			Entries: l.seeds(func(r string) bool { return r == region }),
 			Spare:   l.seeds(func(r string) bool { return r != region }),
@@ -62,7 +62,7 @@
 			Dial: l.Dial(region), Check: answerCheck(tenant),
 			Path: func(id string, l caller.Load) string { return fmt.Sprintf("%s/%s?size=%d", l.Kind, id, l.Answer) },
 		}), region}
-		l.people = append(l.people, p)
+		l.placedCallers = append(l.placedCallers, p)
 		l.talks.Go(func() { p.caller.Run(l.ctx, arrivals) })
 	}
 }
@@ -106,7 +106,7 @@
 	defer l.mu.Unlock()
 	records := slices.Collect(maps.Values(l.records))
 	homes := maps.Clone(l.homes)
-	for _, p := range l.people {
+	for _, p := range l.placedCallers {
 		for _, r := range p.caller.Records() {
 			records = append(records, r)
 			for _, t := range r.Tries {
--- a/internal/demo/deployment/run.go
+++ b/internal/demo/deployment/run.go
@@ -43,7 +43,7 @@
 
 // settle waits until every entry serves.
 func (w *world) settle(ctx context.Context) error {
-	w.say("%s: %d targets, %d entries are starting", w.plan.name, len(w.machines), len(w.all()))
+	w.say("%s: %d targets, %d entries are starting", w.plan.name, len(w.targetVMs), len(w.all()))
 	until := time.Now().Add(readyTime)
 	for w.lowest() < 1 {
 		if ctx.Err() != nil {
@@ -60,7 +60,7 @@
 
 // observe runs the callers and the script and checks the promises.
 func (w *world) observe(ctx context.Context) (Summary, error) {
-	people := w.people()
+	placedCallers := w.placedCallers()
 	begin := time.Now()
 	arrivals, stop := context.WithTimeout(ctx, w.settings.Duration)
 	defer stop()
@@ -80,7 +80,7 @@
 	w.say("callers send requests for %s", w.settings.Duration)
 	ending, cut := context.WithTimeout(ctx, w.settings.Duration+endTime)
 	defer cut()
-	talk(ending, arrivals, people)
+	talk(ending, arrivals, placedCallers)
 	p := <-script
 	unwatch()
 	reverted := <-seen
@@ -93,7 +93,7 @@
 	if failed != nil {
 		return Summary{}, failed
 	}
-	return w.judge(people, p.notes, reverted), ctx.Err()
+	return w.judge(placedCallers, p.notes, reverted), ctx.Err()
 }
 
 // close ends all parts; the run's context has ended.
@@ -107,11 +107,11 @@
 }
 
 // judge compares all records.
-func (w *world) judge(people []person, n notes, reverted []string) Summary {
+func (w *world) judge(placedCallers []placedCaller, n notes, reverted []string) Summary {
 	var records []caller.Record
 	homes := make(map[string]string)
 	maps.Copy(homes, n.intruders)
-	for _, p := range people {
+	for _, p := range placedCallers {
 		for _, r := range p.caller.Records() {
 			records = append(records, r)
 			for _, t := range r.Tries {
@@ -120,7 +120,7 @@
 		}
 	}
 	var runs, stays []promise.Run
-	for _, m := range w.machines {
+	for _, m := range w.targetVMs {
 		runs = append(runs, m.Runs()...)
 		stays = append(stays, m.Stays()...)
 	}
--- a/internal/demo/deployment/machine.go
+++ b/internal/demo/deployment/targetvm.go
@@ -23,13 +23,13 @@
 // for its first requests.
 const (
 	coldRequests = 20
-	chill        = 3
+	coldFactor   = 3
 	spread       = 0.3
 	connectCost  = time.Millisecond
 )
 
-// machine is a target VM with a record of when each request was there.
-type machine struct {
+// targetVM is a target VM with a record of when each request was there.
+type targetVM struct {
 	spot   spot
 	region string
 	// address is where the configuration says that the target listens.
@@ -42,21 +42,21 @@
 	stays   []promise.Run
 }
 
-func newMachine(s spot, region string, seed uint64) (*machine, error) {
+func newTargetVM(s spot, region string, seed uint64) (*targetVM, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("deployment: %s: %w", s.name, err)
 	}
-	m := &machine{spot: s, region: region, address: l.Addr().String(), listen: l, target: target.New(target.Settings{
+	m := &targetVM{spot: s, region: region, address: l.Addr().String(), listen: l, target: target.New(target.Settings{
 		Name: s.name, Slots: s.service.slots, Seed: seed, Mean: s.service.work, Spread: spread,
-		Cold: coldRequests, Chill: chill, Open: connectCost,
+		Cold: coldRequests, ColdFactor: coldFactor, Open: connectCost,
 	})}
 	m.server = &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
 	return m, nil
 }
 
 // serve answers until ctx ends.
-func (m *machine) serve(ctx context.Context) error {
+func (m *targetVM) serve(ctx context.Context) error {
 	m.mu.Lock()
 	server, listen := m.server, m.listen
 	m.mu.Unlock()
@@ -69,7 +69,7 @@
 }
 
 // ServeHTTP adds to the target's answer by what a caller knows it as its own.
-func (m *machine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (m *targetVM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/load" || strings.HasPrefix(r.URL.Path, "/attempt/") {
 		m.target.ServeHTTP(w, r)
 		return
@@ -100,7 +100,7 @@
 }
 
 // misbehave answers falsely when a fault is set and reports whether it did.
-func (m *machine) misbehave(w *watched, r *http.Request) bool {
+func (m *targetVM) misbehave(w *watched, r *http.Request) bool {
 	f := m.fault.Load()
 	if f == nil {
 		return false
@@ -120,14 +120,14 @@
 }
 
 // Stays returns when each answered request was at the target.
-func (m *machine) Stays() []promise.Run {
+func (m *targetVM) Stays() []promise.Run {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return append([]promise.Run(nil), m.stays...)
 }
 
 // Runs returns the target's own record of what it ran.
-func (m *machine) Runs() []promise.Run {
+func (m *targetVM) Runs() []promise.Run {
 	var all []promise.Run
 	for _, r := range m.target.Runs() {
 		all = append(all, promise.Run{
--- a/internal/demo/deployment/world.go
+++ b/internal/demo/deployment/world.go
@@ -39,7 +39,7 @@
 	rosterURL string
 	first     []byte       // first is the first version of the configuration.
 	client    *http.Client // client carries the operators' and the demo's own calls.
-	machines  map[string]*machine
+	targetVMs map[string]*targetVM
 	logger    log.Logger
 	wg        sync.WaitGroup
 	mu        sync.Mutex
@@ -65,12 +65,12 @@
 		network: network.New(network.Settings{
 			Zones: p.zones, Regions: p.between, Clients: p.clients, Jitter: 0.3, Loss: 0.002, Rates: rates, Seed: s.Seed,
 		}),
-		values:   newValues(),
-		list:     roster.New(listLag, nil),
-		client:   &http.Client{Transport: &http.Transport{}},
-		machines: make(map[string]*machine),
-		sites:    make(map[string]*site),
-		logger:   log.With(log.NewLogfmtLogger(log.NewSyncWriter(out)), "at", log.DefaultTimestampUTC),
+		values:    newValues(),
+		list:      roster.New(listLag, nil),
+		client:    &http.Client{Transport: &http.Transport{}},
+		targetVMs: make(map[string]*targetVM),
+		sites:     make(map[string]*site),
+		logger:    log.With(log.NewLogfmtLogger(log.NewSyncWriter(out)), "at", log.DefaultTimestampUTC),
 	}
 }
 
@@ -168,11 +168,11 @@
 	addresses := make(map[string]netip.AddrPort)
 	for i, s := range w.plan.spots() {
 		region := w.plan.regionOf(s.zone)
-		m, err := newMachine(s, region, w.settings.Seed+uint64(i))
+		m, err := newTargetVM(s, region, w.settings.Seed+uint64(i))
 		if err != nil {
 			return nil, err
 		}
-		w.machines[s.name] = m
+		w.targetVMs[s.name] = m
 		address := m.listen.Addr().(*net.TCPAddr).AddrPort()
 		addresses[s.name] = address
 		w.network.Bind(address.String(), network.Place{Name: s.name, Zone: s.zone, Region: region})
--- a/internal/demo/scenario/fault.go
+++ b/internal/demo/scenario/fault.go
@@ -142,7 +142,7 @@
 	}
 	switch f := args[0]; f {
 	case "cold":
-		t.Cool()
+		t.EmptyCache()
 	case "shed":
 		t.Set(target.Faults{Shedding: true})
 	case "cut":
@@ -168,7 +168,7 @@
 	t := s.live.Target(name)
 	switch {
 	case slices.Equal(args, []string{"stop"}):
-		t.Set(target.Faults{Mute: true})
+		t.Set(target.Faults{NoReport: true})
 	case slices.Equal(args, []string{"true"}):
 		t.Set(target.Faults{})
 	case len(args) == 2 && args[0] == "false":
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -64,11 +64,11 @@
 	lookups  *lookup.Directory
 	core     *core.Core
 
-	keys     *ticket.Key
-	issuer   *order.Issuer
-	orders   *order.Table
-	estates  *order.Estates
-	registry *order.Registry
+	keys      *ticket.Key
+	issuer    *order.Issuer
+	orders    *order.Table
+	handovers *order.Handovers
+	registry  *order.Registry
 
 	targets *pool.Pool
 	entries *pool.Pool
@@ -79,7 +79,7 @@
 	book     *loan.Book
 
 	snapshot atomic.Pointer[decision.Snapshot]
-	roll     atomic.Pointer[roll]
+	view     atomic.Pointer[memberView]
 	vms      atomic.Pointer[vmList]
 	near     atomic.Pointer[nearness]
 	reports  *reports
@@ -106,7 +106,7 @@
 		s: s, d: d, began: time.Now(), metrics: metrics.NewRegistry(), current: current.New(), waiting: queue.New(),
 		reports: newReports(), push: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
-	n.roll.Store(newRoll(nil))
+	n.view.Store(newMemberView(nil))
 	if _, err := rand.Read(n.incarnation[:]); err != nil {
 		return nil, fmt.Errorf("node: no random bytes: %w", err)
 	}
@@ -184,11 +184,11 @@
 	n.keys = ticket.NewKey([]byte(n.s.Peerkey()))
 	n.issuer = order.NewIssuer(n.keys, n.incarnation)
 	n.orders = order.NewTable(order.Settings{Keys: n.s.Keys(), Bytes: answerMemory})
-	n.estates = order.NewEstates()
+	n.handovers = order.NewHandovers()
 	claims := claim.New(claim.Settings{
 		Owner: n.incarnation.String(), Retention: n.s.Retention(), Keys: n.s.Keys(), Timeout: claimTime,
 	}, n.store)
-	n.registry = order.NewRegistry(n.s.Name(), n.keys, n.issuer, n.orders, n.estates, homes{n}, claims)
+	n.registry = order.NewRegistry(n.s.Name(), n.keys, n.issuer, n.orders, n.handovers, homes{n}, claims)
 }
 
 // buildPath makes the pools and the forwarder.
--- a/internal/entry/node/orders.go
+++ b/internal/entry/node/orders.go
@@ -53,12 +53,12 @@
 
 // Holder returns the entry that runs as the incarnation, or one that holds its outcomes.
 func (h homes) Holder(i ticket.Incarnation) (string, bool) {
-	r := h.n.roll.Load()
-	heirs := h.n.gossip.Heirs(i)
-	if name, ok := r.holders[i]; ok && len(heirs) == 0 {
+	r := h.n.view.Load()
+	successors := h.n.gossip.Successors(i)
+	if name, ok := r.holders[i]; ok && len(successors) == 0 {
 		return name, true
 	}
-	for _, name := range heirs {
+	for _, name := range successors {
 		if r.alive[name] {
 			return name, true
 		}
@@ -68,28 +68,28 @@
 
 // Keeper returns the live entry with the highest rendezvous rank for the key's range.
 func (h homes) Keeper(tenant, service, text string) (string, bool) {
-	name := h.n.roll.Load().keepers[claim.Range(tenant, service, text)]
+	name := h.n.view.Load().keepers[claim.Range(tenant, service, text)]
 	return name, name != ""
 }
 
 // inherit takes over the ticket outcomes of a stopping peer.
 func (n *Node) inherit(_ context.Context, _ member.Member, data []byte) error {
-	_, err := n.estates.Add(data, time.Now())
+	_, err := n.handovers.Add(data, time.Now())
 	return err
 }
 
 // handover closes the order table, sends its outcomes to other entries of the
-// region and announces them as heirs.
+// region and announces them as successors.
 func (n *Node) handover(ctx context.Context) {
 	data, err := n.orders.Export(n.incarnation, n.issuer.Floor(time.Now()))
-	var heirs []string
+	var successors []string
 	if err == nil {
-		heirs = n.gossip.Handover(ctx, data)
+		successors = n.gossip.Handover(ctx, data)
 	}
-	if len(heirs) == 0 {
+	if len(successors) == 0 {
 		n.d.Events.Log(event.HandoverLost, "entry", n.s.Name(), "err", err)
 		return
 	}
-	n.gossip.SetHeirs(heirs)
-	n.d.Events.Log(event.HandedOver, "entry", n.s.Name(), "heirs", fmt.Sprint(heirs))
+	n.gossip.SetSuccessors(successors)
+	n.d.Events.Log(event.HandedOver, "entry", n.s.Name(), "successors", fmt.Sprint(successors))
 }
--- a/internal/entry/node/path.go
+++ b/internal/entry/node/path.go
@@ -98,7 +98,7 @@
 
 // Pass returns the address and whether the entry is known and not dead.
 func (p peers) Pass(entry string) (netip.AddrPort, bool) {
-	at, ok := p.n.roll.Load().pass[entry]
+	at, ok := p.n.view.Load().pass[entry]
 	return at, ok
 }
 
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -10,7 +10,7 @@
 const (
 	// quietCheck is how often a leaving entry looks for requests in flight.
 	quietCheck = 20 * time.Millisecond
-	// spread is how long a leaving entry stays to gossip its heirs, several
+	// spread is how long a leaving entry stays to gossip its successors, several
 	// exchanges of 200 ms.
 	spread = time.Second
 )
--- a/internal/entry/node/tick.go
+++ b/internal/entry/node/tick.go
@@ -69,7 +69,7 @@
 	st.last = now
 	fresh := st.read(n.gossip)
 	if fresh {
-		n.roll.Store(newRoll(st.members))
+		n.view.Store(newMemberView(st.members))
 	}
 	in := n.input()
 	if in.Confirmed && !st.confirmed {
--- a/internal/entry/node/roll.go
+++ b/internal/entry/node/view.go
@@ -11,18 +11,18 @@
 	"tamarackspool/internal/request/ticket"
 )
 
-// roll is what the request path needs of the membership. It is rebuilt with
+// memberView is what the request path needs of the membership. It is rebuilt with
 // each read of the membership, so that no request copies all members under the
 // gossip's lock.
-type roll struct {
+type memberView struct {
 	pass    map[string]netip.AddrPort
 	holders map[ticket.Incarnation]string
 	alive   map[string]bool
 	keepers [claim.Ranges]string // keepers holds the keeper of each key range, or empty names.
 }
 
-func newRoll(members []member.Member) *roll {
-	r := &roll{
+func newMemberView(members []member.Member) *memberView {
+	r := &memberView{
 		pass:    make(map[string]netip.AddrPort, len(members)),
 		holders: make(map[ticket.Incarnation]string, len(members)),
 		alive:   make(map[string]bool, len(members)),
@@ -45,7 +45,7 @@
 }
 
 // rank makes the entry keeper of the ranges in which it has the highest rendezvous rank so far.
-func (r *roll) rank(name string, tops *[claim.Ranges]uint64) {
+func (r *memberView) rank(name string, tops *[claim.Ranges]uint64) {
 	for i := range r.keepers {
 		score := xxhash.Sum64String(fmt.Sprintf("claim/%02d\x00%s", i, name))
 		if r.keepers[i] == "" || score > tops[i] {
--- a/internal/fleet/gossip/bootstrap.go
+++ b/internal/fleet/gossip/bootstrap.go
@@ -10,8 +10,8 @@
 	"tamarackspool/internal/record/event"
 )
 
-// maxHeirs is how many entries answer for a stopped one (docs/design.md, section 10.3).
-const maxHeirs = 3
+// maxSuccessors is how many entries answer for a stopped one (docs/design.md, section 10.3).
+const maxSuccessors = 3
 
 // Bootstrap asks up to 16 configured peers for members, the floor and the highest configuration, and returns
 // how many answered.
@@ -64,17 +64,17 @@
 // Handover sends the tickets of this stopping entry to up to three live entries of its region and returns their names.
 func (s *Service) Handover(ctx context.Context, data []byte) []string {
 	self := s.selfMember()
-	var heirs []string
+	var successors []string
 	for _, m := range s.Members() {
-		if len(heirs) == maxHeirs {
+		if len(successors) == maxSuccessors {
 			break
 		}
 		if m.Name() == self.Name() || m.State() != member.Alive || m.Region() != self.Region() {
 			continue
 		}
 		if s.link(m.Peer()).call(ctx, "tickets", ticketsForm{Data: data}, nil) == nil {
-			heirs = append(heirs, m.Name())
+			successors = append(successors, m.Name())
 		}
 	}
-	return heirs
+	return successors
 }
--- a/internal/fleet/gossip/fault_test.go
+++ b/internal/fleet/gossip/fault_test.go
@@ -150,21 +150,21 @@
 	})
 }
 
-// Guards against a planned stop whose heirs or state do not reach the others.
+// Guards against a planned stop whose successors or state do not reach the others.
 func TestStopNamesHeirs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 12, 3)
 		defer f.stop()
 		time.Sleep(10 * time.Second)
-		heirs := f.nodes[0].Handover(t.Context(), []byte("tickets"))
-		if len(heirs) != 3 {
-			t.Errorf("heirs = %v", heirs)
+		successors := f.nodes[0].Handover(t.Context(), []byte("tickets"))
+		if len(successors) != 3 {
+			t.Errorf("successors = %v", successors)
 		}
-		f.nodes[0].SetHeirs(heirs)
+		f.nodes[0].SetSuccessors(successors)
 		time.Sleep(3 * time.Second)
 		for _, n := range f.nodes[1:] {
-			if n.state("entry-000") != member.Leaving || len(n.Heirs([16]byte{1, 0})) != 3 {
-				t.Errorf("%s: %v, heirs %v", n.address, n.state("entry-000"), n.Heirs([16]byte{1, 0}))
+			if n.state("entry-000") != member.Leaving || len(n.Successors([16]byte{1, 0})) != 3 {
+				t.Errorf("%s: %v, successors %v", n.address, n.state("entry-000"), n.Successors([16]byte{1, 0}))
 			}
 		}
 	})
--- a/internal/fleet/gossip/loan.go
+++ b/internal/fleet/gossip/loan.go
@@ -22,8 +22,8 @@
 	Link  string
 }
 
-// wish is what a peer said that it needs.
-type wish struct {
+// peerNeeds is what a peer said that it needs.
+type peerNeeds struct {
 	links []string
 	at    time.Time
 }
--- a/internal/fleet/gossip/message.go
+++ b/internal/fleet/gossip/message.go
@@ -173,7 +173,7 @@
 	}
 	if len(m.Beats) > 0 {
 		// A call that carries only records says nothing about needs.
-		s.asked[peer.Name()] = wish{m.Needs[:min(len(m.Needs), maxNeeds)], now}
+		s.asked[peer.Name()] = peerNeeds{m.Needs[:min(len(m.Needs), maxNeeds)], now}
 	}
 	s.compare(peer, m)
 	s.reportStanding(before)
--- a/internal/fleet/gossip/service.go
+++ b/internal/fleet/gossip/service.go
@@ -29,8 +29,8 @@
 	turn   int
 	pace   pace
 	lent   []Loan
-	needs  []string        // needs names the links on which this entry is short
-	asked  map[string]wish // asked holds the last needs of each peer
+	needs  []string             // needs names the links on which this entry is short
+	asked  map[string]peerNeeds // asked holds the last needs of each peer
 	loans  map[string][]Loan
 	alive  map[string]int // live members by region
 	sureAt time.Time
@@ -49,7 +49,7 @@
 		random:   rand.New(rand.NewPCG(deps.Seed, deps.Seed^0x9e3779b97f4a7c15)),
 		links:    make(map[netip.AddrPort]*link),
 		wants:    make(map[uint32]time.Time),
-		asked:    make(map[string]wish),
+		asked:    make(map[string]peerNeeds),
 		loans:    make(map[string][]Loan),
 		alive:    make(map[string]int),
 		pace:     newPace(settings),
@@ -79,21 +79,21 @@
 }
 
 // SetLeaving announces that this entry stops.
-func (s *Service) SetLeaving() { s.SetHeirs(nil) }
+func (s *Service) SetLeaving() { s.SetSuccessors(nil) }
 
-// SetHeirs announces that this entry stops and which entries answer for its tickets.
-func (s *Service) SetHeirs(heirs []string) {
+// SetSuccessors announces that this entry stops and which entries answer for its tickets.
+func (s *Service) SetSuccessors(successors []string) {
 	s.mu.Lock()
-	s.table.Leave(s.deps.Now(), heirs)
+	s.table.Leave(s.deps.Now(), successors)
 	s.mu.Unlock()
 	s.hurry()
 }
 
-// Heirs returns the entries that answer for a stopped incarnation.
-func (s *Service) Heirs(incarnation [16]byte) []string {
+// Successors returns the entries that answer for a stopped incarnation.
+func (s *Service) Successors(incarnation [16]byte) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Heirs(incarnation)
+	return s.table.Successors(incarnation)
 }
 
 // Standing returns whether this entry's incarnation is the current one of its name.
--- a/internal/fleet/gossip/wire.go
+++ b/internal/fleet/gossip/wire.go
@@ -16,18 +16,18 @@
 		Member memberForm `json:"member"`
 	}
 	memberForm struct {
-		Name     string   `json:"name"`
-		Run      string   `json:"run"`
-		Epoch    uint32   `json:"epoch,omitempty"`
-		Sequence uint64   `json:"sequence"`
-		Zone     string   `json:"zone"`
-		Region   string   `json:"region"`
-		Call     string   `json:"call,omitempty"`
-		Peer     string   `json:"peer,omitempty"`
-		Pass     string   `json:"pass,omitempty"`
-		Leaving  bool     `json:"leaving,omitempty"`
-		Version  uint64   `json:"version,omitempty"`
-		Heirs    []string `json:"heirs,omitempty"`
+		Name       string   `json:"name"`
+		Run        string   `json:"run"`
+		Epoch      uint32   `json:"epoch,omitempty"`
+		Sequence   uint64   `json:"sequence"`
+		Zone       string   `json:"zone"`
+		Region     string   `json:"region"`
+		Call       string   `json:"call,omitempty"`
+		Peer       string   `json:"peer,omitempty"`
+		Pass       string   `json:"pass,omitempty"`
+		Leaving    bool     `json:"leaving,omitempty"`
+		Version    uint64   `json:"version,omitempty"`
+		Successors []string `json:"successors,omitempty"`
 	}
 	loanForm struct {
 		Link string `json:"link"`
@@ -73,7 +73,7 @@
 		Name: m.Name(), Run: hex.EncodeToString(run[:]), Epoch: m.Epoch(), Sequence: m.Sequence(),
 		Zone: m.Zone(), Region: m.Region(),
 		Call: addressText(m.Call()), Peer: addressText(m.Peer()), Pass: addressText(m.Pass()),
-		Leaving: m.State() == member.Leaving, Version: m.Version(), Heirs: m.Heirs(),
+		Leaving: m.State() == member.Leaving, Version: m.Version(), Successors: m.Successors(),
 	}
 }
 
@@ -87,7 +87,7 @@
 func (f memberForm) member() (member.Member, error) {
 	out := member.Fields{
 		Name: f.Name, Epoch: f.Epoch, Sequence: f.Sequence, Zone: f.Zone, Region: f.Region,
-		Version: f.Version, Heirs: f.Heirs,
+		Version: f.Version, Successors: f.Successors,
 	}
 	if f.Leaving {
 		out.State = member.Leaving
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -35,16 +35,16 @@
 	Name        string
 	Incarnation [16]byte
 	// Epoch orders the incarnations of one name, because random incarnations have no order of their own.
-	Epoch    uint32
-	Sequence uint64
-	Zone     string
-	Region   string
-	Call     netip.AddrPort
-	Peer     netip.AddrPort
-	Pass     netip.AddrPort
-	State    State
-	Version  uint64   // Version is the configuration version that the member holds.
-	Heirs    []string // Heirs names the entries that answer for this incarnation after its stop.
+	Epoch      uint32
+	Sequence   uint64
+	Zone       string
+	Region     string
+	Call       netip.AddrPort
+	Peer       netip.AddrPort
+	Pass       netip.AddrPort
+	State      State
+	Version    uint64   // Version is the configuration version that the member holds.
+	Successors []string // Successors names the entries that answer for this incarnation after its stop.
 }
 
 // Member is one run of an entry as seen from here.
@@ -52,7 +52,7 @@
 
 // New returns a member with the given values.
 func New(f Fields) Member {
-	f.Heirs = slices.Clone(f.Heirs)
+	f.Successors = slices.Clone(f.Successors)
 	return Member{f}
 }
 
@@ -89,13 +89,13 @@
 // Version returns the configuration version that the member was last known to hold.
 func (m Member) Version() uint64 { return m.f.Version }
 
-// Heirs returns the entries that answer for this incarnation after its stop.
-func (m Member) Heirs() []string { return slices.Clone(m.f.Heirs) }
+// Successors returns the entries that answer for this incarnation after its stop.
+func (m Member) Successors() []string { return slices.Clone(m.f.Successors) }
 
 // Fields returns a copy of the member's values.
 func (m Member) Fields() Fields {
 	f := m.f
-	f.Heirs = slices.Clone(f.Heirs)
+	f.Successors = slices.Clone(f.Successors)
 	return f
 }
 
@@ -114,7 +114,7 @@
 	if m.f.State == Leaving {
 		_, _ = h.WriteString("leaving")
 	}
-	for _, name := range m.f.Heirs {
+	for _, name := range m.f.Successors {
 		_, _ = h.WriteString("\x00" + name)
 	}
 	return uint32(h.Sum64())
--- a/internal/fleet/member/self.go
+++ b/internal/fleet/member/self.go
@@ -21,10 +21,10 @@
 func (t *Table) SetRooms(rooms []Room) { t.self.rooms = slices.Clone(rooms) }
 
 // Leave announces the entry's stop and the entries that will answer for it.
-func (t *Table) Leave(now time.Time, heirs []string) {
+func (t *Table) Leave(now time.Time, successors []string) {
 	m := t.self.m
 	m.f.State = Leaving
-	m.f.Heirs = slices.Clone(heirs)
+	m.f.Successors = slices.Clone(successors)
 	m.f.Sequence++
 	t.self = t.put(t.forward(now), m)
 }
--- a/internal/fleet/member/table.go
+++ b/internal/fleet/member/table.go
@@ -12,7 +12,7 @@
 	SuspectIntervals = 8
 	DeadFloor        = 5 * time.Second
 	DeadIntervals    = 20
-	// Retention is how long the heirs of a stopped incarnation are remembered.
+	// Retention is how long the successors of a stopped incarnation are remembered.
 	Retention = time.Hour
 	// Forget is how long the address of a dead member is kept, so that regions find each other after a long partition.
 	Forget = 24 * time.Hour
@@ -133,7 +133,7 @@
 }
 
 func (t *Table) keepHeirs(now time.Time, m Member) {
-	if len(m.f.Heirs) == 0 {
+	if len(m.f.Successors) == 0 {
 		return
 	}
 	if _, ok := t.stopped[m.f.Incarnation]; !ok {
@@ -199,12 +199,12 @@
 // Floor returns the highest configuration version seen from any incarnation of the name.
 func (t *Table) Floor(name string) uint64 { return t.floors[name] }
 
-// Heirs returns the entries that answer for a stopped incarnation, or nothing when they are unknown.
-func (t *Table) Heirs(incarnation [16]byte) []string {
-	return slices.Clone(t.stopped[incarnation].m.f.Heirs)
+// Successors returns the entries that answer for a stopped incarnation, or nothing when they are unknown.
+func (t *Table) Successors(incarnation [16]byte) []string {
+	return slices.Clone(t.stopped[incarnation].m.f.Successors)
 }
 
-// Stopped returns the records of stopped incarnations whose heirs are remembered.
+// Stopped returns the records of stopped incarnations whose successors are remembered.
 func (t *Table) Stopped() []Member {
 	all := make([]Member, 0, len(t.stopped))
 	for _, s := range t.stopped {
--- a/internal/fleet/member/table_test.go
+++ b/internal/fleet/member/table_test.go
@@ -61,12 +61,12 @@
 	if got := state(t, table, "b"); got != member.Leaving {
 		t.Errorf("state = %v, want leaving", got)
 	}
-	if got := table.Heirs([16]byte{2}); len(got) != 1 || got[0] != "c" {
-		t.Errorf("heirs = %v", got)
+	if got := table.Successors([16]byte{2}); len(got) != 1 || got[0] != "c" {
+		t.Errorf("successors = %v", got)
 	}
 	table.Tick(start.Add(2*time.Hour), 0)
-	if got := table.Heirs([16]byte{2}); len(got) != 0 {
-		t.Errorf("heirs after the retention = %v", got)
+	if got := table.Successors([16]byte{2}); len(got) != 0 {
+		t.Errorf("successors after the retention = %v", got)
 	}
 }
 
--- a/internal/measure/orders/cluster.go
+++ b/internal/measure/orders/cluster.go
@@ -30,10 +30,10 @@
 	skipped atomic.Int64 // skipped is how far the entries' clock is ahead of the real one.
 	started atomic.Uint64
 
-	mu       sync.Mutex
-	nodes    []*node
-	heirs    map[ticket.Incarnation][]string
-	versions []members
+	mu         sync.Mutex
+	nodes      []*node
+	successors map[ticket.Incarnation][]string
+	versions   []members
 }
 
 func newCluster(seed uint64, entries int, h Hooks) *cluster {
@@ -41,7 +41,7 @@
 	c := &cluster{
 		hooks: h, keys: ticket.NewKey([]byte("peer")), server: standin.New(standin.Settings{}),
 		network: n, history: hist, target: &target{network: n, history: hist},
-		heirs: map[ticket.Incarnation][]string{}, nodes: make([]*node, entries),
+		successors: map[ticket.Incarnation][]string{}, nodes: make([]*node, entries),
 	}
 	for i := range c.nodes {
 		c.start(i)
@@ -83,7 +83,7 @@
 			m.alive = append(m.alive, n.name)
 		}
 	}
-	for stopped, names := range c.heirs {
+	for stopped, names := range c.successors {
 		if len(m.holders[stopped]) > 0 {
 			continue
 		}
@@ -144,15 +144,15 @@
 		return err
 	}
 	for range 3 {
-		_, heir := c.any()
-		if heir == nil || heir == n || heir.leaving.Load() || c.network.chance(c.network.conditions().lose) {
+		_, successor := c.any()
+		if successor == nil || successor == n || successor.leaving.Load() || c.network.chance(c.network.conditions().lose) {
 			continue
 		}
-		if _, err := heir.estates.Add(data, c.now()); err != nil {
+		if _, err := successor.handovers.Add(data, c.now()); err != nil {
 			return err
 		}
 		c.mu.Lock()
-		c.heirs[n.self] = append(c.heirs[n.self], heir.name)
+		c.successors[n.self] = append(c.successors[n.self], successor.name)
 		c.mu.Unlock()
 	}
 	c.mu.Lock()
--- a/internal/measure/orders/node.go
+++ b/internal/measure/orders/node.go
@@ -25,23 +25,23 @@
 
 // node is one process of an entry: a replacement under the same name is another node.
 type node struct {
-	cluster *cluster
-	name    string
-	self    ticket.Incarnation
-	lag     time.Duration // lag is the age of the membership that this process sees.
-	issuer  *order.Issuer
-	table   *order.Table
-	estates *order.Estates
-	placer  Placer
-	dead    atomic.Bool
-	leaving atomic.Bool
-	until   atomic.Int64 // until is the end of a pause in nanoseconds of Unix time.
+	cluster   *cluster
+	name      string
+	self      ticket.Incarnation
+	lag       time.Duration // lag is the age of the membership that this process sees.
+	issuer    *order.Issuer
+	table     *order.Table
+	handovers *order.Handovers
+	placer    Placer
+	dead      atomic.Bool
+	leaving   atomic.Bool
+	until     atomic.Int64 // until is the end of a pause in nanoseconds of Unix time.
 }
 
 func newNode(c *cluster, name string, self ticket.Incarnation, lag time.Duration, h Hooks) *node {
 	n := &node{
 		cluster: c, name: name, self: self, lag: lag,
-		issuer: order.NewIssuer(c.keys, self), estates: order.NewEstates(),
+		issuer: order.NewIssuer(c.keys, self), handovers: order.NewHandovers(),
 		table: order.NewTable(order.Settings{Keys: 10_000, Bytes: 1 << 20}),
 	}
 	var service claim.Store = store.New("http://store", "", &http.Client{Transport: link{n, c.server.Transport()}})
@@ -55,7 +55,7 @@
 	if h.Issuer != nil {
 		asked = h.Issuer(c.keys, asked)
 	}
-	n.placer = registry{order.NewRegistry(name, c.keys, asked, n.table, n.estates, sight{n}, claims)}
+	n.placer = registry{order.NewRegistry(name, c.keys, asked, n.table, n.handovers, sight{n}, claims)}
 	if h.Placer != nil {
 		n.placer = h.Placer(n.placer, Parts{c.keys, n.issuer, claims})
 	}
--- a/internal/measure/orders/way.go
+++ b/internal/measure/orders/way.go
@@ -56,7 +56,7 @@
 		client := store.New("http://store", "", far)
 		p.issuer = order.NewIssuer(keys, ticket.Incarnation{byte(i + 1)})
 		table := order.NewTable(order.Settings{Keys: 1_000_000, Bytes: 64 << 20})
-		p.registry = order.NewRegistry(p.name, keys, p.issuer, table, order.NewEstates(), view{g, p}, claimer(way, p.name, client))
+		p.registry = order.NewRegistry(p.name, keys, p.issuer, table, order.NewHandovers(), view{g, p}, claimer(way, p.name, client))
 		g.parties, g.byName[p.name] = append(g.parties, p), p
 	}
 	return g
--- a/internal/measure/policy/lent.go
+++ b/internal/measure/policy/lent.go
@@ -4,8 +4,8 @@
 
 // Terms of a loan of slots.
 const (
-	term = time.Second
-	wish = 200 * time.Millisecond
+	term      = time.Second
+	peerNeeds = 200 * time.Millisecond
 )
 
 // lent gives each entry its fixed part of the slots and lets an entry without
@@ -50,10 +50,10 @@
 	return c
 }
 
-// borrow asks the entry of the region with the most free slots for one, at most once per wish.
+// borrow asks the entry of the region with the most free slots for one, at most once per peerNeeds.
 func (l *lent) borrow(w *world, e, work int) {
 	key := [2]int{e, work}
-	if at, ok := l.want[key]; ok && w.now-at < wish/20 {
+	if at, ok := l.want[key]; ok && w.now-at < peerNeeds/20 {
 		return
 	}
 	l.want[key] = w.now
--- a/internal/request/forward/failure_test.go
+++ b/internal/request/forward/failure_test.go
@@ -73,7 +73,7 @@
 			t.Errorf("served by %s with %d connections to t1", got.served, r.targets.Open(address(1).String()))
 		}
 		// Nothing proves anything about an attempt that a target has seen.
-		r.stand["t1"].Set(target.Faults{Deaf: true})
+		r.stand["t1"].Set(target.Faults{IgnoresDeadlines: true})
 		r.stand["t1"].Silence()
 		r.expect(r.order("Idempotency-Key", "k2"), 504, verdict.MayHaveRun, verdict.ReasonSilent)
 	})
@@ -156,7 +156,7 @@
 		if r.runs() != 0 {
 			t.Errorf("%d runs after their deadline", r.runs())
 		}
-		r.stand["t1"].Set(target.Faults{Deaf: true})
+		r.stand["t1"].Set(target.Faults{IgnoresDeadlines: true})
 		release = r.stand["t1"].Hold()
 		r.expect(r.order("Timeout", "100"), 504, verdict.MayHaveRun, verdict.ReasonDeadline)
 		release()
--- a/internal/request/order/estate.go
+++ b/internal/request/order/handover.go
@@ -26,7 +26,7 @@
 	Body    []byte              `json:"body,omitempty"`
 }
 
-type wireEstate struct {
+type wireHandover struct {
 	Issuer  []byte       `json:"issuer"`
 	Floor   uint64       `json:"floor"`
 	Records []wireRecord `json:"records"`
@@ -47,7 +47,7 @@
 	if !t.closed {
 		return nil, errors.New("order: only a closed table can be exported")
 	}
-	e := wireEstate{Issuer: issuer[:], Floor: floor}
+	e := wireHandover{Issuer: issuer[:], Floor: floor}
 	size := 0
 	for _, r := range t.records {
 		w := wireRecord{Tenant: r.key.tenant, Service: r.key.service, Key: r.key.text, Request: r.request, State: "uncertain"}
@@ -63,33 +63,33 @@
 	return json.Marshal(e)
 }
 
-type legacy struct {
+type handover struct {
 	floor   uint64
 	records map[Key]wireRecord
 	until   time.Time
 }
 
-// Estates holds the outcomes of stopped incarnations and may be used by several goroutines.
-type Estates struct {
+// Handovers holds the outcomes of stopped incarnations and may be used by several goroutines.
+type Handovers struct {
 	mu      sync.Mutex
-	byOwner map[ticket.Incarnation]legacy
+	byOwner map[ticket.Incarnation]handover
 }
 
-// NewEstates returns an empty set.
-func NewEstates() *Estates {
-	return &Estates{byOwner: make(map[ticket.Incarnation]legacy)}
+// NewHandovers returns an empty set.
+func NewHandovers() *Handovers {
+	return &Handovers{byOwner: make(map[ticket.Incarnation]handover)}
 }
 
 // Add takes over an exported table and returns the incarnation that it belonged to.
-func (s *Estates) Add(data []byte, now time.Time) (ticket.Incarnation, error) {
-	var w wireEstate
+func (s *Handovers) Add(data []byte, now time.Time) (ticket.Incarnation, error) {
+	var w wireHandover
 	if err := json.Unmarshal(data, &w); err != nil {
 		return ticket.Incarnation{}, fmt.Errorf("order: handover cannot be read: %w", err)
 	}
 	if len(w.Issuer) != len(ticket.Incarnation{}) {
 		return ticket.Incarnation{}, fmt.Errorf("order: handover names an incarnation of %d bytes, want %d", len(w.Issuer), len(ticket.Incarnation{}))
 	}
-	l := legacy{floor: w.Floor, records: make(map[Key]wireRecord, len(w.Records)), until: now.Add(Validity)}
+	l := handover{floor: w.Floor, records: make(map[Key]wireRecord, len(w.Records)), until: now.Add(Validity)}
 	for _, r := range w.Records {
 		l.records[NewKey(r.Tenant, r.Service, r.Key)] = r
 	}
@@ -105,7 +105,7 @@
 }
 
 // Recall returns what is known of a ticket of a stopped incarnation; ok is false when its outcomes were not handed over.
-func (s *Estates) Recall(tk ticket.Ticket, k Key, request uint64, now time.Time) (answer *Answer, ok bool, err error) {
+func (s *Handovers) Recall(tk ticket.Ticket, k Key, request uint64, now time.Time) (answer *Answer, ok bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, found := s.byOwner[tk.Issuer()]
--- a/internal/request/order/registry.go
+++ b/internal/request/order/registry.go
@@ -32,18 +32,18 @@
 
 // Registry decides for each idempotency key whether it runs here, runs elsewhere or has an answer already.
 type Registry struct {
-	name    string
-	keys    *ticket.Key
-	issuer  *Issuer
-	table   *Table
-	estates *Estates
-	fleet   Fleet
-	claims  Claims
+	name      string
+	keys      *ticket.Key
+	issuer    *Issuer
+	table     *Table
+	handovers *Handovers
+	fleet     Fleet
+	claims    Claims
 }
 
 // NewRegistry returns the registry of the entry with the given name.
-func NewRegistry(name string, keys *ticket.Key, issuer *Issuer, table *Table, estates *Estates, fleet Fleet, claims Claims) *Registry {
-	return &Registry{name, keys, issuer, table, estates, fleet, claims}
+func NewRegistry(name string, keys *ticket.Key, issuer *Issuer, table *Table, handovers *Handovers, fleet Fleet, claims Claims) *Registry {
+	return &Registry{name, keys, issuer, table, handovers, fleet, claims}
 }
 
 // Place says what to do with a request: relay it, send the answer, or dispatch it and settle the permit.
@@ -115,7 +115,7 @@
 	if tk.Issuer() == g.issuer.Self() {
 		return g.placeOwn(ctx, tk, k, request, now)
 	}
-	if answer, ok, err := g.estates.Recall(tk, k, request, now); ok {
+	if answer, ok, err := g.handovers.Recall(tk, k, request, now); ok {
 		return Place{answer: answer}, err
 	}
 	entry, ok := g.fleet.Holder(tk.Issuer())
--- a/internal/request/order/registry_test.go
+++ b/internal/request/order/registry_test.go
@@ -44,16 +44,16 @@
 }
 
 type entry struct {
-	registry *order.Registry
-	issuer   *order.Issuer
-	table    *order.Table
-	estates  *order.Estates
+	registry  *order.Registry
+	issuer    *order.Issuer
+	table     *order.Table
+	handovers *order.Handovers
 }
 
 func newEntry(name string, n byte, f *fleet, c *claims) entry {
 	keys := ticket.NewKey([]byte("peer"))
-	e := entry{issuer: order.NewIssuer(keys, ticket.Incarnation{n}), table: newTable(100, 1000), estates: order.NewEstates()}
-	e.registry = order.NewRegistry(name, keys, e.issuer, e.table, e.estates, f, c)
+	e := entry{issuer: order.NewIssuer(keys, ticket.Incarnation{n}), table: newTable(100, 1000), handovers: order.NewHandovers()}
+	e.registry = order.NewRegistry(name, keys, e.issuer, e.table, e.handovers, f, c)
 	return e
 }
 
@@ -117,7 +117,7 @@
 func TestSuccessorAnswersForStoppedIssuer(t *testing.T) {
 	now := time.Now()
 	f := &fleet{holders: map[ticket.Incarnation]string{{1}: "a"}}
-	stopping, heir := newEntry("a", 1, f, nil), newEntry("b", 2, f, nil)
+	stopping, successor := newEntry("a", 1, f, nil), newEntry("b", 2, f, nil)
 	keys := stopping.issuer.Issue("t", "gifts", 3, now)
 	if _, err := stopping.table.Export(ticket.Incarnation{1}, 1); err == nil {
 		t.Error("an open table was exported")
@@ -134,15 +134,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if n, err := heir.estates.Add(data, now); err != nil || n != (ticket.Incarnation{1}) {
+	if n, err := successor.handovers.Add(data, now); err != nil || n != (ticket.Incarnation{1}) {
 		t.Fatalf("Add = %v, %v", n, err)
 	}
-	if p, err := heir.place(t, keys[0], now); err != nil || p.Answer() == nil || string(p.Answer().Body()) != "coin" {
+	if p, err := successor.place(t, keys[0], now); err != nil || p.Answer() == nil || string(p.Answer().Body()) != "coin" {
 		t.Errorf("used ticket at the successor = %+v, %v, want the first answer", p, err)
 	}
-	_, err = heir.place(t, keys[1], now)
+	_, err = successor.place(t, keys[1], now)
 	wantVerdict(t, err, verdict.MayHaveRun, verdict.ReasonRepeat)
-	_, err = heir.place(t, keys[2], now)
+	_, err = successor.place(t, keys[2], now)
 	wantVerdict(t, err, verdict.NotRun, verdict.ReasonIssuer)
 }
 
--- a/internal/request/order/stale_test.go
+++ b/internal/request/order/stale_test.go
@@ -46,7 +46,7 @@
 // floor and the export must not lose the records of tickets above that floor.
 func TestClosedTableKeepsItsRecords(t *testing.T) {
 	now := time.Now()
-	e, heir := newEntry("a", 1, &fleet{keeper: "a"}, nil), newEntry("b", 2, &fleet{}, nil)
+	e, successor := newEntry("a", 1, &fleet{keeper: "a"}, nil), newEntry("b", 2, &fleet{}, nil)
 	key := e.issuer.Issue("t", "gifts", 1, now)[0]
 	p, err := e.place(t, key, now)
 	if err != nil || p.Permit() == nil {
@@ -61,10 +61,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := heir.estates.Add(data, now.Add(order.Retention)); err != nil {
+	if _, err := successor.handovers.Add(data, now.Add(order.Retention)); err != nil {
 		t.Fatal(err)
 	}
-	if p, err := heir.place(t, key, now.Add(order.Retention)); err != nil || p.Answer() == nil {
+	if p, err := successor.place(t, key, now.Add(order.Retention)); err != nil || p.Answer() == nil {
 		t.Errorf("Place at the successor = %+v, %v, want the first answer", p, err)
 	}
 }
--- a/internal/standin/target/load.go
+++ b/internal/standin/target/load.go
@@ -38,7 +38,7 @@
 }
 
 func (t *Target) serveLoad(w http.ResponseWriter, r *http.Request) {
-	if t.now().Mute {
+	if t.now().NoReport {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -27,7 +27,7 @@
 func (t *Target) serveAttempt(w http.ResponseWriter, r *http.Request, id string) {
 	state := "unknown"
 	switch {
-	case r.Method == http.MethodDelete && t.now().Deaf:
+	case r.Method == http.MethodDelete && t.now().IgnoresDeadlines:
 		state = "running"
 	case r.Method == http.MethodDelete:
 		state = t.tries.drop(id)
@@ -59,7 +59,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	id := r.Header.Get("Attempt")
-	if !t.tries.set(id, "waiting") && !f.Deaf {
+	if !t.tries.set(id, "waiting") && !f.IgnoresDeadlines {
 		shed(w, "dropped")
 		return
 	}
@@ -77,12 +77,12 @@
 	if gate != nil {
 		<-gate
 	}
-	if end := deadline(r, arrived); !f.Deaf && !end.IsZero() && !time.Now().Before(end) {
+	if end := deadline(r, arrived); !f.IgnoresDeadlines && !end.IsZero() && !time.Now().Before(end) {
 		t.tries.drop(id)
 		shed(w, "deadline")
 		return
 	}
-	if !t.tries.set(id, "running") && !f.Deaf {
+	if !t.tries.set(id, "running") && !f.IgnoresDeadlines {
 		shed(w, "dropped")
 		return
 	}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -57,8 +57,8 @@
 	t.drain = on
 }
 
-// Cool empties the cache: the next requests take as long as the first ones did.
-func (t *Target) Cool() {
+// EmptyCache empties the cache: the next requests take as long as the first ones did.
+func (t *Target) EmptyCache() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.served = 0
@@ -173,8 +173,8 @@
 // duration draws a service time; a cold cache makes it longer.
 func (t *Target) duration() time.Duration {
 	d := float64(t.s.Mean) * (1 + t.s.Spread*(2*t.rand.Float64()-1))
-	if t.served < t.s.Cold && t.s.Chill > 1 {
-		d *= 1 + (t.s.Chill-1)*float64(t.s.Cold-t.served)/float64(t.s.Cold)
+	if t.served < t.s.Cold && t.s.ColdFactor > 1 {
+		d *= 1 + (t.s.ColdFactor-1)*float64(t.s.Cold-t.served)/float64(t.s.Cold)
 	}
 	t.served++
 	return time.Duration(d)
