cmd/tamarackspool: carry exit statuses in oops errors

Cause: the house style asks for samber/oops, and the command had an error type of its own for exit statuses. Conclusion: one type less.

--- a/cmd/tamarackspool/demo.go
+++ b/cmd/tamarackspool/demo.go
@@ -28,7 +28,7 @@
 		settings.Faults = append(settings.Faults, deployment.Fault(f))
 	}
 	if err := settings.Check(); err != nil {
-		return &failure{exitUsage, err}
+		return failWith(exitUsage, err)
 	}
 	if c.Verbose {
 		settings.Log = s.problems
--- a/cmd/tamarackspool/entry.go
+++ b/cmd/tamarackspool/entry.go
@@ -47,12 +47,12 @@
 		Stop: c.StopLimit, TTL: c.TTL, Retention: c.Retention, Keys: c.Keys, Header: c.Header, Seed: c.seed(),
 	})
 	if err != nil {
-		return &failure{exitUsage, err}
+		return failWith(exitUsage, err)
 	}
 	events := event.New(log.With(log.NewLogfmtLogger(log.NewSyncWriter(s.problems)), "at", log.DefaultTimestampUTC))
 	n, err := node.New(ctx, checked, node.Dependencies{Events: events})
 	if err != nil {
-		return &failure{exitUsage, err}
+		return failWith(exitUsage, err)
 	}
 	call, peer, pass, admin := n.Addresses()
 	fmt.Fprintf(s.out, "call %s peer %s pass %s admin %s\n", call, peer, pass, admin)
--- a/cmd/tamarackspool/main.go
+++ b/cmd/tamarackspool/main.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +9,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/samber/oops"
 )
 
 // commands are the subcommands; every flag but those that
@@ -87,25 +87,22 @@
 	exitBroken      = 6
 )
 
-// failure is an error with an exit status.
-type failure struct {
-	code int
-	err  error
-}
-
-// Error returns the text of the cause.
-func (f *failure) Error() string { return f.err.Error() }
-
-// Unwrap returns the cause.
-func (f *failure) Unwrap() error { return f.err }
+// exitKey is the attribute of an error that holds its exit status.
+const exitKey = "exit"
 
+// fail returns an error with the given exit status.
 func fail(code int, format string, args ...any) error {
-	return &failure{code, fmt.Errorf(format, args...)}
+	return oops.With(exitKey, code).Errorf(format, args...)
 }
 
+// failWith gives an error an exit status.
+func failWith(code int, err error) error { return oops.With(exitKey, code).Wrap(err) }
+
 func exitCode(err error) int {
-	if f, ok := errors.AsType[*failure](err); ok {
-		return f.code
+	if e, ok := oops.AsOops(err); ok {
+		if code, ok := e.Context()[exitKey].(int); ok {
+			return code
+		}
 	}
 	return exitInternal
 }
--- a/cmd/tamarackspool/operator.go
+++ b/cmd/tamarackspool/operator.go
@@ -44,7 +44,7 @@
 // ended turns a failure of the console into one with its exit status.
 func ended(err error) error {
 	if f, ok := errors.AsType[*console.Failure](err); ok {
-		return &failure{f.ExitCode(), err}
+		return failWith(f.ExitCode(), err)
 	}
 	return err
 }
