--- /dev/null
+++ b/cmd/tamarackedge/doc.go
@@ -0,0 +1,2 @@
+// Command tamarackedge runs one entry of tamarackspool on the users' platform.
+package main
--- /dev/null
+++ b/cmd/tamarackedge/flags.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"tamarackspool/internal/entry/edge"
+	"tamarackspool/internal/steer/spend"
+)
+
+// flags are the settings of an entry; each can also be set by an environment variable TAMARACK_<FLAG>.
+type flags struct {
+	Name      string            `help:"Name of this entry." required:""`
+	Zone      string            `help:"Availability zone of this entry." required:""`
+	Region    string            `help:"Region of this entry." required:""`
+	Zones     map[string]string `help:"Region of each availability zone." required:"" mapsep:"," placeholder:"ZONE=REGION"`
+	Call      string            `help:"Address to listen on for callers." required:"" placeholder:"IP:PORT"`
+	Ready     string            `help:"Address to listen on for the readiness check." required:"" placeholder:"IP:PORT"`
+	Directory string            `help:"Address to listen on for look-ups." required:"" placeholder:"IP:PORT"`
+	Peer      string            `help:"Address to listen on for other entries." required:"" placeholder:"IP:PORT"`
+	Seeds     []string          `help:"Addresses of other entries, asked while none is known." placeholder:"IP:PORT"`
+	Store     string            `help:"Address of the platform's store." required:"" placeholder:"IP:PORT"`
+	Metrics   string            `help:"Address to listen on for the metrics page." placeholder:"IP:PORT"`
+
+	LookupTTL   float64 `name:"lookup-ttl" help:"How long callers keep a look-up, in seconds." default:"2"`
+	Grace       float64 `help:"Time between the signal to stop and the end of the process, in seconds." default:"6"`
+	RepeatRatio float64 `help:"Part of a service's requests that may be sent to a second target." default:"0.2"`
+	RepeatSlack float64 `help:"Repeats of a service that are allowed beyond that, over all entries." default:"64"`
+	RepeatSpan  float64 `help:"Time over which repeats are counted, in seconds." default:"10"`
+	Memory      float64 `help:"Memory limit of the process in MB." default:"284"`
+	GC          int     `name:"gc" help:"Growth of the heap in percent that starts a garbage collection." default:"100"`
+	LogRoom     int     `help:"Log lines held until they are written, in bytes." default:"1048576"`
+}
+
+// settings returns the checked settings, or an error that names the flag and the accepted range.
+func (f *flags) settings() (edge.Settings, error) {
+	for _, a := range []struct{ flag, value string }{
+		{"call", f.Call}, {"ready", f.Ready}, {"directory", f.Directory}, {"peer", f.Peer}, {"store", f.Store},
+	} {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return edge.Settings{}, fmt.Errorf("--%s %q: an IP address and a port are needed", a.flag, a.value)
+		}
+	}
+	for _, r := range []struct {
+		flag             string
+		value, low, high float64
+	}{
+		{"lookup-ttl", f.LookupTTL, 0.1, 3600},
+		{"grace", f.Grace, 1, 3600},
+		{"repeat-ratio", f.RepeatRatio, 0, 1},
+		{"repeat-slack", f.RepeatSlack, 0, 1e6},
+		{"repeat-span", f.RepeatSpan, 1, 3600},
+		{"memory", f.Memory, 32, 1 << 20},
+		{"gc", float64(f.GC), 10, 1000},
+		{"log-room", float64(f.LogRoom), 4096, 1 << 30},
+	} {
+		if r.value < r.low || r.value > r.high {
+			return edge.Settings{}, fmt.Errorf("--%s %v is out of range; the range is %v to %v", r.flag, r.value, r.low, r.high)
+		}
+	}
+	if f.Zones[f.Zone] != f.Region {
+		return edge.Settings{}, fmt.Errorf("--zone %q does not lie in --region %q by --zones", f.Zone, f.Region)
+	}
+	return edge.Settings{
+		Name: f.Name, Zone: f.Zone, Region: f.Region, Call: f.Call, Ready: f.Ready, Directory: f.Directory, Peer: f.Peer,
+		Seeds: f.Seeds, Metrics: f.Metrics, LookupTTL: seconds(f.LookupTTL), Grace: seconds(f.Grace),
+		Repeats: spend.Terms{Ratio: f.RepeatRatio, Slack: f.RepeatSlack, Window: seconds(f.RepeatSpan)},
+		Memory:  int64(f.Memory * 1e6),
+	}, nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/cmd/tamarackedge/main.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-kit/log"
+
+	"tamarackspool/internal/entry/edge"
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/upstream"
+	"tamarackspool/platform"
+)
+
+// The exit statuses.
+const (
+	exitDone     = 0
+	exitInternal = 1
+	exitUsage    = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run parses the arguments, runs the entry and returns the exit status.
+func run(ctx context.Context, args []string, out, problems io.Writer) int {
+	var f flags
+	parser, err := kong.New(&f,
+		kong.Name("tamarackedge"),
+		kong.Description("One entry of tamarackspool on the users' platform."),
+		kong.DefaultEnvars("TAMARACK"),
+		kong.Writers(out, problems),
+	)
+	if err == nil {
+		_, err = parser.Parse(args)
+	}
+	var s edge.Settings
+	if err == nil {
+		s, err = f.settings()
+	}
+	if err != nil {
+		fmt.Fprintln(problems, "tamarackedge:", err)
+		return exitUsage
+	}
+	debug.SetGCPercent(f.GC)
+	debug.SetMemoryLimit(s.Memory * 6 / 10)
+	spool := event.NewSpool(out, f.LogRoom)
+	defer flush(spool)
+	events := event.New(log.With(log.NewLogfmtLogger(spool), "at", log.DefaultTimestampUTC))
+	if err := serve(ctx, s, &f, events); err != nil {
+		fmt.Fprintln(problems, "tamarackedge:", err)
+		return exitInternal
+	}
+	return exitDone
+}
+
+// flushTime bounds the writing of the last log lines.
+const flushTime = 200 * time.Millisecond
+
+func flush(s *event.Spool) {
+	select {
+	case <-s.Close():
+	case <-time.After(flushTime):
+	}
+}
+
+func serve(ctx context.Context, s edge.Settings, f *flags, events *event.Log) error {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() {
+		for range reload {
+			events.Log(event.ReloadIgnored)
+		}
+	}()
+	dial := upstream.NewDial()
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdle, DisableCompression: true,
+	}}
+	e, err := edge.New(s, edge.Dependencies{
+		Store: platform.NewStore(f.Store, client), Keys: platform.NewKeys(f.Zones),
+		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Events: events,
+	})
+	if err != nil {
+		return errors.Join(errStart, err)
+	}
+	return e.Run(ctx)
+}
+
+// storeIdle is how long an unused connection to the store is kept.
+const storeIdle = 10 * time.Second
+
+var errStart = errors.New("the entry cannot start")
--- /dev/null
+++ b/internal/entry/edge/attempt.go
@@ -0,0 +1,206 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/inbound"
+	"tamarackspool/internal/request/upstream"
+	"tamarackspool/internal/site/book"
+	"tamarackspool/internal/steer/placement"
+)
+
+// cancelling ends a context when the body that it bounds is closed.
+type cancelling struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close closes the body.
+func (c *cancelling) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+func unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
+
+// maxUnsent is the most targets that may refuse a connection before a request
+// is refused; nothing was sent to them.
+const maxUnsent = 3
+
+// fullRetry is when a caller may return after a refusal for lack of room.
+const fullRetry = 400 * time.Millisecond
+
+// attempts sends the request to one target after another until one answers.
+func (e *Edge) attempts(ctx context.Context, q *query) *inbound.Answer {
+	sent, unsent := 0, 0
+	for {
+		s := e.choose(q, time.Now())
+		if s == nil {
+			return e.refuse(q, "no target has room", fullRetry)
+		}
+		if sent > 0 && !e.budget(q.service).Take(e.peersKnown(), time.Now()) {
+			return e.refuse(q, "repeats are used up", fullRetry)
+		}
+		q.tried = append(q.tried, s)
+		a, f := e.send(ctx, q, s, sent)
+		switch {
+		case f == nil && !e.d.Headers.NotRun(a.Status, a.Header):
+			return e.deliver(q, s, a)
+		case f == nil:
+			e.shed(s, a)
+			sent++
+		case f.Kind() == upstream.Cancelled:
+			return e.ended(ctx, q, s)
+		case f.Sent():
+			sent++
+			e.failed(q, s, f)
+			q.ran = true
+			if q.rule.Kind() != book.Safe {
+				return inbound.Refusal(http.StatusBadGateway)
+			}
+		default:
+			unsent++
+			e.failed(q, s, f)
+		}
+		if sent >= q.rule.Attempts() || unsent >= maxUnsent {
+			return e.refuse(q, "attempts are used up", fullRetry)
+		}
+	}
+}
+
+func (e *Edge) failed(q *query, s *seat, f *upstream.Failure) {
+	now := time.Now()
+	until := s.gauge.Failed(now)
+	s.gauge.Broke(now)
+	e.pool.Forget(s.target.Address())
+	e.events.Log(event.TargetResting, "id", q.id, "target", s.target.ID(), "kind", f.Kind(), "sent", f.Sent(), "error", f.Unwrap(), "for", until.Sub(now))
+}
+
+// shed notes what an answer says that proves the request not run.
+func (e *Edge) shed(s *seat, a *upstream.Answer) {
+	if a.Status == http.StatusMisdirectedRequest {
+		// Another target has the address: this one has ended.
+		s.gauge.Failed(time.Now())
+		s.gauge.Broke(time.Now())
+		return
+	}
+	s.gauge.Shed(time.Now())
+}
+
+// ended answers a request whose time has passed or whose caller has left.
+func (e *Edge) ended(ctx context.Context, q *query, s *seat) *inbound.Answer {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		e.events.Log(event.CallerLeft, "id", q.id, "target", s.target.ID(), "after", time.Since(q.Arrived))
+		return nil
+	}
+	e.events.Log(event.RequestTimedOut, "id", q.id, "target", s.target.ID(), "after", time.Since(q.Arrived))
+	return inbound.Refusal(http.StatusGatewayTimeout)
+}
+
+// send sends the request to the target of a seat.
+func (e *Edge) send(ctx context.Context, q *query, s *seat, earlier int) (*upstream.Answer, *upstream.Failure) {
+	h := make(http.Header, len(q.Header)+2)
+	for name, values := range q.Header {
+		if !inbound.PerConnection(name) {
+			h[name] = values
+		}
+	}
+	e.d.Headers.SetDeadline(h, time.Until(q.deadline))
+	e.d.Headers.SetTarget(h, s.target.ID())
+	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(),
+		"object", q.object, "earlier", earlier, "load", s.gauge.Load(time.Now()), "waited", time.Since(q.Arrived), "revision", s.revision)
+	s.gauge.Begin()
+	defer s.gauge.End()
+	a, err := e.pool.Do(ctx, upstream.Call{
+		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
+		Framed: q.Method != http.MethodGet && q.Method != http.MethodHead, Once: q.rule.Kind() != book.Safe,
+		Mine: func(status int, h http.Header) bool { return e.mine(q, status, h) },
+	})
+	if err != nil {
+		var f *upstream.Failure
+		errors.As(err, &f)
+		return nil, f
+	}
+	if running, waiting, _, ok := e.d.Headers.Load(a.Header); ok {
+		s.gauge.Report(running, waiting, time.Now())
+	}
+	return a, nil
+}
+
+// mine reports whether an answer belongs to the request: a success must say so, a failure must not deny it.
+func (e *Edge) mine(q *query, status int, h http.Header) bool {
+	id := e.d.Headers.RequestID(h)
+	return id == q.id || id == "" && status >= http.StatusBadRequest
+}
+
+// deliver hands a target's answer to the caller.
+func (e *Edge) deliver(q *query, s *seat, a *upstream.Answer) *inbound.Answer {
+	s.gauge.Answered()
+	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
+	return &inbound.Answer{Status: a.Status, Header: a.Header, Body: a.Body, Rest: a.Rest, Length: a.Length}
+}
+
+// choose returns the target for the next attempt, or nil when none may get the request.
+func (e *Edge) choose(q *query, now time.Time) *seat {
+	v := e.view.Load()
+	seats := v.seats[q.service]
+	mark := func(i int) uint64 { return seats[i].mark }
+	best := placement.Best(q.key, len(seats), mark, func(i int) bool {
+		s := seats[i]
+		return e.allowed(v, q, s) && !s.gauge.Resting(now) && !v.cold(s, now)
+	})
+	if best >= 0 {
+		return seats[best]
+	}
+	best = placement.Best(q.key, len(seats), mark, func(i int) bool {
+		return e.allowed(v, q, seats[i]) && !v.cold(seats[i], now)
+	})
+	if best >= 0 {
+		return seats[best]
+	}
+	return e.chooseCold(v, q, seats, now)
+}
+
+// chooseCold returns a cold target whose rate allows one more request from this entry.
+func (e *Edge) chooseCold(v *view, q *query, seats []*seat, now time.Time) *seat {
+	service, ok := v.book.Service(q.service)
+	if !ok {
+		return nil
+	}
+	for _, s := range seats {
+		if e.allowed(v, q, s) && v.paces(e.s.Name, s) && s.pacer.Take(service.ColdRate, now) {
+			return s
+		}
+	}
+	return nil
+}
+
+// allowed reports whether the rules let the target get the request.
+func (e *Edge) allowed(v *view, q *query, s *seat) bool {
+	if s.target.Leaving() || v.closed[s.target.Zone()] || slices.Contains(q.tried, s) {
+		return false
+	}
+	homes := q.rule.Homes()
+	return len(homes) == 0 || slices.Contains(homes, s.target.Region())
+}
+
+// cold reports whether a target is or may be cold: it said so, or it may have
+// ended since its registration was last read and runs again.
+func (v *view) cold(s *seat, now time.Time) bool {
+	if now.Before(s.coldUntil) {
+		return true
+	}
+	broken := s.gauge.Broken()
+	if broken.IsZero() || broken.Before(s.confirmed) || v.book == nil {
+		return false
+	}
+	f, _ := v.book.Service(s.target.Service())
+	return now.Sub(broken) < f.Cold
+}
--- /dev/null
+++ b/internal/entry/edge/belief.go
@@ -0,0 +1,200 @@
+package edge
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/site/book"
+	"tamarackspool/internal/site/census"
+	"tamarackspool/internal/site/mirror"
+	"tamarackspool/internal/site/target"
+	"tamarackspool/internal/steer/health"
+	"tamarackspool/internal/steer/pace"
+	"tamarackspool/internal/steer/placement"
+)
+
+// belief turns changes of the store into views. One goroutine calls apply.
+type belief struct {
+	keys   Keys
+	events *event.Log
+	self   census.Entry
+
+	book    *book.Book
+	seats   map[string]*seat // seats is by the target's id.
+	closed  map[string]bool
+	entries map[string]census.Entry
+}
+
+func newBelief(keys Keys, events *event.Log, self census.Entry) *belief {
+	return &belief{
+		keys: keys, events: events, self: self,
+		seats: make(map[string]*seat), closed: make(map[string]bool), entries: make(map[string]census.Entry),
+	}
+}
+
+// apply takes over the changed items.
+func (b *belief) apply(items []mirror.Item, now time.Time) {
+	for _, it := range items {
+		if err := b.one(it, now); err != nil {
+			b.events.Log(event.ItemInvalid, "key", it.Key, "revision", it.Revision, "error", err)
+		}
+	}
+}
+
+func (b *belief) one(it mirror.Item, now time.Time) error {
+	if b.keys.Configuration(it.Key) {
+		return b.configure(it)
+	}
+	if zone, ok := b.keys.Evacuation(it.Key); ok {
+		b.evacuate(zone, it, now)
+		return nil
+	}
+	if id, ok := b.keys.Target(it.Key); ok {
+		return b.register(id, it, now)
+	}
+	if name, ok := b.keys.Entry(it.Key); ok {
+		return b.enrol(name, it)
+	}
+	return nil
+}
+
+// configure adopts a newer version; the version in force never falls.
+func (b *belief) configure(it mirror.Item) error {
+	if it.Removed {
+		return nil
+	}
+	next, err := b.keys.DecodeConfiguration(it.Value)
+	if err != nil {
+		return err
+	}
+	if b.book != nil && next.Version() <= b.book.Version() {
+		return nil
+	}
+	b.book = next
+	b.events.Log(event.VersionAdopted, "version", next.Version(), "revision", it.Revision, "rules", next.Rules())
+	return nil
+}
+
+func (b *belief) evacuate(zone string, it mirror.Item, now time.Time) {
+	if !it.Removed {
+		b.closed[zone] = true
+		b.events.Log(event.ZoneEvacuated, "zone", zone, "revision", it.Revision)
+		return
+	}
+	if !b.closed[zone] {
+		return
+	}
+	delete(b.closed, zone)
+	b.events.Log(event.ZoneReturned, "zone", zone, "revision", it.Revision)
+	// The targets of an emptied zone may have cooled down without a word in their registration.
+	for id, s := range b.seats {
+		if s.target.Zone() == zone {
+			b.seats[id] = s.with(func(s *seat) { s.coldUntil = later(s.coldUntil, now.Add(b.warmUp(s))) })
+		}
+	}
+}
+
+// warmUp returns how long a target of the seat's service is cold after its start.
+func (b *belief) warmUp(s *seat) time.Duration {
+	if b.book == nil {
+		return 0
+	}
+	f, _ := b.book.Service(s.target.Service())
+	return f.Cold
+}
+
+func (b *belief) register(id string, it mirror.Item, now time.Time) error {
+	old := b.seats[id]
+	if it.Removed {
+		if old != nil {
+			delete(b.seats, id)
+			b.events.Log(event.TargetGone, "target", id, "service", old.target.Service(), "revision", it.Revision)
+		}
+		return nil
+	}
+	t, err := b.keys.DecodeTarget(id, it.Value, now)
+	if err != nil {
+		return err
+	}
+	b.seats[id] = b.seat(old, t, it, now)
+	return nil
+}
+
+// seat returns the seat of a registration. What was seen of an earlier start under the same id is forgotten.
+func (b *belief) seat(old *seat, t target.Target, it mirror.Item, now time.Time) *seat {
+	if old == nil || old.target.Born() != t.Born() {
+		b.events.Log(event.TargetJoined, "target", t.ID(), "service", t.Service(), "zone", t.Zone(),
+			"cold", t.ColdUntil().Sub(now), "revision", it.Revision)
+		return &seat{
+			target: t, mark: placement.Mark(t.ID()), gauge: new(health.Gauge), pacer: new(pace.Pacer),
+			coldUntil: t.ColdUntil(), confirmed: now, revision: it.Revision,
+		}
+	}
+	if t.Leaving() && !old.target.Leaving() {
+		b.events.Log(event.TargetLeaving, "target", t.ID(), "service", t.Service(), "revision", it.Revision)
+	}
+	return old.with(func(s *seat) {
+		s.coldUntil = later(s.coldUntil, t.ColdUntil())
+		s.target, s.confirmed, s.revision = t, now, it.Revision
+	})
+}
+
+// with returns a copy of the seat that change has altered.
+func (s *seat) with(change func(*seat)) *seat {
+	c := *s
+	change(&c)
+	return &c
+}
+
+func (b *belief) enrol(name string, it mirror.Item) error {
+	old, known := b.entries[name]
+	if it.Removed {
+		if known {
+			delete(b.entries, name)
+			b.events.Log(event.EntryGone, "entry", name, "revision", it.Revision)
+		}
+		return nil
+	}
+	e, err := b.keys.DecodeEntry(it.Value)
+	if err != nil {
+		return err
+	}
+	b.entries[name] = e
+	switch {
+	case e.Leaving && !old.Leaving:
+		b.events.Log(event.EntryGone, "entry", name, "revision", it.Revision, "leaving", true)
+	case !known:
+		b.events.Log(event.EntryJoined, "entry", name, "zone", e.Zone, "revision", it.Revision)
+	}
+	return nil
+}
+
+// view returns what is believed now.
+func (b *belief) view(revision uint64) *view {
+	v := &view{book: b.book, seats: make(map[string][]*seat), closed: maps.Clone(b.closed), revision: revision}
+	for _, id := range slices.Sorted(maps.Keys(b.seats)) {
+		s := b.seats[id]
+		v.seats[s.target.Service()] = append(v.seats[s.target.Service()], s)
+	}
+	v.stored = slices.Sorted(maps.Keys(b.entries))
+	entries := maps.Clone(b.entries)
+	entries[b.self.Name] = b.self
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		e := entries[name]
+		v.entries = append(v.entries, e)
+		if !e.Leaving {
+			v.marks = append(v.marks, placement.Mark(name))
+			v.names = append(v.names, name)
+		}
+	}
+	return v
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/entry/edge/edge.go
@@ -0,0 +1,208 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/inbound"
+	"tamarackspool/internal/request/upstream"
+	"tamarackspool/internal/site/census"
+	"tamarackspool/internal/site/mirror"
+	"tamarackspool/internal/steer/spend"
+)
+
+// Edge is one entry.
+type Edge struct {
+	s      Settings
+	d      Dependencies
+	self   census.Entry
+	events *event.Log
+
+	mirror   *mirror.Mirror
+	follower *mirror.Follower
+	belief   *belief
+	view     atomic.Pointer[view]
+	pool     *upstream.Pool
+	server   *inbound.Server
+	stopping atomic.Bool
+	refusing atomic.Bool // refusing is set when requests that arrive are no longer begun.
+
+	mu      sync.Mutex
+	budgets map[string]*spend.Budget // budgets is by service.
+	draws   atomic.Uint64
+
+	listeners listeners
+}
+
+// listeners are the sockets of an entry.
+type listeners struct{ call, ready, directory, peer net.Listener }
+
+// New returns an entry whose listeners are open, or an error that names the address that cannot be used.
+func New(s Settings, d Dependencies) (*Edge, error) {
+	e := &Edge{
+		s: s, d: d, events: d.Events, mirror: mirror.New(), budgets: make(map[string]*spend.Budget),
+		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
+	}
+	e.belief = newBelief(d.Keys, d.Events, e.self)
+	e.view.Store(e.belief.view(0))
+	e.pool = upstream.New(d.Dial, e.lost)
+	e.server = inbound.New(e)
+	e.follower = mirror.NewFollower(e.mirror, d.Store, (*peers)(e), d.Events, e.changed)
+	return e, e.listen()
+}
+
+func (e *Edge) listen() error {
+	for _, l := range []struct {
+		name, address string
+		to            *net.Listener
+	}{
+		{"call", e.s.Call, &e.listeners.call},
+		{"ready", e.s.Ready, &e.listeners.ready},
+		{"directory", e.s.Directory, &e.listeners.directory},
+		{"peer", e.s.Peer, &e.listeners.peer},
+	} {
+		opened, err := net.Listen("tcp", l.address)
+		if err != nil {
+			e.listeners.close()
+			return fmt.Errorf("edge: --%s: %w", l.name, err)
+		}
+		*l.to = opened
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, o := range []net.Listener{l.call, l.ready, l.directory, l.peer} {
+		if o != nil {
+			_ = o.Close()
+		}
+	}
+}
+
+// changed publishes what the changed items make of the view.
+func (e *Edge) changed(items []mirror.Item) {
+	e.belief.apply(items, time.Now())
+	e.view.Store(e.belief.view(e.mirror.Revision()))
+}
+
+// Run serves until ctx ends and then stops without cutting a request.
+func (e *Edge) Run(ctx context.Context) error {
+	e.events.Log(event.Started, "entry", e.s.Name, "zone", e.s.Zone, "region", e.s.Region)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, _ := errgroup.WithContext(work)
+	directory := &http.Server{Handler: e.d.Pages.Directory(e.near, e.s.LookupTTL), ReadHeaderTimeout: pageTimeout}
+	ready := &http.Server{Handler: e.d.Pages.Ready(e.ready), ReadHeaderTimeout: pageTimeout}
+	g.Go(func() error { return serve(directory, e.listeners.directory) })
+	g.Go(func() error { return serve(ready, e.listeners.ready) })
+	g.Go(func() error { return e.server.Serve(e.listeners.call) })
+	g.Go(func() error { return e.servePeers(work) })
+	g.Go(func() error { e.follower.Run(work); return nil })
+	g.Go(func() error { e.register(work, ctx); return nil })
+	g.Go(func() error { e.expire(work); return nil })
+	<-ctx.Done()
+	e.stop(ctx)
+	stop()
+	_ = directory.Close()
+	_ = ready.Close()
+	e.listeners.close()
+	err := g.Wait()
+	e.pool.Close()
+	e.events.Log(event.Stopped, "entry", e.s.Name)
+	return err
+}
+
+// pageTimeout bounds the header of a look-up or readiness check.
+const pageTimeout = 5 * time.Second
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("edge: %w", err)
+	}
+	return nil
+}
+
+const (
+	// leadTime is how long new requests are still taken after the signal to stop: callers that looked up
+	// before it use the entry until they look up again.
+	leadTime = 2500 * time.Millisecond
+	// endMargin is kept free at the end of the grace period for the end of the process.
+	endMargin = 300 * time.Millisecond
+)
+
+// stop ends the entry's work within the grace period.
+func (e *Edge) stop(ctx context.Context) {
+	began := time.Now()
+	e.events.Log(event.Stopping, "entry", e.s.Name, "connections", e.server.Open())
+	e.stopping.Store(true)
+	e.server.Drain()
+	time.Sleep(min(leadTime, e.s.Grace/2))
+	e.refusing.Store(true)
+	_ = e.listeners.call.Close()
+	limit, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(e.s.Grace-endMargin))
+	defer cancel()
+	e.server.Close(limit)
+	if limit.Err() != nil {
+		e.events.Log(event.StopLimit, "entry", e.s.Name, "grace", e.s.Grace)
+	}
+}
+
+// ready reports whether callers may be sent here.
+func (e *Edge) ready() bool { return e.view.Load().book != nil && !e.stopping.Load() }
+
+// spread is the least number of entries that a look-up names when the zone has fewer.
+const spread = 2
+
+func (e *Edge) near(region, zone string) []string {
+	entries := e.view.Load().entries
+	if e.stopping.Load() {
+		entries = without(entries, e.s.Name)
+	}
+	return census.Near(entries, region, zone, spread)
+}
+
+func without(entries []census.Entry, name string) []census.Entry {
+	var left []census.Entry
+	for _, o := range entries {
+		if o.Name != name {
+			left = append(left, o)
+		}
+	}
+	return left
+}
+
+// expireEvery is how often unused connections are looked through.
+const expireEvery = time.Second
+
+func (e *Edge) expire(ctx context.Context) {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			e.pool.Expire(now)
+		}
+	}
+}
+
+// lost notes that a target closed a connection that was not in use, as one that ends does.
+func (e *Edge) lost(address string) {
+	for _, seats := range e.view.Load().seats {
+		for _, s := range seats {
+			if s.target.Address() == address {
+				s.gauge.Broke(time.Now())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/edge/settings.go
@@ -0,0 +1,86 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/upstream"
+	"tamarackspool/internal/site/book"
+	"tamarackspool/internal/site/census"
+	"tamarackspool/internal/site/mirror"
+	"tamarackspool/internal/site/target"
+	"tamarackspool/internal/steer/spend"
+)
+
+// Settings are the checked settings of an entry.
+type Settings struct {
+	Name      string
+	Zone      string
+	Region    string
+	Call      string // Call is the address for callers.
+	Ready     string // Ready is the address of the platform's readiness check.
+	Directory string // Directory is the address for look-ups.
+	Peer      string // Peer is the address for other entries.
+	Seeds     []string
+	Metrics   string // Metrics is the address of the metrics page; empty for none.
+
+	LookupTTL time.Duration // LookupTTL is how long callers keep a look-up.
+	Grace     time.Duration // Grace is the time between the signal to stop and the end of the process.
+	Repeats   spend.Terms
+	ColdOver  float64 // ColdOver is the part of a cold target's rate that it bears in one second.
+	Memory    int64   // Memory is the limit of the process in bytes.
+}
+
+// Store is the platform's store as an entry uses it.
+type Store interface {
+	mirror.Source
+	Grant(ctx context.Context, ttl time.Duration) (lease uint64, granted time.Duration, err error)
+	Renew(ctx context.Context, lease uint64) error
+	Revoke(ctx context.Context, lease uint64) error
+	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	// Ended reports whether the error says that the lease has ended.
+	Ended(err error) bool
+}
+
+// Keys tells the store's keys apart and decodes what lies under them.
+type Keys interface {
+	Configuration(key string) bool
+	Evacuation(key string) (zone string, ok bool)
+	Target(key string) (id string, ok bool)
+	Entry(key string) (name string, ok bool)
+	EntryKey(name string) string
+	DecodeConfiguration(data []byte) (*book.Book, error)
+	DecodeTarget(id string, data []byte, at time.Time) (target.Target, error)
+	DecodeEntry(data []byte) (census.Entry, error)
+}
+
+// Headers reads and writes the headers of requests and answers.
+type Headers interface {
+	RequestID(h http.Header) string
+	Deadline(h http.Header) (time.Duration, bool)
+	SetDeadline(h http.Header, d time.Duration)
+	SetTarget(h http.Header, id string)
+	Object(h http.Header) string
+	NotRun(status int, h http.Header) bool
+	Load(h http.Header) (running, waiting, slots int, ok bool)
+}
+
+// Pages are the platform's own calls to an entry.
+type Pages interface {
+	// Ready returns the handler of the readiness check.
+	Ready(ready func() bool) http.Handler
+	// Directory returns the handler of look-ups.
+	Directory(near func(region, zone string) []string, ttl time.Duration) http.Handler
+}
+
+// Dependencies are what an entry is built from.
+type Dependencies struct {
+	Store   Store
+	Keys    Keys
+	Headers Headers
+	Pages   Pages
+	Dial    upstream.Dial
+	Events  *event.Log
+}
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -10,6 +10,13 @@
 	VersionInvalid   Number = 2006
 	Isolated         Number = 2007
 	BelowFloor       Number = 2008
+	PeerRead         Number = 2009
+	ItemInvalid      Number = 2010
+	LeaseGranted     Number = 2011
+	LeaseLost        Number = 2012
+	ZoneEvacuated    Number = 2013
+	ZoneReturned     Number = 2014
+	ReloadIgnored    Number = 2015
 )
 
 var configuration = []Entry{
@@ -21,4 +28,11 @@
 	{VersionInvalid, "version-invalid", "a received version does not match its hash or fails validation and was not adopted", "check that all entries run the same release"},
 	{Isolated, "isolated", "neither the key-value service nor a peer can be reached", "check the network of the VM"},
 	{BelowFloor, "below-floor", "the adopted configuration is older than one that this entry has had before", "none if it lasts seconds; else check the key-value service and the peers"},
+	{PeerRead, "peer-read", "the key-value service is silent and a peer's newer copy was taken over", "check the platform if it lasts"},
+	{ItemInvalid, "item-invalid", "a key of the key-value service could not be read; the last good value stays in force", "correct the value; the error names the field"},
+	{LeaseGranted, "lease-granted", "the entry is registered under a new lease", "none"},
+	{LeaseLost, "lease-lost", "the entry's lease has ended and look-ups of other entries may leave it out until it is registered again", "check the platform if it repeats"},
+	{ZoneEvacuated, "zone-evacuated", "operators empty an availability zone; its targets get nothing new", "none"},
+	{ZoneReturned, "zone-returned", "an availability zone is taken back into use", "none"},
+	{ReloadIgnored, "reload-ignored", "a reload was asked for; settings are read at the start only", "restart the entry to change its settings"},
 }
--- a/internal/record/event/steering.go
+++ b/internal/record/event/steering.go
@@ -13,6 +13,13 @@
 	LoanRefused    Number = 3109
 	InputMissing   Number = 3110
 	ShiftCapped    Number = 3111
+	TargetJoined   Number = 3112
+	TargetLeaving  Number = 3113
+	TargetGone     Number = 3114
+	TargetResting  Number = 3115
+	TargetCold     Number = 3116
+	EntryJoined    Number = 3117
+	EntryGone      Number = 3118
 )
 
 var steering = []Entry{
@@ -27,4 +34,11 @@
 	{LoanRefused, "loan-refused", "a loan of link share is larger than the lender's share or names unknown regions", "check the entries' versions"},
 	{InputMissing, "input-missing", "a tick has no configuration and decides nothing", "check that the entry reaches a peer or the store"},
 	{ShiftCapped, "shift-capped", "requests from another region exceed the cap on traffic movement and are refused", "none, or raise the cap"},
+	{TargetJoined, "target-joined", "a target has registered or started again", "none"},
+	{TargetLeaving, "target-leaving", "a target has announced its end and gets no new requests", "none"},
+	{TargetGone, "target-gone", "a target's registration has ended", "none"},
+	{TargetResting, "target-resting", "a target failed to answer and is passed over for a while", "check the target VM if it repeats"},
+	{TargetCold, "target-cold", "a target may have just started and is paced until it has warmed up", "none"},
+	{EntryJoined, "entry-joined", "another entry has registered", "none"},
+	{EntryGone, "entry-gone", "another entry's registration has ended or it is leaving", "replace the VM if the platform has not done so"},
 }
--- /dev/null
+++ b/internal/request/inbound/writer.go
@@ -0,0 +1,118 @@
+package inbound
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// writer writes one answer to a connection.
+type writer struct {
+	bw  *bufio.Writer
+	raw net.Conn
+}
+
+// perConnection are the headers that concern one connection only.
+var perConnection = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true,
+}
+
+// PerConnection reports whether a header concerns one connection only and is not forwarded.
+func PerConnection(name string) bool { return perConnection[name] }
+
+func (w writer) write(r *Request, a *Answer, shut bool) error {
+	bare := r.Method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
+	chunked := a.Length < 0 && !bare && !r.old
+	w.head(a, shut, chunked, bare)
+	if bare {
+		if a.Rest != nil {
+			_ = a.Rest.Close()
+		}
+		return w.flush()
+	}
+	if err := w.piece(a.Body, chunked); err != nil {
+		return err
+	}
+	if a.Rest != nil {
+		if err := w.stream(a.Rest, chunked); err != nil {
+			return err
+		}
+	}
+	if chunked {
+		_, _ = w.bw.WriteString("0\r\n\r\n")
+	}
+	return w.flush()
+}
+
+func (w writer) head(a *Answer, shut, chunked, bare bool) {
+	text := http.StatusText(a.Status)
+	if text == "" {
+		text = "Status"
+	}
+	_, _ = w.bw.WriteString("HTTP/1.1 " + strconv.Itoa(a.Status) + " " + text + "\r\n")
+	for name, values := range a.Header {
+		if perConnection[name] {
+			continue
+		}
+		for _, v := range values {
+			_, _ = w.bw.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	switch {
+	case chunked:
+		_, _ = w.bw.WriteString("Transfer-Encoding: chunked\r\n")
+	case a.Status == http.StatusNoContent || bare && a.Length < 0:
+	case a.Length >= 0:
+		_, _ = w.bw.WriteString("Content-Length: " + strconv.FormatInt(a.Length, 10) + "\r\n")
+	}
+	if shut {
+		_, _ = w.bw.WriteString("Connection: close\r\n")
+	}
+	_, _ = w.bw.WriteString("\r\n")
+}
+
+func (w writer) piece(b []byte, chunked bool) error {
+	if len(b) == 0 {
+		return nil
+	}
+	if chunked {
+		_, _ = w.bw.WriteString(strconv.FormatInt(int64(len(b)), 16) + "\r\n")
+	}
+	_ = w.raw.SetWriteDeadline(time.Now().Add(writePause))
+	_, err := w.bw.Write(b)
+	if chunked {
+		_, _ = w.bw.WriteString("\r\n")
+	}
+	return err
+}
+
+func (w writer) stream(rest io.ReadCloser, chunked bool) error {
+	defer rest.Close() //nolint:errcheck // what was read has been written
+	b := make([]byte, 16<<10)
+	for {
+		n, err := rest.Read(b)
+		if werr := w.piece(b[:n], chunked); werr != nil {
+			return werr
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := w.flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (w writer) flush() error {
+	_ = w.raw.SetWriteDeadline(time.Now().Add(writePause))
+	return w.bw.Flush()
+}
--- /dev/null
+++ b/internal/request/upstream/call.go
@@ -0,0 +1,235 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Call is one request to a target.
+type Call struct {
+	Address string
+	Method  string
+	Target  string // Target is the request target as the caller wrote it.
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Framed  bool // Framed has a body of length 0 announced.
+	Once    bool // Once says that the request must run at most once.
+	// Mine reports whether an answer belongs to the request.
+	Mine func(status int, h http.Header) bool
+}
+
+// Answer is a target's final answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Rest   io.ReadCloser // Rest follows Body for a large answer; nil when Body is whole.
+	Length int64         // Length is that of the whole body; negative when unknown.
+}
+
+const (
+	// wholeBody is the largest body in bytes that is read before the caller gets any of it,
+	// so that a request can be repeated when the answer breaks off.
+	wholeBody = 256 << 10
+	// inlineBody is the largest request body in bytes that is written before the answer is awaited.
+	inlineBody = 16 << 10
+	// maxForeign is the most answers to other requests that are skipped.
+	maxForeign = 3
+	// maxInterim is the most interim answers that are skipped.
+	maxInterim = 8
+)
+
+// Do sends the call and returns the answer; the error is a *Failure. The
+// context bounds the whole call, the reading of Rest included.
+func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
+	c, err := p.take(ctx, call.Address, call.Once)
+	if err != nil {
+		kind := Refused
+		if ctx.Err() != nil {
+			kind = Cancelled
+		}
+		return nil, &Failure{kind: kind, err: err}
+	}
+	c.sent.Store(false)
+	_ = c.raw.SetDeadline(time.Time{})
+	stop := context.AfterFunc(ctx, c.interrupt)
+	written := c.send(call)
+	a, keep, err := c.receive(call)
+	if err != nil {
+		stop()
+		c.close()
+		return nil, failure(ctx, c, err)
+	}
+	if a.Rest != nil {
+		a.Rest = &rest{ReadCloser: a.Rest, c: c, stop: stop}
+		return a, nil
+	}
+	// A body that is still being written when the answer is complete is not wanted.
+	if done := stop(); done && keep && finished(written) && c.br.Buffered() == 0 {
+		c.rest(a.Header, time.Now())
+		p.put(c)
+	} else {
+		c.close()
+	}
+	return a, nil
+}
+
+func finished(written <-chan error) bool {
+	select {
+	case err := <-written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func failure(ctx context.Context, c *conn, err error) *Failure {
+	f := &Failure{kind: Broken, sent: c.sent.Load(), err: err}
+	var g *garbled
+	switch {
+	case ctx.Err() != nil:
+		f.kind = Cancelled
+	case errors.As(err, &g):
+		f.kind = Garbled
+	}
+	return f
+}
+
+// garbled is an answer that cannot be taken for the one that was awaited.
+type garbled struct{ cause string }
+
+// Error returns the cause.
+func (g *garbled) Error() string { return "upstream: " + g.cause }
+
+// send writes the request; a large body is written while the answer is awaited.
+func (c *conn) send(call Call) <-chan error {
+	written := make(chan error, 1)
+	head := call.head()
+	if len(call.Body) <= inlineBody {
+		written <- c.write(append(head, call.Body...))
+		return written
+	}
+	go func() {
+		err := c.write(head)
+		if err == nil {
+			err = c.write(call.Body)
+		}
+		written <- err
+	}()
+	return written
+}
+
+func (c *conn) write(b []byte) error {
+	c.sent.Store(true)
+	_, err := c.raw.Write(b)
+	return err
+}
+
+func (c Call) head() []byte {
+	var b bytes.Buffer
+	b.Grow(512)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", c.Method, c.Target, c.Host)
+	for name, values := range c.Header {
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+	if len(c.Body) > 0 || c.Framed {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(c.Body))
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// receive returns the answer to the call and whether the connection may carry another request.
+func (c *conn) receive(call Call) (*Answer, bool, error) {
+	asked := &http.Request{Method: call.Method}
+	foreign, interim := 0, 0
+	for {
+		resp, err := http.ReadResponse(c.br, asked)
+		if err != nil {
+			return nil, false, classify(err)
+		}
+		if resp.StatusCode < 200 {
+			if interim++; interim > maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
+				return nil, false, &garbled{"unexpected interim answer"}
+			}
+			continue
+		}
+		if !call.Mine(resp.StatusCode, resp.Header) {
+			if foreign++; foreign > maxForeign || skip(resp) != nil {
+				return nil, false, &garbled{"answer to another request"}
+			}
+			continue
+		}
+		a, err := read(resp)
+		return a, !resp.Close && foreign == 0, err
+	}
+}
+
+// unknown is the length of a body that ends with its connection.
+const unknown = -1
+
+func skip(resp *http.Response) error {
+	if resp.ContentLength == unknown && len(resp.TransferEncoding) == 0 {
+		return io.ErrUnexpectedEOF
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, wholeBody))
+	return err
+}
+
+func read(resp *http.Response) (*Answer, error) {
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
+	var b bytes.Buffer
+	if resp.ContentLength > 0 {
+		b.Grow(int(min(resp.ContentLength, wholeBody)) + bytes.MinRead)
+	}
+	n, err := io.Copy(&b, io.LimitReader(resp.Body, wholeBody))
+	a.Body = b.Bytes()
+	if err != nil {
+		return nil, err
+	}
+	if n == wholeBody {
+		a.Rest = resp.Body
+		return a, nil
+	}
+	if a.Length < 0 {
+		a.Length = n
+	}
+	return a, nil
+}
+
+func classify(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || isNetwork(err) {
+		return err
+	}
+	return &garbled{err.Error()}
+}
+
+func isNetwork(err error) bool {
+	var n interface{ Timeout() bool }
+	return errors.As(err, &n)
+}
+
+// rest is the part of a large body that is passed on as it arrives.
+type rest struct {
+	io.ReadCloser
+	c    *conn
+	stop func() bool
+}
+
+// Close closes the connection, which is not kept after a large answer.
+func (r *rest) Close() error {
+	r.stop()
+	r.c.close()
+	return nil
+}
--- /dev/null
+++ b/internal/request/upstream/failure.go
@@ -0,0 +1,47 @@
+package upstream
+
+import "fmt"
+
+// Kind tells the ways apart in which a call can fail.
+type Kind uint8
+
+// The kinds of failure.
+const (
+	Refused   Kind = iota // Refused means that no connection was made.
+	Broken                // Broken means that the connection ended before a whole answer.
+	Garbled               // Garbled means that what arrived is no answer to this request.
+	Cancelled             // Cancelled means that the call's context has ended.
+)
+
+// String returns the kind as it stands in logs.
+func (k Kind) String() string {
+	switch k {
+	case Refused:
+		return "refused"
+	case Broken:
+		return "broken"
+	case Garbled:
+		return "garbled"
+	default:
+		return "cancelled"
+	}
+}
+
+// Failure is a call without an answer.
+type Failure struct {
+	kind Kind
+	sent bool
+	err  error
+}
+
+// Kind returns the way in which the call failed.
+func (f *Failure) Kind() Kind { return f.kind }
+
+// Sent reports whether the target may have received the request.
+func (f *Failure) Sent() bool { return f.sent }
+
+// Error returns the kind and the cause.
+func (f *Failure) Error() string { return fmt.Sprintf("upstream: %s: %v", f.kind, f.err) }
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.err }
--- /dev/null
+++ b/internal/site/target/doc.go
@@ -0,0 +1,2 @@
+// Package target describes the targets that register themselves on the platform.
+package target
--- /dev/null
+++ b/internal/steer/health/doc.go
@@ -0,0 +1,2 @@
+// Package health judges targets by what they do with the requests of this entry.
+package health
