internal/steer/placement: keep objects in their region up to an even use of all targets

Change: weighted rendezvous hashing; a region keeps its objects up to reach times the even part of its targets, uploads up to 6 times. inbound: what stands behind an order's earlier answer begins only while the connection lives.

--- a/cmd/tamarackedge/flags.go
+++ b/cmd/tamarackedge/flags.go
@@ -63,11 +63,20 @@
 		return edge.Settings{}, fmt.Errorf("--zone %q does not lie in --region %q by --zones", f.Zone, f.Region)
 	}
 	return edge.Settings{
-		Name: f.Name, Zone: f.Zone, Region: f.Region, Call: f.Call, Ready: f.Ready, Directory: f.Directory, Peer: f.Peer,
+		Name: f.Name, Zone: f.Zone, Region: f.Region, Regions: f.regions(), Call: f.Call, Ready: f.Ready, Directory: f.Directory, Peer: f.Peer,
 		Seeds: f.Seeds, Metrics: f.Metrics, LookupTTL: seconds(f.LookupTTL), Grace: seconds(f.Grace),
 		Repeats: spend.Terms{Ratio: f.RepeatRatio, Slack: f.RepeatSlack, Window: seconds(f.RepeatSpan)},
 		Memory:  int64(f.Memory * 1e6),
 	}, nil
 }
 
+// regions returns the number of regions in which availability zones lie.
+func (f *flags) regions() int {
+	seen := make(map[string]bool)
+	for _, r := range f.Zones {
+		seen[r] = true
+	}
+	return len(seen)
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -150,22 +150,33 @@
 // choose returns the target for the next attempt, or nil when none may get the request.
 func (e *Edge) choose(q *query, now time.Time) *seat {
 	v := e.view.Load()
-	seats := v.seats[q.service]
-	mark := func(i int) uint64 { return seats[i].mark }
-	best := placement.Best(q.key, len(seats), mark, func(i int) bool {
-		s := seats[i]
-		return e.allowed(v, q, s) && !s.gauge.Resting(now) && !v.cold(s, now)
-	})
-	if best >= 0 {
-		return seats[best]
+	b := v.seats[q.service]
+	if b == nil {
+		return nil
 	}
-	best = placement.Best(q.key, len(seats), mark, func(i int) bool {
-		return e.allowed(v, q, seats[i]) && !v.cold(seats[i], now)
-	})
-	if best >= 0 {
-		return seats[best]
+	weights := b.light
+	if q.rule.Kind() == book.Upload {
+		weights = b.heavy
+	}
+	pick := func(allowed func(s *seat) bool) *seat {
+		i := placement.Best(q.key, len(b.seats), func(i int) uint64 { return b.seats[i].mark }, func(i int) float64 {
+			if !e.allowed(v, q, b.seats[i]) || !allowed(b.seats[i]) {
+				return 0
+			}
+			return weights[i]
+		})
+		if i < 0 {
+			return nil
+		}
+		return b.seats[i]
+	}
+	if s := pick(func(s *seat) bool { return !v.cold(s, now) && !s.gauge.Resting(now) }); s != nil {
+		return s
+	}
+	if s := pick(func(s *seat) bool { return !v.cold(s, now) }); s != nil {
+		return s
 	}
-	return e.chooseCold(v, q, seats, now)
+	return e.chooseCold(v, q, b.seats, now)
 }
 
 // chooseCold returns a cold target whose rate allows one more request from this entry.
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -20,6 +20,8 @@
 	keys   Keys
 	events *event.Log
 	self   census.Entry
+	// regions is the number of regions of the deployment.
+	regions int
 
 	book    *book.Book
 	seats   map[string]*seat // seats is by the target's id.
@@ -27,9 +29,9 @@
 	entries map[string]census.Entry
 }
 
-func newBelief(keys Keys, events *event.Log, self census.Entry) *belief {
+func newBelief(keys Keys, events *event.Log, self census.Entry, regions int) *belief {
 	return &belief{
-		keys: keys, events: events, self: self,
+		keys: keys, events: events, self: self, regions: regions,
 		seats: make(map[string]*seat), closed: make(map[string]bool), entries: make(map[string]census.Entry),
 	}
 }
@@ -173,10 +175,14 @@
 
 // view returns what is believed now.
 func (b *belief) view(revision uint64) *view {
-	v := &view{book: b.book, seats: make(map[string][]*seat), closed: maps.Clone(b.closed), revision: revision}
+	v := &view{book: b.book, seats: make(map[string]*bench), closed: maps.Clone(b.closed), revision: revision}
+	seats := make(map[string][]*seat)
 	for _, id := range slices.Sorted(maps.Keys(b.seats)) {
 		s := b.seats[id]
-		v.seats[s.target.Service()] = append(v.seats[s.target.Service()], s)
+		seats[s.target.Service()] = append(seats[s.target.Service()], s)
+	}
+	for service, list := range seats {
+		v.seats[service] = newBench(list, v.closed, b.self.Region, b.regions)
 	}
 	v.stored = slices.Sorted(maps.Keys(b.entries))
 	entries := maps.Clone(b.entries)
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -52,7 +52,7 @@
 		s: s, d: d, events: d.Events, mirror: mirror.New(), budgets: make(map[string]*spend.Budget),
 		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
 	}
-	e.belief = newBelief(d.Keys, d.Events, e.self)
+	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
 	e.pool = upstream.New(d.Dial, e.lost)
 	e.server = inbound.New(e)
@@ -198,8 +198,8 @@
 
 // lost notes that a target closed a connection that was not in use, as one that ends does.
 func (e *Edge) lost(address string) {
-	for _, seats := range e.view.Load().seats {
-		for _, s := range seats {
+	for _, b := range e.view.Load().seats {
+		for _, s := range b.seats {
 			if s.target.Address() == address {
 				s.gauge.Broke(time.Now())
 			}
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -19,6 +19,7 @@
 	Name      string
 	Zone      string
 	Region    string
+	Regions   int    // Regions is the number of regions of the deployment.
 	Call      string // Call is the address for callers.
 	Ready     string // Ready is the address of the platform's readiness check.
 	Directory string // Directory is the address for look-ups.
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -24,10 +24,41 @@
 	revision  uint64
 }
 
+// bench holds the targets of a service and their weights for the objects of
+// this entry's region.
+type bench struct {
+	seats []*seat
+	light []float64 // light are the weights for requests that cost few bytes on the links between regions.
+	heavy []float64 // heavy are the weights for uploads.
+}
+
+// The reach of both kinds, see placement.Weights: a place that is needed more
+// than others holds up to that many times its even part. Uploads are a small
+// part of the work and most of the bytes.
+const (
+	lightReach = 1.0
+	heavyReach = 6
+)
+
+func newBench(seats []*seat, closed map[string]bool, region string, regions int) *bench {
+	places := make([]placement.Place, len(seats))
+	for i, s := range seats {
+		places[i].Region = s.target.Region()
+		if !s.target.Leaving() && !closed[s.target.Zone()] {
+			places[i].Slots = s.target.Slots()
+		}
+	}
+	return &bench{
+		seats: seats,
+		light: placement.Weights(places, region, regions, lightReach),
+		heavy: placement.Weights(places, region, regions, heavyReach),
+	}
+}
+
 // view is what the request path reads; it is immutable but for gauges and pacers.
 type view struct {
 	book     *book.Book // book is nil until a configuration is known.
-	seats    map[string][]*seat
+	seats    map[string]*bench // seats is by service.
 	closed   map[string]bool // closed holds the availability zones that are being emptied.
 	entries  []census.Entry
 	stored   []string // stored holds the names of the entries that stand in the store, this one included.
@@ -38,6 +69,6 @@
 
 // paces reports whether this entry is the one that may send to a cold target.
 func (v *view) paces(self string, s *seat) bool {
-	i := placement.Best(placement.Key(s.mark), len(v.marks), func(i int) uint64 { return v.marks[i] }, func(int) bool { return true })
+	i := placement.Best(placement.Key(s.mark), len(v.marks), func(i int) uint64 { return v.marks[i] }, func(int) float64 { return 1 })
 	return i < 0 || v.names[i] == self
 }
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex
 	used     atomic.Int64 // used is when the last answer was written, in Unix nanoseconds.
 	ended    atomic.Bool  // ended is set when no further request is read.
+	settling atomic.Bool  // settling is set while the reader waits for the answers in progress.
 	finished atomic.Bool  // finished is set when the last answer has been written.
 }
 
@@ -86,7 +87,7 @@
 			return
 		}
 		if !c.s.handler.Repeatable(r) {
-			c.settle(0)
+			c.settle()
 		}
 		if !c.admit(r) {
 			return
@@ -123,7 +124,7 @@
 			if c.pending.Load() == 0 {
 				return false
 			}
-			c.settle(0)
+			c.settle()
 			continue
 		}
 		if c.pending.Load() == 0 && time.Since(time.Unix(0, c.used.Load())) >= limit {
@@ -155,11 +156,34 @@
 	}
 }
 
-// settle waits until at most n exchanges are unanswered.
-func (c *conn) settle(n int32) {
+// settle waits until every exchange is answered. It reads on meanwhile, so
+// that a caller that leaves is noticed as long as it has sent nothing more.
+func (c *conn) settle() {
+	c.settling.Store(true)
+	defer c.settling.Store(false)
+	for c.pending.Load() > 0 && c.ctx.Err() == nil {
+		if c.br.Buffered() > 0 {
+			c.rest()
+			continue
+		}
+		_ = c.raw.SetReadDeadline(time.Time{})
+		if c.pending.Load() == 0 {
+			return
+		}
+		_, err := c.br.Peek(1)
+		var timeout net.Error
+		if err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()) {
+			c.cancel()
+			return
+		}
+	}
+}
+
+// rest waits for the next answer.
+func (c *conn) rest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.pending.Load() > n && c.ctx.Err() == nil {
+	for n := c.pending.Load(); n > 0 && c.pending.Load() == n && c.ctx.Err() == nil; {
 		c.idle.Wait()
 	}
 }
@@ -195,7 +219,7 @@
 		return nil
 	}
 	if strings.EqualFold(hr.Header.Get("Expect"), "100-continue") {
-		c.settle(0)
+		c.settle()
 		c.queue <- &exchange{}
 	}
 	// A stated length is not believed beyond the first allocation.
@@ -256,7 +280,8 @@
 	c.pending.Add(1)
 	c.ended.Store(true)
 	c.queue <- e
-	c.settle(0)
+	c.settle()
+	c.listen()
 }
 
 // write writes the answers in the order of the requests.
@@ -269,10 +294,11 @@
 		}
 		open = c.answer(e)
 		c.used.Store(time.Now().UnixNano())
-		c.done(e)
 		if !open {
+			// Nothing that was read behind this answer may begin once it counts as answered.
 			c.end()
 		}
+		c.done(e)
 	}
 }
 
@@ -284,6 +310,9 @@
 	c.pending.Add(-1)
 	c.idle.Broadcast()
 	c.mu.Unlock()
+	if c.settling.Load() {
+		c.wake()
+	}
 }
 
 // answer writes one answer and reports whether the connection stays open.
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Key identifies an object for placement.
 type Key uint64
@@ -18,23 +22,27 @@
 // Mark returns the number by which a target or an entry takes part in placement.
 func Mark(name string) uint64 { return xxhash.Sum64String(name) }
 
-// Score returns the rank of a mark for a key; the highest score places the object.
-func Score(k Key, mark uint64) uint64 {
+// draw returns a number in (0, 1) that depends on the key and the mark only.
+func draw(k Key, mark uint64) float64 {
 	x := uint64(k) ^ mark
 	// The finalizer of splitmix64 spreads neighbouring inputs evenly.
 	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
+	x ^= x >> 31
+	return (float64(x>>11) + 0.5) / (1 << 53)
 }
 
-// Best returns the index of the highest score among n marks that are allowed, or -1 when none is.
-func Best(k Key, n int, mark func(int) uint64, allowed func(int) bool) int {
-	best, top := -1, uint64(0)
+// Best returns the index among n marks that the key is placed on, or -1 when
+// every weight is 0: a mark gets a part of the keys in proportion to its
+// weight, and a change of one weight moves only keys to or from that mark.
+func Best(k Key, n int, mark func(int) uint64, weight func(int) float64) int {
+	best, top := -1, 0.0
 	for i := range n {
-		if !allowed(i) {
+		w := weight(i)
+		if w <= 0 {
 			continue
 		}
-		if s := Score(k, mark(i)); best < 0 || s > top {
+		if s := -w / math.Log(draw(k, mark(i))); best < 0 || s > top {
 			best, top = i, s
 		}
 	}
