internal/steer/placement: send requests of crowded targets to a further home of their object

Change: each object has up to three homes in the order of its weights; a request goes to a later one with free slots when the first is crowded, sooner when that one has lately handled the object. Loads count for 1.5 s, because an entry hears of a target about once a second. Reach of uploads 6 to 3.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -116,6 +116,7 @@
 	e.d.Headers.SetTarget(h, s.target.ID())
 	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(),
 		"object", q.object, "earlier", earlier, "load", s.gauge.Load(time.Now()), "waited", time.Since(q.Arrived), "revision", s.revision)
+	e.memory.Note(q.key, s.mark, time.Now())
 	s.gauge.Begin()
 	defer s.gauge.End()
 	a, err := e.pool.Do(ctx, upstream.Call{
@@ -159,16 +160,13 @@
 		weights = b.heavy
 	}
 	pick := func(allowed func(s *seat) bool) *seat {
-		i := placement.Best(q.key, len(b.seats), func(i int) uint64 { return b.seats[i].mark }, func(i int) float64 {
+		order := placement.Order(q.key, len(b.seats), func(i int) uint64 { return b.seats[i].mark }, func(i int) float64 {
 			if !e.allowed(v, q, b.seats[i]) || !allowed(b.seats[i]) {
 				return 0
 			}
 			return weights[i]
 		})
-		if i < 0 {
-			return nil
-		}
-		return b.seats[i]
+		return e.uncrowded(q, b.seats, order, now)
 	}
 	if s := pick(func(s *seat) bool { return !v.cold(s, now) && !s.gauge.Resting(now) }); s != nil {
 		return s
@@ -179,6 +177,24 @@
 	return e.chooseCold(v, q, b.seats, now)
 }
 
+// uncrowded returns the seat among an object's homes that the request goes to.
+func (e *Edge) uncrowded(q *query, seats []*seat, order [placement.Homes]int, now time.Time) *seat {
+	var homes [placement.Homes]placement.Home
+	n := 0
+	for _, i := range order {
+		if i < 0 {
+			break
+		}
+		s := seats[i]
+		homes[n] = placement.Home{Load: s.gauge.Load(now), Slots: s.target.Slots(), Warm: e.memory.Knows(q.key, s.mark, now)}
+		n++
+	}
+	if n == 0 {
+		return nil
+	}
+	return seats[order[placement.Pick(homes[:n])]]
+}
+
 // chooseCold returns a cold target whose rate allows one more request from this entry.
 func (e *Edge) chooseCold(v *view, q *query, seats []*seat, now time.Time) *seat {
 	service, ok := v.book.Service(q.service)
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -17,6 +17,7 @@
 	"tamarackspool/internal/request/upstream"
 	"tamarackspool/internal/site/census"
 	"tamarackspool/internal/site/mirror"
+	"tamarackspool/internal/steer/placement"
 	"tamarackspool/internal/steer/spend"
 )
 
@@ -39,6 +40,7 @@
 	mu      sync.Mutex
 	budgets map[string]*spend.Budget // budgets is by service.
 	draws   atomic.Uint64
+	memory  *placement.Memory
 
 	listeners listeners
 }
@@ -50,7 +52,8 @@
 func New(s Settings, d Dependencies) (*Edge, error) {
 	e := &Edge{
 		s: s, d: d, events: d.Events, mirror: mirror.New(), budgets: make(map[string]*spend.Budget),
-		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
+		memory: placement.NewMemory(),
+		self:   census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
 	}
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -37,7 +37,7 @@
 // part of the work and most of the bytes.
 const (
 	lightReach = 1.0
-	heavyReach = 6
+	heavyReach = 3
 )
 
 func newBench(seats []*seat, closed map[string]bool, region string, regions int) *bench {
@@ -57,9 +57,9 @@
 
 // view is what the request path reads; it is immutable but for gauges and pacers.
 type view struct {
-	book     *book.Book // book is nil until a configuration is known.
+	book     *book.Book        // book is nil until a configuration is known.
 	seats    map[string]*bench // seats is by service.
-	closed   map[string]bool // closed holds the availability zones that are being emptied.
+	closed   map[string]bool   // closed holds the availability zones that are being emptied.
 	entries  []census.Entry
 	stored   []string // stored holds the names of the entries that stand in the store, this one included.
 	marks    []uint64 // marks are those of the entries that are not leaving, by their order.
--- a/internal/steer/health/gauge.go
+++ b/internal/steer/health/gauge.go
@@ -13,7 +13,7 @@
 	// shedRest is how long a target that was full is passed over.
 	shedRest = 150 * time.Millisecond
 	// fresh is the age up to which a target's report of its load counts.
-	fresh = 400 * time.Millisecond
+	fresh = 1500 * time.Millisecond
 )
 
 // Gauge is what an entry has seen of one target; it is safe for concurrent use.
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -48,3 +48,30 @@
 	}
 	return best
 }
+
+// Homes is the number of places that an object may have.
+const Homes = 3
+
+// Order returns the first Homes of n marks in the order of preference for the
+// key, -1 for each that is missing; the first is that of Best.
+func Order(k Key, n int, mark func(int) uint64, weight func(int) float64) [Homes]int {
+	var top [Homes]float64
+	order := [Homes]int{-1, -1, -1}
+	for i := range n {
+		w := weight(i)
+		if w <= 0 {
+			continue
+		}
+		s, at := -w/math.Log(draw(k, mark(i))), i
+		for j := range order {
+			if order[j] < 0 || s > top[j] {
+				order[j], at = at, order[j]
+				top[j], s = s, top[j]
+			}
+			if at < 0 {
+				break
+			}
+		}
+	}
+	return order
+}
