--- a/internal/steer/placement/crowd.go
+++ b/internal/steer/placement/crowd.go
@@ -10,11 +10,11 @@
 const (
 	// warmCrowd is the load, in multiples of the slots, from which a request
 	// goes to a further place that has the object too: any wait is saved there.
-	warmCrowd = 1.0
+	warmCrowd = 0.7
 	// coldCrowd is the load from which a request goes to a place that has not
 	// handled the object. Work there takes about three times as long, so that
 	// the wait must be as long as the work.
-	coldCrowd = 2.0
+	coldCrowd = 2.5
 )
 
 // Pick returns the index of the home that a request goes to: the first, unless
