internal/site/mirror: one entry a region reads the store for the others

Change: the first entry of a region by rendezvous hashing reads the store, the others wait at it and turn to the store for 3 s when it fails or is out of touch; just after its start an entry keeps requests up to 0.5 s for the first configuration; of the configurations of one batch only the last is decoded.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -28,8 +27,6 @@
 	return c.ReadCloser.Close()
 }
 
-func unmarshal(data []byte, v any) error { return json.Unmarshal(data, v) }
-
 // maxUnsent is the most targets that may refuse a connection before a request
 // is refused; nothing was sent to them.
 const maxUnsent = 3
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -38,17 +38,31 @@
 
 // apply takes over the changed items.
 func (b *belief) apply(items []mirror.Item, now time.Time) {
+	var versions []mirror.Item
 	for _, it := range items {
-		if err := b.one(it, now); err != nil {
-			b.events.Log(event.ItemInvalid, "key", it.Key, "revision", it.Revision, "error", err)
+		if b.keys.Configuration(it.Key) {
+			versions = append(versions, it)
+			continue
+		}
+		b.note(it, b.one(it, now))
+	}
+	// A configuration that a later one of the same batch replaces is not worth decoding.
+	for _, it := range slices.Backward(versions) {
+		err := b.configure(it)
+		b.note(it, err)
+		if err == nil {
+			return
 		}
 	}
 }
 
-func (b *belief) one(it mirror.Item, now time.Time) error {
-	if b.keys.Configuration(it.Key) {
-		return b.configure(it)
+func (b *belief) note(it mirror.Item, err error) {
+	if err != nil {
+		b.events.Log(event.ItemInvalid, "key", it.Key, "revision", it.Revision, "error", err)
 	}
+}
+
+func (b *belief) one(it mirror.Item, now time.Time) error {
 	if zone, ok := b.keys.Evacuation(it.Key); ok {
 		b.evacuate(zone, it, now)
 		return nil
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -34,13 +34,17 @@
 	view     atomic.Pointer[view]
 	pool     *upstream.Pool
 	server   *inbound.Server
+	started  time.Time
 	stopping atomic.Bool
-	refusing atomic.Bool // refusing is set when requests that arrive are no longer begun.
+	// configured is closed once a configuration is known.
+	configured chan struct{}
+	refusing   atomic.Bool // refusing is set when requests that arrive are no longer begun.
 
 	mu      sync.Mutex
 	budgets map[string]*spend.Budget // budgets is by service.
 	draws   atomic.Uint64
 	memory  *placement.Memory
+	reader  *peer // reader is the entry that reads the store for this one; the follower's goroutine uses it.
 
 	listeners listeners
 }
@@ -52,8 +56,8 @@
 func New(s Settings, d Dependencies) (*Edge, error) {
 	e := &Edge{
 		s: s, d: d, events: d.Events, mirror: mirror.New(), budgets: make(map[string]*spend.Budget),
-		memory: placement.NewMemory(),
-		self:   census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
+		memory: placement.NewMemory(), started: time.Now(), configured: make(chan struct{}),
+		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
 	}
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
@@ -94,7 +98,13 @@
 // changed publishes what the changed items make of the view.
 func (e *Edge) changed(items []mirror.Item) {
 	e.belief.apply(items, time.Now())
-	e.view.Store(e.belief.view(e.mirror.Revision()))
+	v := e.belief.view(e.mirror.Revision())
+	first := v.book != nil && e.view.Load().book == nil
+	e.view.Store(v)
+	if first {
+		e.events.Log(event.Serving, "version", v.book.Version(), "revision", v.revision, "after", time.Since(e.started))
+		close(e.configured)
+	}
 }
 
 // Run serves until ctx ends and then stops without cutting a request.
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"tamarackspool/internal/site/mirror"
+	"tamarackspool/internal/steer/placement"
 )
 
 // methodChanges asks a peer what changed after a revision.
@@ -20,11 +22,13 @@
 type (
 	changesRequest struct {
 		After uint64 `json:"after"`
+		Wait  int64  `json:"wait"` // Wait is in milliseconds.
 	}
 	changesAnswer struct {
 		Items    []changedItem `json:"items"`
 		Revision uint64        `json:"revision"`
 		Whole    bool          `json:"whole"`
+		Age      int64         `json:"age"` // Age is in milliseconds.
 	}
 	changedItem struct {
 		Key      string `json:"key"`
@@ -34,7 +38,7 @@
 	}
 )
 
-// peerIdle bounds how long a connection from a peer stays unused.
+// peerIdle bounds how long a call of a peer is held open.
 const peerIdle = 30 * time.Second
 
 // servePeers answers other entries until the listener is closed.
@@ -48,8 +52,8 @@
 			time.Sleep(expireEvery)
 			continue
 		}
-		_ = raw.SetDeadline(time.Now().Add(peerIdle))
-		c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), jsonrpc2.HandlerWithError(e.answerPeer))
+		c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}),
+			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(e.answerPeer)))
 		go func() {
 			select {
 			case <-c.DisconnectNotify():
@@ -60,23 +64,32 @@
 	}
 }
 
-func (e *Edge) answerPeer(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+func (e *Edge) answerPeer(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 	if r.Method != methodChanges || r.Params == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "edge: method " + r.Method + " is unknown"}
 	}
 	var asked changesRequest
-	if err := unmarshal(*r.Params, &asked); err != nil {
+	if err := json.Unmarshal(*r.Params, &asked); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
+	if asked.Wait > 0 {
+		t := time.NewTimer(min(time.Duration(asked.Wait)*time.Millisecond, peerIdle))
+		defer t.Stop()
+		select {
+		case <-e.mirror.Moved(asked.After):
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
 	b := e.mirror.Since(asked.After)
-	a := changesAnswer{Revision: b.Revision, Whole: b.Whole}
+	a := changesAnswer{Revision: b.Revision, Whole: b.Whole, Age: e.follower.Age().Milliseconds()}
 	for _, it := range b.Items {
 		a.Items = append(a.Items, changedItem(it))
 	}
 	return a, nil
 }
 
-// peers chooses the peers that an entry asks.
+// peers chooses the entries that this one asks.
 type peers Edge
 
 // Peer returns a random entry, or one of the seeds while no entry is known.
@@ -93,28 +106,71 @@
 	if len(addresses) == 0 {
 		return nil
 	}
-	return peer{address: addresses[rand.N(len(addresses))], dial: p.d.Dial}
+	return &peer{address: addresses[rand.N(len(addresses))], dial: p.d.Dial, once: true}
+}
+
+// Reader returns the entry that reads the store for the region, so that the
+// calls to the store grow with the regions and not with the entries.
+func (p *peers) Reader() mirror.Source {
+	v := p.view.Load()
+	var inRegion []int
+	for i, o := range v.entries {
+		if o.Region == p.s.Region && !o.Leaving {
+			inRegion = append(inRegion, i)
+		}
+	}
+	best := placement.Best(placement.Of("reader", p.s.Region), len(inRegion),
+		func(i int) uint64 { return placement.Mark(v.entries[inRegion[i]].Name) },
+		func(int) float64 { return 1 })
+	if best < 0 {
+		return nil
+	}
+	chosen := v.entries[inRegion[best]]
+	if chosen.Name == p.s.Name {
+		return nil
+	}
+	if p.reader == nil || p.reader.address != chosen.Peer {
+		if p.reader != nil {
+			p.reader.close()
+		}
+		p.reader = &peer{address: chosen.Peer, dial: p.d.Dial}
+	}
+	return p.reader
 }
 
-// peer is another entry as a source of changes.
+// peer is another entry as a source of changes; one goroutine asks it at a time.
 type peer struct {
 	address string
 	dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	once    bool // once has the connection closed behind each answer.
+	conn    *jsonrpc2.Conn
 }
 
-// Changes asks the peer; it does not wait for a change.
-func (p peer) Changes(ctx context.Context, after uint64, _ time.Duration) (mirror.Batch, error) {
-	raw, err := p.dial(ctx, "tcp", p.address)
-	if err != nil {
-		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
+func (p *peer) close() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
+	}
+}
+
+// Changes asks the peer, which holds the call open until something changes or the wait has passed.
+func (p *peer) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	if p.conn == nil {
+		raw, err := p.dial(ctx, "tcp", p.address)
+		if err != nil {
+			return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
+		}
+		p.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), jsonrpc2.HandlerWithError(refuse))
 	}
-	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), jsonrpc2.HandlerWithError(refuse))
-	defer c.Close() //nolint:errcheck // the answer has been read or is given up
 	var a changesAnswer
-	if err := c.Call(ctx, methodChanges, changesRequest{After: after}, &a); err != nil {
+	err := p.conn.Call(ctx, methodChanges, changesRequest{After: after, Wait: wait.Milliseconds()}, &a)
+	if err != nil || p.once {
+		p.close()
+	}
+	if err != nil {
 		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
-	b := mirror.Batch{Revision: a.Revision, Whole: a.Whole}
+	b := mirror.Batch{Revision: a.Revision, Whole: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}
 	for _, it := range a.Items {
 		b.Items = append(b.Items, mirror.Item(it))
 	}
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -61,8 +61,8 @@
 
 // Serve answers one request.
 func (e *Edge) Serve(ctx context.Context, r *inbound.Request) *inbound.Answer {
-	v := e.view.Load()
 	q := &query{Request: r, id: e.d.Headers.RequestID(r.Header)}
+	v := e.known(ctx)
 	if v.book == nil {
 		return e.refuse(q, "no configuration", startRetry)
 	}
@@ -88,6 +88,26 @@
 // startRetry is when a caller may return to an entry that has just started.
 const startRetry = 300 * time.Millisecond
 
+// startHold is how long after its start an entry keeps requests waiting for
+// its first configuration, which takes two round trips to the store.
+const startHold = 500 * time.Millisecond
+
+// known returns the view. Just after the start it waits for one with a
+// configuration, as the request can be served as soon as that is read.
+func (e *Edge) known(ctx context.Context) *view {
+	if v := e.view.Load(); v.book != nil {
+		return v
+	}
+	t := time.NewTimer(startHold - time.Since(e.started))
+	defer t.Stop()
+	select {
+	case <-e.configured:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return e.view.Load()
+}
+
 func (e *Edge) prepare(q *query, rule *book.Rule) {
 	q.rule = rule
 	q.service = rule.Service(e.draw())
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -17,6 +17,7 @@
 	ZoneEvacuated    Number = 2013
 	ZoneReturned     Number = 2014
 	ReloadIgnored    Number = 2015
+	ReaderLeft       Number = 2016
 )
 
 var configuration = []Entry{
@@ -35,4 +36,5 @@
 	{ZoneEvacuated, "zone-evacuated", "operators empty an availability zone; its targets get nothing new", "none"},
 	{ZoneReturned, "zone-returned", "an availability zone is taken back into use", "none"},
 	{ReloadIgnored, "reload-ignored", "a reload was asked for; settings are read at the start only", "restart the entry to change its settings"},
+	{ReaderLeft, "reader-left", "the entry that reads the key-value service for this one failed or is out of touch; this one reads it itself for a while", "none; look at that entry if it repeats"},
 }
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -15,8 +15,13 @@
 	Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
-// Peers chooses an entry to ask while the store does not answer; nil when none is known.
-type Peers interface{ Peer() Source }
+// Peers chooses other entries to ask.
+type Peers interface {
+	// Reader returns the entry that reads the store for this one, or nil when this one reads it itself.
+	Reader() Source
+	// Peer returns an entry to ask while the store is silent; nil when none is known.
+	Peer() Source
+}
 
 // Times and waits of the follower.
 const (
@@ -27,6 +32,10 @@
 	retry     = 500 * time.Millisecond // retry is the wait after a failed call, before jitter.
 	peerEvery = 400 * time.Millisecond // peerEvery is how often a peer is asked while the store is silent.
 	peerWait  = 600 * time.Millisecond // peerWait bounds one question to a peer.
+
+	readerWait  = 900 * time.Millisecond // readerWait is how long the entry that reads for others holds a call open.
+	readerGrace = 400 * time.Millisecond // readerGrace is how long its answer may take beyond that.
+	distrust    = 3 * time.Second        // distrust is how long an entry reads the store itself after its reader failed.
 )
 
 // Stale is the age of the last answer from which an entry asks its peers too.
@@ -79,28 +88,71 @@
 }
 
 func (f *Follower) askStore(ctx context.Context, results chan<- Batch) {
+	var trust time.Time
 	for ctx.Err() == nil {
 		began := time.Now()
+		if began.After(trust) {
+			if asked, ok := f.askReader(ctx, results); asked {
+				if !ok {
+					trust = time.Now().Add(distrust)
+				}
+				continue
+			}
+		}
 		b, err := f.call(ctx)
 		if err != nil {
 			f.failed(ctx, err)
 			sleep(ctx, retry/2+rand.N(retry))
 			continue
 		}
-		f.heard.Store(int64(time.Since(f.start)))
-		if f.lost {
-			f.lost = false
-			f.events.Log(event.StoreRestored, "revision", b.Revision)
-		}
-		select {
-		case results <- b:
-		case <-ctx.Done():
+		f.listened(b)
+		if !hand(ctx, results, b) {
 			return
 		}
 		sleep(ctx, spacing-time.Since(began))
 	}
 }
 
+// askReader asks the entry that reads the store for this one. It returns
+// whether there is one, and whether what it holds is as good as the store's.
+func (f *Follower) askReader(ctx context.Context, results chan<- Batch) (asked, ok bool) {
+	after := f.mirror.Revision()
+	reader := f.peers.Reader()
+	if reader == nil || after == 0 {
+		return false, false
+	}
+	bounded, cancel := context.WithTimeout(ctx, readerWait+readerGrace)
+	defer cancel()
+	b, err := reader.Changes(bounded, after, readerWait)
+	if ctx.Err() != nil {
+		return true, true
+	}
+	if err != nil || b.Age > Stale || b.Revision < after {
+		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after)
+		return true, false
+	}
+	f.listened(b)
+	return true, hand(ctx, results, b)
+}
+
+// listened notes that the store was heard from, directly or through a reader.
+func (f *Follower) listened(b Batch) {
+	f.heard.Store(int64(time.Since(f.start) - b.Age))
+	if f.lost {
+		f.lost = false
+		f.events.Log(event.StoreRestored, "revision", b.Revision)
+	}
+}
+
+func hand(ctx context.Context, results chan<- Batch, b Batch) bool {
+	select {
+	case results <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (f *Follower) call(ctx context.Context) (Batch, error) {
 	after := f.mirror.Revision()
 	limit := wait + grace
@@ -138,10 +190,7 @@
 			continue
 		}
 		f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Whole)
-		select {
-		case results <- b:
-		case <-ctx.Done():
-		}
+		hand(ctx, results, b)
 	}
 }
 
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 // Item is one key of the store at a revision.
@@ -18,6 +19,8 @@
 	Items    []Item
 	Revision uint64 // Revision is up to where the batch is complete.
 	Whole    bool   // Whole says that the batch holds every key, so that all others are gone.
+	// Age is how long ago the source itself heard from the store; 0 for the store.
+	Age time.Duration
 }
 
 // Mirror is a copy of the store's keys; it is safe for concurrent use.
@@ -27,6 +30,7 @@
 	revision uint64
 	floor    uint64 // floor is the revision below which removals were forgotten.
 	graves   []grave
+	moved    chan struct{} // moved is closed and replaced when an item changes.
 }
 
 type grave struct {
@@ -38,7 +42,7 @@
 const maxGraves = 512
 
 // New returns an empty mirror.
-func New() *Mirror { return &Mirror{items: make(map[string]Item)} }
+func New() *Mirror { return &Mirror{items: make(map[string]Item), moved: make(chan struct{})} }
 
 // Revision returns up to where the mirror is complete.
 func (m *Mirror) Revision() uint64 {
@@ -62,9 +66,35 @@
 		changed = append(changed, m.prune(b)...)
 	}
 	m.revision = max(m.revision, b.Revision)
+	if len(changed) > 0 {
+		close(m.moved)
+		m.moved = make(chan struct{})
+	}
 	return changed
 }
 
+// Moved returns a channel that is closed once something changes after the
+// revision, or at once when something already has.
+func (m *Mirror) Moved(after uint64) <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.latest() > after {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	return m.moved
+}
+
+// latest returns the revision of the last change of an item.
+func (m *Mirror) latest() uint64 {
+	var last uint64
+	for _, it := range m.items {
+		last = max(last, it.Revision)
+	}
+	return last
+}
+
 func (m *Mirror) set(it Item) Item {
 	if it.Removed {
 		it.Value = nil
