--- a/cmd/tamarackedge/main.go
+++ b/cmd/tamarackedge/main.go
@@ -60,7 +60,7 @@
 	spool := event.NewSpool(out, f.LogRoom)
 	defer flush(spool)
 	events := event.New(log.With(log.NewLogfmtLogger(spool), "at", log.DefaultTimestampUTC))
-	if err := serve(ctx, s, &f, events); err != nil {
+	if err := serve(ctx, s, &f, events, spool.Dropped); err != nil {
 		fmt.Fprintln(problems, "tamarackedge:", err)
 		return exitInternal
 	}
@@ -77,7 +77,7 @@
 	}
 }
 
-func serve(ctx context.Context, s edge.Settings, f *flags, events *event.Log) error {
+func serve(ctx context.Context, s edge.Settings, f *flags, events *event.Log, dropped func() int64) error {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
@@ -92,7 +92,7 @@
 	}}
 	e, err := edge.New(s, edge.Dependencies{
 		Store: platform.NewStore(f.Store, client), Keys: platform.NewKeys(f.Zones),
-		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Events: events,
+		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Events: events, Dropped: dropped,
 	})
 	if err != nil {
 		return errors.Join(errStart, err)
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -45,6 +45,10 @@
 		if sent > 0 && !e.budget(q.service).Take(e.peersKnown(), time.Now()) {
 			return e.refuse(q, "repeats are used up", fullRetry)
 		}
+		if len(q.tried) > 0 {
+			e.events.Log(event.RequestRepeated, "id", q.id, "target", s.target.ID(), "sent", sent, "unsent", unsent, "after", time.Since(q.Arrived))
+			e.meters.service(q.service).repeats.Inc(1)
+		}
 		q.tried = append(q.tried, s)
 		a, f := e.send(ctx, q, s, sent)
 		switch {
@@ -60,6 +64,8 @@
 			e.failed(q, s, f)
 			q.ran = true
 			if q.rule.Kind() != book.Safe {
+				e.events.Log(event.RequestFailed, "id", q.id, "target", s.target.ID(), "kind", f.Kind(), "after", time.Since(q.Arrived))
+				e.meters.ended(q, outcomeFailed)
 				return inbound.Refusal(http.StatusBadGateway)
 			}
 		default:
@@ -95,9 +101,11 @@
 func (e *Edge) ended(ctx context.Context, q *query, s *seat) *inbound.Answer {
 	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		e.events.Log(event.CallerLeft, "id", q.id, "target", s.target.ID(), "after", time.Since(q.Arrived))
+		e.meters.ended(q, outcomeLeft)
 		return nil
 	}
 	e.events.Log(event.RequestTimedOut, "id", q.id, "target", s.target.ID(), "after", time.Since(q.Arrived))
+	e.meters.ended(q, outcomeTimedOut)
 	return inbound.Refusal(http.StatusGatewayTimeout)
 }
 
@@ -142,6 +150,7 @@
 func (e *Edge) deliver(q *query, s *seat, a *upstream.Answer) *inbound.Answer {
 	s.gauge.Answered()
 	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
+	e.meters.ended(q, outcomeAnswered)
 	return &inbound.Answer{Status: a.Status, Header: a.Header, Body: a.Body, Rest: a.Rest, Length: a.Length}
 }
 
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -44,19 +44,20 @@
 	budgets map[string]*spend.Budget // budgets is by service.
 	draws   atomic.Uint64
 	memory  *placement.Memory
+	meters  *meters
 	reader  *peer // reader is the entry that reads the store for this one; the follower's goroutine uses it.
 
 	listeners listeners
 }
 
 // listeners are the sockets of an entry.
-type listeners struct{ call, ready, directory, peer net.Listener }
+type listeners struct{ call, ready, directory, peer, metrics net.Listener }
 
 // New returns an entry whose listeners are open, or an error that names the address that cannot be used.
 func New(s Settings, d Dependencies) (*Edge, error) {
 	e := &Edge{
 		s: s, d: d, events: d.Events, mirror: mirror.New(), budgets: make(map[string]*spend.Budget),
-		memory: placement.NewMemory(), started: time.Now(), configured: make(chan struct{}),
+		memory: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}),
 		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
 	}
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
@@ -64,6 +65,7 @@
 	e.pool = upstream.New(d.Dial, e.lost)
 	e.server = inbound.New(e)
 	e.follower = mirror.NewFollower(e.mirror, d.Store, (*peers)(e), d.Events, e.changed)
+	e.measure()
 	return e, e.listen()
 }
 
@@ -76,7 +78,11 @@
 		{"ready", e.s.Ready, &e.listeners.ready},
 		{"directory", e.s.Directory, &e.listeners.directory},
 		{"peer", e.s.Peer, &e.listeners.peer},
+		{"metrics", e.s.Metrics, &e.listeners.metrics},
 	} {
+		if l.address == "" {
+			continue
+		}
 		opened, err := net.Listen("tcp", l.address)
 		if err != nil {
 			e.listeners.close()
@@ -88,7 +94,7 @@
 }
 
 func (l *listeners) close() {
-	for _, o := range []net.Listener{l.call, l.ready, l.directory, l.peer} {
+	for _, o := range []net.Listener{l.call, l.ready, l.directory, l.peer, l.metrics} {
 		if o != nil {
 			_ = o.Close()
 		}
@@ -113,10 +119,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, _ := errgroup.WithContext(work)
-	directory := &http.Server{Handler: e.d.Pages.Directory(e.near, e.s.LookupTTL), ReadHeaderTimeout: pageTimeout}
-	ready := &http.Server{Handler: e.d.Pages.Ready(e.ready), ReadHeaderTimeout: pageTimeout}
-	g.Go(func() error { return serve(directory, e.listeners.directory) })
-	g.Go(func() error { return serve(ready, e.listeners.ready) })
+	closePages := e.servePages(g)
 	g.Go(func() error { return e.server.Serve(e.listeners.call) })
 	g.Go(func() error { return e.servePeers(work) })
 	g.Go(func() error { e.follower.Run(work); return nil })
@@ -125,8 +128,7 @@
 	<-ctx.Done()
 	e.stop(ctx)
 	stop()
-	_ = directory.Close()
-	_ = ready.Close()
+	closePages()
 	e.listeners.close()
 	err := g.Wait()
 	e.pool.Close()
@@ -137,6 +139,31 @@
 // pageTimeout bounds the header of a look-up or readiness check.
 const pageTimeout = 5 * time.Second
 
+// servePages serves look-ups, the readiness check and the metrics, and returns what ends them.
+func (e *Edge) servePages(g *errgroup.Group) (end func()) {
+	var servers []*http.Server
+	for _, p := range []struct {
+		l net.Listener
+		h http.Handler
+	}{
+		{e.listeners.directory, e.d.Pages.Directory(e.near, e.s.LookupTTL)},
+		{e.listeners.ready, e.d.Pages.Ready(e.ready)},
+		{e.listeners.metrics, e.meters},
+	} {
+		if p.l == nil {
+			continue
+		}
+		s := &http.Server{Handler: p.h, ReadHeaderTimeout: pageTimeout}
+		servers = append(servers, s)
+		g.Go(func() error { return serve(s, p.l) })
+	}
+	return func() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
+	}
+}
+
 func serve(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("edge: %w", err)
--- /dev/null
+++ b/internal/entry/edge/metrics.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// The outcomes of requests, each with a counter of its own.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeTimedOut = "timed-out"
+	outcomeLeft     = "left"
+	outcomeFailed   = "failed"
+)
+
+// The sample of a latency histogram: its size, and the weight of recent requests.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+// meters counts what an entry does; it is safe for concurrent use.
+type meters struct {
+	registry metrics.Registry
+
+	mu       sync.Mutex
+	services map[string]*serviceMeters
+	unknown  metrics.Counter
+}
+
+// serviceMeters are the meters of one service.
+type serviceMeters struct {
+	requests metrics.Counter
+	repeats  metrics.Counter
+	outcomes map[string]metrics.Counter
+	latency  metrics.Histogram // latency is in microseconds, from the request's header to its answer.
+}
+
+func newMeters() *meters {
+	m := &meters{registry: metrics.NewRegistry(), services: make(map[string]*serviceMeters)}
+	m.unknown = metrics.NewRegisteredCounter("request.unknown", m.registry)
+	return m
+}
+
+func (m *meters) gauge(name string, value func() int64) {
+	// A fresh registry refuses no name.
+	_ = m.registry.Register(name, metrics.NewFunctionalGauge(value))
+}
+
+// service returns the meters of a service, which begin with its first request.
+func (m *meters) service(name string) *serviceMeters {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	if s != nil {
+		return s
+	}
+	prefix := "request." + name + "."
+	s = &serviceMeters{
+		requests: metrics.NewRegisteredCounter(prefix+"requests", m.registry),
+		repeats:  metrics.NewRegisteredCounter(prefix+"repeats", m.registry),
+		outcomes: make(map[string]metrics.Counter),
+		latency:  metrics.NewRegisteredHistogram(prefix+"latency", m.registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+	for _, o := range []string{outcomeAnswered, outcomeRefused, outcomeTimedOut, outcomeLeft, outcomeFailed} {
+		s.outcomes[o] = metrics.NewRegisteredCounter(prefix+o, m.registry)
+	}
+	m.services[name] = s
+	return s
+}
+
+// ended counts the outcome of a request.
+func (m *meters) ended(q *query, outcome string) {
+	if q.service == "" {
+		return
+	}
+	s := m.service(q.service)
+	s.outcomes[outcome].Inc(1)
+	if outcome == outcomeAnswered {
+		s.latency.Update(time.Since(q.Arrived).Microseconds())
+	}
+}
+
+// ServeHTTP writes every metric as a line of its name and its value.
+func (m *meters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	m.registry.Each(func(name string, v any) {
+		switch x := v.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, x.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, x.Value()))
+		case metrics.Histogram:
+			h := x.Snapshot()
+			lines = append(lines,
+				fmt.Sprintf("%s.count %d", name, h.Count()), fmt.Sprintf("%s.max %d", name, h.Max()),
+				fmt.Sprintf("%s.p50 %.0f", name, h.Percentile(0.5)), fmt.Sprintf("%s.p99 %.0f", name, h.Percentile(0.99)))
+		}
+	})
+	slices.Sort(lines)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	b := bufio.NewWriter(w)
+	for _, l := range lines {
+		_, _ = b.WriteString(l + "\n")
+	}
+	_ = b.Flush()
+}
+
+// measure registers the figures that are read when the page is.
+func (e *Edge) measure() {
+	for name, value := range map[string]func() int64{
+		"config.version":    func() int64 { return version(e.view.Load()) },
+		"entry.connections": func() int64 { return int64(e.server.Open()) },
+		"entry.peers":       func() int64 { return int64(len(e.view.Load().entries)) },
+		"log.dropped":       e.d.Dropped,
+		"pool.opened":       e.pool.Opened,
+		"store.age-ms":      func() int64 { return e.follower.Age().Milliseconds() },
+		"store.revision":    func() int64 { return int64(e.mirror.Revision()) },
+	} {
+		e.meters.gauge(name, value)
+	}
+}
+
+func version(v *view) int64 {
+	if v.book == nil {
+		return 0
+	}
+	return int64(v.book.Version())
+}
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -71,6 +71,7 @@
 	}
 	rule, ok := v.book.Find(r.Host, r.Path)
 	if !ok {
+		e.meters.unknown.Inc(1)
 		e.events.Log(event.RequestUnknown, "id", q.id, "host", r.Host, "path", r.Path, "version", v.book.Version())
 		return inbound.Refusal(http.StatusNotFound)
 	}
@@ -125,6 +126,7 @@
 	}
 	q.key = placement.Of(rule.Host()+rule.Prefix(), q.object)
 	e.budget(q.service).Request()
+	e.meters.service(q.service).requests.Inc(1)
 }
 
 // draw returns the next number of an even sequence in [0, 1): each part of a
@@ -153,8 +155,10 @@
 func (e *Edge) refuse(q *query, reason string, after time.Duration) *inbound.Answer {
 	e.events.Log(event.RequestRefused, "id", q.id, "service", q.service, "reason", reason, "tried", len(q.tried), "after", after)
 	if q.ran {
+		e.meters.ended(q, outcomeFailed)
 		return inbound.Refusal(http.StatusBadGateway)
 	}
+	e.meters.ended(q, outcomeRefused)
 	a := inbound.Refusal(http.StatusServiceUnavailable)
 	jittered := after/2 + rand.N(after+1)
 	a.Header.Set("Retry-After", strconv.FormatFloat(jittered.Seconds(), 'f', 3, 64))
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -84,4 +84,5 @@
 	Pages   Pages
 	Dial    upstream.Dial
 	Events  *event.Log
+	Dropped func() int64 // Dropped returns how many log lines were dropped.
 }
