internal/site/census: the strongest entry of a region reads the store, callers get a few entries by strength

Change: entries register their strength (link and processor); the strongest of a region reads for it; answers to peers are compressed once for all that ask for the same; a caller is given three entries, the same ones each time, in proportion to strength; Retry-After follows the load of the least loaded target (internal/steer/refusal); an entry asks for the next changes only when the last ones are taken over.

--- a/cmd/tamarackedge/flags.go
+++ b/cmd/tamarackedge/flags.go
@@ -28,6 +28,8 @@
 	RepeatRatio float64 `help:"Part of a service's requests that may be sent to a second target." default:"0.2"`
 	RepeatSlack float64 `help:"Repeats of a service that are allowed beyond that, over all entries." default:"64"`
 	RepeatSpan  float64 `help:"Time over which repeats are counted, in seconds." default:"10"`
+	Link        float64 `help:"Bandwidth of this VM's link in Mbit/s." default:"1000"`
+	Cores       float64 `help:"Share of a processor core that the entry has." default:"1"`
 	Memory      float64 `help:"Memory limit of the process in MB." default:"284"`
 	GC          int     `name:"gc" help:"Growth of the heap in percent that starts a garbage collection." default:"100"`
 	LogRoom     int     `help:"Log lines held until they are written, in bytes." default:"1048576"`
@@ -51,6 +53,8 @@
 		{"repeat-ratio", f.RepeatRatio, 0, 1},
 		{"repeat-slack", f.RepeatSlack, 0, 1e6},
 		{"repeat-span", f.RepeatSpan, 1, 3600},
+		{"link", f.Link, 0.1, 1e6},
+		{"cores", f.Cores, 0.01, 1024},
 		{"memory", f.Memory, 32, 1 << 20},
 		{"gc", float64(f.GC), 10, 1000},
 		{"log-room", float64(f.LogRoom), 4096, 1 << 30},
@@ -66,10 +70,14 @@
 		Name: f.Name, Zone: f.Zone, Region: f.Region, Regions: f.regions(), Call: f.Call, Ready: f.Ready, Directory: f.Directory, Peer: f.Peer,
 		Seeds: f.Seeds, Metrics: f.Metrics, LookupTTL: seconds(f.LookupTTL), Grace: seconds(f.Grace),
 		Repeats: spend.Terms{Ratio: f.RepeatRatio, Slack: f.RepeatSlack, Window: seconds(f.RepeatSpan)},
-		Memory:  int64(f.Memory * 1e6),
+		Memory:  int64(f.Memory * 1e6), Strength: min(f.Link, f.Cores*perCore),
 	}, nil
 }
 
+// perCore is the traffic in Mbit/s that a whole core forwards with room to
+// spare; see docs/MEASUREMENTS.md.
+const perCore = 250
+
 // regions returns the number of regions in which availability zones lie.
 func (f *flags) regions() int {
 	seen := make(map[string]bool)
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -13,6 +13,7 @@
 	"tamarackspool/internal/request/upstream"
 	"tamarackspool/internal/site/book"
 	"tamarackspool/internal/steer/placement"
+	"tamarackspool/internal/steer/refusal"
 )
 
 // cancelling ends a context when the body that it bounds is closed.
@@ -31,19 +32,16 @@
 // is refused; nothing was sent to them.
 const maxUnsent = 3
 
-// fullRetry is when a caller may return after a refusal for lack of room.
-const fullRetry = 400 * time.Millisecond
-
 // attempts sends the request to one target after another until one answers.
 func (e *Edge) attempts(ctx context.Context, q *query) *inbound.Answer {
 	sent, unsent := 0, 0
 	for {
 		s := e.choose(q, time.Now())
 		if s == nil {
-			return e.refuse(q, "no target has room", fullRetry)
+			return e.refuse(q, "no target has room", e.comeBack(q))
 		}
 		if sent > 0 && !e.budget(q.service).Take(e.peersKnown(), time.Now()) {
-			return e.refuse(q, "repeats are used up", fullRetry)
+			return e.refuse(q, "repeats are used up", e.comeBack(q))
 		}
 		if len(q.tried) > 0 {
 			e.events.Log(event.RequestRepeated, "id", q.id, "target", s.target.ID(), "sent", sent, "unsent", unsent, "after", time.Since(q.Arrived))
@@ -73,11 +71,29 @@
 			e.failed(q, s, f)
 		}
 		if sent >= q.rule.Attempts() || unsent >= maxUnsent {
-			return e.refuse(q, "attempts are used up", fullRetry)
+			return e.refuse(q, "attempts are used up", e.comeBack(q))
 		}
 	}
 }
 
+// comeBack returns when a caller that is refused may find room.
+func (e *Edge) comeBack(q *query) time.Duration {
+	v, now := e.view.Load(), time.Now()
+	var best refusal.Room
+	if b := v.seats[q.service]; b != nil {
+		for _, s := range b.seats {
+			r := refusal.Room{Load: s.gauge.Load(now), Slots: s.target.Slots()}
+			if !e.eligible(v, q, s) || v.cold(s, now) {
+				continue
+			}
+			if best.Slots == 0 || r.Load*best.Slots < best.Load*r.Slots {
+				best = r
+			}
+		}
+	}
+	return refusal.After(best, q.rule.Objective())
+}
+
 func (e *Edge) failed(q *query, s *seat, f *upstream.Failure) {
 	now := time.Now()
 	until := s.gauge.Failed(now)
@@ -215,9 +231,14 @@
 	return nil
 }
 
-// allowed reports whether the rules let the target get the request.
+// allowed reports whether the target may get the request and has not had it.
 func (e *Edge) allowed(v *view, q *query, s *seat) bool {
-	if s.target.Leaving() || v.closed[s.target.Zone()] || slices.Contains(q.tried, s) {
+	return e.eligible(v, q, s) && !slices.ContainsFunc(q.tried, func(o *seat) bool { return o.gauge == s.gauge })
+}
+
+// eligible reports whether requests like this one may go to the target.
+func (e *Edge) eligible(v *view, q *query, s *seat) bool {
+	if s.target.Leaving() || v.closed[s.target.Zone()] {
 		return false
 	}
 	homes := q.rule.Homes()
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -45,6 +45,7 @@
 	draws   atomic.Uint64
 	memory  *placement.Memory
 	meters  *meters
+	packs   packs
 	reader  *peer // reader is the entry that reads the store for this one; the follower's goroutine uses it.
 
 	listeners listeners
@@ -58,7 +59,7 @@
 	e := &Edge{
 		s: s, d: d, events: d.Events, mirror: mirror.New(), budgets: make(map[string]*spend.Budget),
 		memory: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}),
-		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer},
+		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer, Strength: s.Strength},
 	}
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
@@ -202,12 +203,12 @@
 // spread is the least number of entries that a look-up names when the zone has fewer.
 const spread = 2
 
-func (e *Edge) near(region, zone string) []string {
+func (e *Edge) near(region, zone, caller string) []string {
 	entries := e.view.Load().entries
 	if e.stopping.Load() {
 		entries = without(entries, e.s.Name)
 	}
-	return census.Near(entries, region, zone, spread)
+	return census.Near(entries, region, zone, caller, spread)
 }
 
 func without(entries []census.Entry, name string) []census.Entry {
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -11,8 +11,8 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"tamarackspool/internal/site/census"
 	"tamarackspool/internal/site/mirror"
-	"tamarackspool/internal/steer/placement"
 )
 
 // methodChanges asks a peer what changed after a revision.
@@ -25,10 +25,10 @@
 		Wait  int64  `json:"wait"` // Wait is in milliseconds.
 	}
 	changesAnswer struct {
-		Items    []changedItem `json:"items"`
-		Revision uint64        `json:"revision"`
-		Whole    bool          `json:"whole"`
-		Age      int64         `json:"age"` // Age is in milliseconds.
+		Packed   []byte `json:"packed,omitempty"` // Packed is the compressed JSON of the changed items.
+		Revision uint64 `json:"revision"`
+		Whole    bool   `json:"whole,omitempty"`
+		Age      int64  `json:"age"` // Age is in milliseconds.
 	}
 	changedItem struct {
 		Key      string `json:"key"`
@@ -81,11 +81,11 @@
 		case <-ctx.Done():
 		}
 	}
-	b := e.mirror.Since(asked.After)
-	a := changesAnswer{Revision: b.Revision, Whole: b.Whole, Age: e.follower.Age().Milliseconds()}
-	for _, it := range b.Items {
-		a.Items = append(a.Items, changedItem(it))
+	a, err := e.packs.answer(e.mirror, asked.After)
+	if err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
+	a.Age = e.follower.Age().Milliseconds()
 	return a, nil
 }
 
@@ -112,20 +112,10 @@
 // Reader returns the entry that reads the store for the region, so that the
 // calls to the store grow with the regions and not with the entries.
 func (p *peers) Reader() mirror.Source {
-	v := p.view.Load()
-	var inRegion []int
-	for i, o := range v.entries {
-		if o.Region == p.s.Region && !o.Leaving {
-			inRegion = append(inRegion, i)
-		}
-	}
-	best := placement.Best(placement.Of("reader", p.s.Region), len(inRegion),
-		func(i int) uint64 { return placement.Mark(v.entries[inRegion[i]].Name) },
-		func(int) float64 { return 1 })
-	if best < 0 {
+	chosen, ok := census.Strongest(p.view.Load().entries, p.s.Region)
+	if !ok {
 		return nil
 	}
-	chosen := v.entries[inRegion[best]]
 	if chosen.Name == p.s.Name {
 		return nil
 	}
@@ -170,11 +160,11 @@
 	if err != nil {
 		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
-	b := mirror.Batch{Revision: a.Revision, Whole: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}
-	for _, it := range a.Items {
-		b.Items = append(b.Items, mirror.Item(it))
+	items, err := unpack(a.Packed)
+	if err != nil {
+		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
-	return b, nil
+	return mirror.Batch{Items: items, Revision: a.Revision, Whole: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}, nil
 }
 
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -27,6 +27,8 @@
 	Seeds     []string
 	Metrics   string // Metrics is the address of the metrics page; empty for none.
 
+	// Strength is how much traffic this entry bears compared to others, in Mbit/s.
+	Strength  float64
 	LookupTTL time.Duration // LookupTTL is how long callers keep a look-up.
 	Grace     time.Duration // Grace is the time between the signal to stop and the end of the process.
 	Repeats   spend.Terms
@@ -73,7 +75,7 @@
 	// Ready returns the handler of the readiness check.
 	Ready(ready func() bool) http.Handler
 	// Directory returns the handler of look-ups.
-	Directory(near func(region, zone string) []string, ttl time.Duration) http.Handler
+	Directory(near func(region, zone, caller string) []string, ttl time.Duration) http.Handler
 }
 
 // Dependencies are what an entry is built from.
--- a/internal/site/census/census.go
+++ b/internal/site/census/census.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/netip"
 	"slices"
+
+	"tamarackspool/internal/steer/placement"
 )
 
 // Entry is one running entry.
@@ -15,6 +17,8 @@
 	Call    string // Call is the address for callers.
 	Peer    string // Peer is the address for other entries.
 	Leaving bool   // Leaving is set once the entry has begun its graceful shutdown.
+	// Strength is how much traffic the entry bears, in Mbit/s: what its link and its processor carry.
+	Strength float64
 }
 
 // record is the stored form of an entry.
@@ -25,6 +29,8 @@
 	Call    string `json:"call"`
 	Peer    string `json:"peer"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Strength is that of Entry; a registration without one has the least.
+	Strength float64 `json:"strength,omitempty"`
 }
 
 // Encode returns the stored form of an entry.
@@ -47,38 +53,69 @@
 	return Entry(r), nil
 }
 
-// most is the number of addresses that one answer may hold.
-const most = 64
+// few is the number of entries that a caller is given when there are more. It
+// leaves a caller two others when one fails, and keeps it on the strong ones.
+const few = 3
 
 // Near returns the callers' addresses for a caller of the region and zone: of
 // the entries of its zone when there are at least spread, else of its region,
-// else of all. The order of the entries does not matter.
-func Near(entries []Entry, region, zone string, spread int) []string {
-	var inZone, inRegion, all []string
+// else of all. Of many entries a caller is given a few, the same ones each
+// time, in proportion to their strength.
+func Near(entries []Entry, region, zone, caller string, spread int) []string {
+	var inZone, inRegion, all []Entry
 	for _, e := range entries {
 		if e.Leaving {
 			continue
 		}
-		all = append(all, e.Call)
+		all = append(all, e)
 		if e.Region == region {
-			inRegion = append(inRegion, e.Call)
+			inRegion = append(inRegion, e)
 			if e.Zone == zone {
-				inZone = append(inZone, e.Call)
+				inZone = append(inZone, e)
 			}
 		}
 	}
-	for _, l := range [][]string{inZone, inRegion} {
-		if len(l) >= spread {
-			return first(l)
-		}
+	switch {
+	case len(inZone) >= spread:
+		return draw(inZone, caller)
+	case len(inRegion) > 0:
+		return draw(inRegion, caller)
+	default:
+		return draw(all, caller)
 	}
-	if len(inRegion) > 0 {
-		return first(inRegion)
+}
+
+// draw returns the addresses of a few entries, in proportion to their strength.
+func draw(entries []Entry, caller string) []string {
+	key := placement.Of("look-up", caller)
+	list := slices.Clone(entries)
+	var addresses []string
+	for len(list) > 0 && len(addresses) < few {
+		i := placement.Best(key, len(list),
+			func(i int) uint64 { return placement.Mark(list[i].Name) },
+			func(i int) float64 { return max(least, list[i].Strength) })
+		addresses = append(addresses, list[i].Call)
+		list = slices.Delete(list, i, i+1)
 	}
-	return first(all)
+	slices.Sort(addresses)
+	return addresses
 }
 
-func first(l []string) []string {
-	slices.Sort(l)
-	return l[:min(len(l), most)]
+// least is the strength of an entry that states none, in Mbit/s.
+const least = 1
+
+// Strongest returns the entry of the region that bears most traffic and is not
+// leaving, the same one at every entry that lists the same ones.
+func Strongest(entries []Entry, region string) (Entry, bool) {
+	var best Entry
+	found := false
+	for _, e := range entries {
+		if e.Region != region || e.Leaving {
+			continue
+		}
+		if !found || e.Strength > best.Strength || e.Strength == best.Strength && e.Name < best.Name {
+			best, found = e, true
+		}
+	}
+	return best, found
 }
--- /dev/null
+++ b/internal/site/census/census_test.go
@@ -0,0 +1,99 @@
+package census_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"tamarackspool/internal/site/census"
+)
+
+func entry(name, region, zone string) census.Entry {
+	return census.Entry{Name: name, Region: region, Zone: zone, Call: name, Peer: name}
+}
+
+// Guards against callers that are sent to another region, or to an entry that is leaving, without need.
+func TestNearNamesTheNearestEntries(t *testing.T) {
+	leaving := entry("4", "r", "z1")
+	leaving.Leaving = true
+	entries := []census.Entry{entry("1", "r", "z1"), entry("2", "r", "z1"), entry("3", "r", "z2"), leaving, entry("5", "q", "z3")}
+	for _, c := range []struct {
+		region, zone string
+		want         []string
+	}{
+		{"r", "z1", []string{"1", "2"}},
+		{"r", "z2", []string{"1", "2", "3"}},
+		{"q", "z3", []string{"5"}},
+		{"q", "z1", []string{"5"}},
+	} {
+		if got := census.Near(entries, c.region, c.zone, "caller", 2); !slices.Equal(got, c.want) {
+			t.Errorf("%s/%s: %v, want %v", c.region, c.zone, got, c.want)
+		}
+	}
+}
+
+// Guards against a caller that is sent to other entries with each look-up, and
+// against weak entries that get as many callers as strong ones.
+func TestNearKeepsCallersOnStrongEntries(t *testing.T) {
+	var entries []census.Entry
+	for i := range 14 {
+		e := entry(fmt.Sprint("e", i), "r", "z")
+		e.Strength = 10
+		if i < 2 {
+			e.Strength = 200
+		}
+		entries = append(entries, e)
+	}
+	got := make(map[string]int)
+	const callers = 1000
+	for i := range callers {
+		caller := fmt.Sprint("caller-", i)
+		first := census.Near(entries, "r", "z", caller, 2)
+		if again := census.Near(entries, "r", "z", caller, 2); !slices.Equal(first, again) || len(first) != 3 {
+			t.Fatalf("%s is sent to %v, then to %v", caller, first, again)
+		}
+		for _, a := range first {
+			got[a]++
+		}
+	}
+	for name, n := range got {
+		if strong := name == "e0" || name == "e1"; strong && n < callers*8/10 || !strong && n > callers*2/10 {
+			t.Errorf("%s is named to %d of %d callers", name, n, callers)
+		}
+	}
+}
+
+// Guards against entries that choose different ones to read the store for them.
+func TestStrongestDoesNotDependOnTheOrder(t *testing.T) {
+	strong, leaving := entry("m", "r", "z"), entry("a", "r", "z")
+	strong.Strength, leaving.Strength, leaving.Leaving = 200, 900, true
+	twin := strong
+	twin.Name = "n"
+	entries := []census.Entry{leaving, entry("b", "r", "z"), twin, strong, entry("c", "q", "z")}
+	for range entries {
+		entries = append(entries[1:], entries[0])
+		if got, ok := census.Strongest(entries, "r"); !ok || got.Name != "m" {
+			t.Errorf("strongest %v %v, want m", got, ok)
+		}
+	}
+	if _, ok := census.Strongest(entries, "p"); ok {
+		t.Error("a region without entries has a strongest one")
+	}
+}
+
+// Guards against an entry whose registration another one cannot read, and against half a registration that is taken for an entry.
+func TestRegistrationKeepsItsFields(t *testing.T) {
+	want := census.Entry{Name: "e", Zone: "z", Region: "r", Call: "10.0.0.1:80", Peer: "10.0.0.1:81", Leaving: true, Strength: 80}
+	data, err := census.Encode(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := census.Decode(data); err != nil || got != want {
+		t.Errorf("%v %v, want %v", got, err, want)
+	}
+	for _, wrong := range []string{`{`, `{}`, `{"name":"e","zone":"z","region":"r","call":"x","peer":"10.0.0.1:81"}`} {
+		if _, err := census.Decode([]byte(wrong)); err == nil {
+			t.Errorf("%s is taken for an entry", wrong)
+		}
+	}
+}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,7 @@
 	events *event.Log
 	change func([]Item)
 
+	mu    sync.Mutex   // mu is held while a batch is taken over.
 	heard atomic.Int64 // heard is when the store last answered, in nanoseconds since start.
 	start time.Time
 	lost  bool
@@ -67,32 +69,27 @@
 
 // Run follows the store, and the peers while it is silent, until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	results := make(chan Batch)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f.askPeers(ctx, results)
-	}()
-	go f.askStore(ctx, results)
-	for {
-		select {
-		case <-ctx.Done():
-			<-done
-			return
-		case b := <-results:
-			if items := f.mirror.Apply(b); len(items) > 0 {
-				f.change(items)
-			}
-		}
+	var asking sync.WaitGroup
+	asking.Go(func() { f.askStore(ctx) })
+	asking.Go(func() { f.askPeers(ctx) })
+	asking.Wait()
+}
+
+// take takes a batch over before the next call asks for what comes after it.
+func (f *Follower) take(b Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if items := f.mirror.Apply(b); len(items) > 0 {
+		f.change(items)
 	}
 }
 
-func (f *Follower) askStore(ctx context.Context, results chan<- Batch) {
+func (f *Follower) askStore(ctx context.Context) {
 	var trust time.Time
 	for ctx.Err() == nil {
 		began := time.Now()
 		if began.After(trust) {
-			if asked, ok := f.askReader(ctx, results); asked {
+			if asked, ok := f.askReader(ctx); asked {
 				if !ok {
 					trust = time.Now().Add(distrust)
 				}
@@ -106,16 +103,14 @@
 			continue
 		}
 		f.listened(b)
-		if !hand(ctx, results, b) {
-			return
-		}
+		f.take(b)
 		sleep(ctx, spacing-time.Since(began))
 	}
 }
 
 // askReader asks the entry that reads the store for this one. It returns
 // whether there is one, and whether what it holds is as good as the store's.
-func (f *Follower) askReader(ctx context.Context, results chan<- Batch) (asked, ok bool) {
+func (f *Follower) askReader(ctx context.Context) (asked, ok bool) {
 	after := f.mirror.Revision()
 	reader := f.peers.Reader()
 	if reader == nil || after == 0 {
@@ -132,7 +127,8 @@
 		return true, false
 	}
 	f.listened(b)
-	return true, hand(ctx, results, b)
+	f.take(b)
+	return true, true
 }
 
 // listened notes that the store was heard from, directly or through a reader.
@@ -144,15 +140,6 @@
 	}
 }
 
-func hand(ctx context.Context, results chan<- Batch, b Batch) bool {
-	select {
-	case results <- b:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (f *Follower) call(ctx context.Context) (Batch, error) {
 	after := f.mirror.Revision()
 	limit := wait + grace
@@ -172,7 +159,7 @@
 	f.events.Log(event.StoreUnavailable, "error", err, "revision", f.mirror.Revision(), "age", f.Age())
 }
 
-func (f *Follower) askPeers(ctx context.Context, results chan<- Batch) {
+func (f *Follower) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerEvery)
 		if f.Age() < Stale && f.mirror.Revision() > 0 {
@@ -190,7 +177,7 @@
 			continue
 		}
 		f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Whole)
-		hand(ctx, results, b)
+		f.take(b)
 	}
 }
 
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -30,6 +30,7 @@
 	revision uint64
 	floor    uint64 // floor is the revision below which removals were forgotten.
 	graves   []grave
+	latest   uint64        // latest is the revision of the last change of an item.
 	moved    chan struct{} // moved is closed and replaced when an item changes.
 }
 
@@ -78,7 +79,7 @@
 func (m *Mirror) Moved(after uint64) <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.latest() > after {
+	if m.latest > after {
 		done := make(chan struct{})
 		close(done)
 		return done
@@ -86,21 +87,13 @@
 	return m.moved
 }
 
-// latest returns the revision of the last change of an item.
-func (m *Mirror) latest() uint64 {
-	var last uint64
-	for _, it := range m.items {
-		last = max(last, it.Revision)
-	}
-	return last
-}
-
 func (m *Mirror) set(it Item) Item {
 	if it.Removed {
 		it.Value = nil
 		m.graves = append(m.graves, grave{it.Key, it.Revision})
 	}
 	m.items[it.Key] = it
+	m.latest = max(m.latest, it.Revision)
 	for len(m.graves) > maxGraves {
 		g := m.graves[0]
 		m.graves = m.graves[1:]
--- /dev/null
+++ b/internal/site/mirror/mirror_test.go
@@ -0,0 +1,109 @@
+package mirror_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"tamarackspool/internal/site/mirror"
+)
+
+func item(key string, revision uint64) mirror.Item {
+	return mirror.Item{Key: key, Value: []byte(fmt.Sprint(revision)), Revision: revision}
+}
+
+func removal(key string, revision uint64) mirror.Item {
+	return mirror.Item{Key: key, Revision: revision, Removed: true}
+}
+
+// Guards against an old answer that undoes a newer one.
+func TestApplyKeepsTheNewest(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Batch{Items: []mirror.Item{item("a", 5)}, Revision: 5})
+	if got := m.Apply(mirror.Batch{Items: []mirror.Item{item("a", 4), removal("a", 3)}, Revision: 4}); len(got) != 0 {
+		t.Errorf("older items changed %v", got)
+	}
+	if m.Revision() != 5 {
+		t.Errorf("revision %d, want 5", m.Revision())
+	}
+}
+
+// Guards against keys that outlive their removal while the history was lost,
+// and against the removal of keys that are newer than the whole answer.
+func TestWholeBatchRemovesWhatItLacks(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Batch{Items: []mirror.Item{item("old", 2), item("new", 9)}, Revision: 9})
+	got := m.Apply(mirror.Batch{Items: []mirror.Item{item("kept", 3)}, Revision: 6, Whole: true})
+	if len(got) != 2 || got[0].Key != "kept" || got[1].Key != "old" || !got[1].Removed {
+		t.Errorf("changed %v, want kept and the removal of old", got)
+	}
+}
+
+// Guards against a copy taken from a peer that differs from the peer's own, whatever was missed in between.
+func TestSinceBringsAnotherMirrorUpToDate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := mirror.New(), mirror.New()
+		live := make(map[string]uint64)
+		revision := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "changes") {
+			revision++
+			key := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key")
+			change := item(key, revision)
+			if _, ok := live[key]; ok && rapid.Bool().Draw(t, "remove") {
+				change = removal(key, revision)
+				delete(live, key)
+			} else {
+				live[key] = revision
+			}
+			from.Apply(mirror.Batch{Items: []mirror.Item{change}, Revision: revision})
+			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
+				to.Apply(from.Since(to.Revision()))
+			}
+		}
+		to.Apply(from.Since(to.Revision()))
+		got := make(map[string]uint64)
+		for _, it := range to.Since(0).Items {
+			got[it.Key] = it.Revision
+		}
+		if fmt.Sprint(got) != fmt.Sprint(live) {
+			t.Fatalf("copy %v, want %v", got, live)
+		}
+	})
+}
+
+// Guards against removals that a peer no longer remembers and that would never reach another.
+func TestSinceSendsEverythingWhenRemovalsAreForgotten(t *testing.T) {
+	m := mirror.New()
+	for i := range uint64(600) {
+		key := fmt.Sprint("k", i)
+		m.Apply(mirror.Batch{Items: []mirror.Item{item(key, 2*i+1)}, Revision: 2*i + 1})
+		m.Apply(mirror.Batch{Items: []mirror.Item{removal(key, 2*i+2)}, Revision: 2*i + 2})
+	}
+	if b := m.Since(10); !b.Whole {
+		t.Error("the answer to a revision before forgotten removals is not whole")
+	}
+	if b := m.Since(1190); b.Whole || len(b.Items) != 5 {
+		t.Errorf("answer to a late revision: whole %v, %d items, want 5 removals", b.Whole, len(b.Items))
+	}
+}
+
+// Guards against a waiting peer that misses a change or wakes without one.
+func TestMovedTellsOfChanges(t *testing.T) {
+	m := mirror.New()
+	m.Apply(mirror.Batch{Items: []mirror.Item{item("a", 3)}, Revision: 7})
+	select {
+	case <-m.Moved(2):
+	default:
+		t.Error("a change after revision 2 is not told")
+	}
+	wait := m.Moved(7)
+	m.Apply(mirror.Batch{Revision: 8})
+	select {
+	case <-wait:
+		t.Error("an answer without a change woke the peer")
+	default:
+	}
+	m.Apply(mirror.Batch{Items: []mirror.Item{item("b", 9)}, Revision: 9})
+	<-wait
+}
--- /dev/null
+++ b/internal/steer/health/gauge_test.go
@@ -0,0 +1,52 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackspool/internal/steer/health"
+)
+
+// Guards against a failing target that is asked again at once, or never again.
+func TestFailuresRestATargetLongerEachTime(t *testing.T) {
+	var g health.Gauge
+	now := time.Unix(100, 0)
+	var last time.Duration
+	for i := range 12 {
+		rest := g.Failed(now).Sub(now)
+		if rest < last || rest > 4*time.Second {
+			t.Errorf("failure %d: rest %v after %v", i, rest, last)
+		}
+		last = rest
+		if !g.Resting(now) || g.Resting(now.Add(rest)) {
+			t.Errorf("failure %d: the rest does not last %v", i, rest)
+		}
+		now = now.Add(rest)
+	}
+	g.Answered()
+	if rest := g.Failed(now).Sub(now); rest >= last {
+		t.Errorf("an answer does not shorten the next rest, %v", rest)
+	}
+}
+
+// Guards against a load that is believed long after it was told, or that forgets what this entry has sent.
+func TestLoadIsTheTargetsWordWhileFresh(t *testing.T) {
+	var g health.Gauge
+	now := time.Unix(100, 0)
+	g.Begin()
+	g.Report(5, 2, now)
+	if got := g.Load(now.Add(time.Second)); got != 7 {
+		t.Errorf("load %d, want the target's 7", got)
+	}
+	if got := g.Load(now.Add(3 * time.Second)); got != 1 {
+		t.Errorf("load %d from an old word, want the entry's own 1", got)
+	}
+	g.Report(0, 0, now.Add(3*time.Second))
+	if got := g.Load(now.Add(3 * time.Second)); got != 1 {
+		t.Errorf("load %d, want at least the entry's own 1", got)
+	}
+	g.End()
+	if got := g.Load(now.Add(9 * time.Second)); got != 0 {
+		t.Errorf("load %d after the end, want 0", got)
+	}
+}
--- /dev/null
+++ b/internal/steer/pace/pacer_test.go
@@ -0,0 +1,30 @@
+package pace_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackspool/internal/steer/pace"
+)
+
+// Guards against more requests to a cold target than its rate, also after a pause, and against none at all.
+func TestTakeKeepsTheRate(t *testing.T) {
+	var p pace.Pacer
+	now := time.Unix(100, 0)
+	for second := range 5 {
+		taken := 0
+		for range 100 {
+			if p.Take(3.6, now) {
+				taken++
+			}
+			now = now.Add(10 * time.Millisecond)
+		}
+		if taken < 3 || taken > 4 {
+			t.Errorf("second %d: %d requests, want 3 or 4", second, taken)
+		}
+		now = now.Add(5 * time.Second)
+	}
+	if p.Take(0, now.Add(time.Hour)) {
+		t.Error("a target without a rate got a request")
+	}
+}
--- /dev/null
+++ b/internal/steer/placement/crowd_test.go
@@ -0,0 +1,120 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"tamarackspool/internal/steer/placement"
+)
+
+// Guards against a request that leaves its object's place without need, or stays where it only waits.
+func TestPickLeavesOnlyCrowdedPlaces(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		homes []placement.Home
+		want  int
+	}{
+		{"free", []placement.Home{{0, 6, true}, {0, 6, true}}, 0},
+		{"busy, the object is elsewhere too", []placement.Home{{6, 6, true}, {2, 6, true}}, 1},
+		{"busy, the object is not elsewhere", []placement.Home{{8, 6, true}, {2, 6, false}}, 0},
+		{"crowded", []placement.Home{{15, 6, true}, {2, 6, false}}, 1},
+		{"crowded everywhere", []placement.Home{{15, 6, true}, {6, 6, true}, {7, 6, true}}, 0},
+		{"crowded, the third has room", []placement.Home{{15, 6, true}, {9, 6, true}, {1, 6, false}}, 2},
+		{"alone", []placement.Home{{15, 6, true}}, 0},
+	} {
+		if got := placement.Pick(c.homes); got != c.want {
+			t.Errorf("%s: home %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// load is a service under a load of objects: targets with slots and a queue,
+// whose runs are short for objects that they know.
+type load struct {
+	targets, slots, objects int
+	perTick                 float64 // perTick is the mean number of requests in a tick of 10 ms.
+	coldTicks, warmTicks    int
+	objective               int // objective is in ticks.
+}
+
+// share returns the part of the requests that are answered within the objective.
+func (l load) share(seed uint64, pick func([]placement.Home) int) float64 {
+	r := rand.New(rand.NewPCG(seed, 7))
+	list := marks(l.targets)
+	knows := make([]map[int]bool, l.targets)
+	queues := make([][]run, l.targets)
+	for i := range knows {
+		knows[i] = make(map[int]bool)
+	}
+	asked, good := 0, 0
+	for now := range 4000 {
+		for i := range queues {
+			queues[i] = l.serve(queues[i], knows[i], now, &good)
+		}
+		for n := l.perTick; n > 0; n-- {
+			if n < 1 && r.Float64() > n {
+				break
+			}
+			object := r.IntN(l.objects)
+			order := placement.Order(placement.Of("r", fmt.Sprint(object)), l.targets,
+				func(i int) uint64 { return list[i] }, func(int) float64 { return 1 })
+			var homes []placement.Home
+			for _, i := range order {
+				homes = append(homes, placement.Home{Load: len(queues[i]), Slots: l.slots, Warm: knows[i][object]})
+			}
+			at := order[pick(homes)]
+			queues[at] = append(queues[at], run{object: object, asked: now, end: -1})
+			asked++
+		}
+	}
+	return float64(good) / float64(asked)
+}
+
+type run struct{ object, asked, end int }
+
+func (l load) serve(queue []run, knows map[int]bool, now int, good *int) []run {
+	kept := queue[:0]
+	for _, q := range queue {
+		if q.end >= 0 && q.end <= now {
+			if now-q.asked <= l.objective {
+				*good++
+			}
+			continue
+		}
+		kept = append(kept, q)
+	}
+	for i := range min(l.slots, len(kept)) {
+		if kept[i].end < 0 {
+			work := l.coldTicks
+			if knows[kept[i].object] {
+				work = l.warmTicks
+			}
+			knows[kept[i].object] = true
+			kept[i].end = now + work
+		}
+	}
+	return kept
+}
+
+// Guards against a rule for crowded places that serves callers worse than
+// leaving every object at its place: 84 objects on 14 targets of 6 slots at
+// half of their capacity, as the association's letters on a busy evening, and
+// 93 objects on 14 targets of 3 slots, as Kranowisko's searches.
+func TestDivertingServesMoreCallersInTime(t *testing.T) {
+	stay := func([]placement.Home) int { return 0 }
+	for name, l := range map[string]load{
+		"letters":  {targets: 14, slots: 6, objects: 84, perTick: 1.9, coldTicks: 88, warmTicks: 26, objective: 60},
+		"searches": {targets: 14, slots: 3, objects: 93, perTick: 2.3, coldTicks: 36, warmTicks: 11, objective: 30},
+	} {
+		var before, after float64
+		for seed := range uint64(5) {
+			before += l.share(seed, stay) / 5
+			after += l.share(seed, placement.Pick) / 5
+		}
+		t.Logf("%s: %.3f of the callers in time, %.3f when every object stays", name, after, before)
+		if after < before+0.02 {
+			t.Errorf("%s: %.3f of the callers in time, %.3f when every object stays", name, after, before)
+		}
+	}
+}
--- /dev/null
+++ b/internal/steer/refusal/refusal_test.go
@@ -0,0 +1,72 @@
+package refusal_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackspool/internal/steer/refusal"
+)
+
+// Guards against callers that wait although a slot is free, come back before
+// one can be, or are sent away for longer than the load is known.
+func TestAfterFollowsTheLoad(t *testing.T) {
+	const objective = 600 * time.Millisecond
+	for _, c := range []struct {
+		room refusal.Room
+		want time.Duration
+	}{
+		{refusal.Room{Load: 0, Slots: 6}, refusal.Least},
+		{refusal.Room{Load: 5, Slots: 6}, refusal.Least},
+		{refusal.Room{Load: 6, Slots: 6}, 50 * time.Millisecond},
+		{refusal.Room{Load: 11, Slots: 6}, 300 * time.Millisecond},
+		{refusal.Room{Load: 100, Slots: 6}, refusal.Most},
+		{refusal.Room{}, refusal.Most},
+	} {
+		if got := refusal.After(c.room, objective); got != c.want {
+			t.Errorf("%+v: %v, want %v", c.room, got, c.want)
+		}
+	}
+}
+
+// Guards against an overloaded service whose refused callers all find it full
+// again: the load is 40 slots' worth of callers for 10 slots, each of which
+// comes back when it is told.
+func TestCallersThatReturnWhenToldFindRoom(t *testing.T) {
+	const slots, work = 10, 300 * time.Millisecond
+	type caller struct{ at time.Duration }
+	var waiting []caller
+	for i := range 40 {
+		waiting = append(waiting, caller{time.Duration(i) * 10 * time.Millisecond})
+	}
+	var running []time.Duration
+	refused, served := 0, 0
+	for now := time.Duration(0); now < 5*time.Second; now += 10 * time.Millisecond {
+		kept := running[:0]
+		for _, end := range running {
+			if end > now {
+				kept = append(kept, end)
+			}
+		}
+		running = kept
+		var next []caller
+		for _, c := range waiting {
+			switch {
+			case c.at > now:
+				next = append(next, c)
+			case len(running) < slots:
+				running = append(running, now+work)
+				served++
+			default:
+				refused++
+				next = append(next, caller{now + refusal.After(refusal.Room{Load: len(running), Slots: slots}, 2*work)})
+			}
+		}
+		waiting = next
+	}
+	if served != 40 {
+		t.Errorf("%d of 40 callers were served", served)
+	}
+	if refused > 400 {
+		t.Errorf("%d refusals for 40 callers", refused)
+	}
+}
--- /dev/null
+++ b/internal/steer/spend/budget_test.go
@@ -0,0 +1,88 @@
+package spend_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/steer/spend"
+)
+
+// Guards against repeats of all entries together that exceed the terms in any
+// window, whatever the load: steady, in bursts, or from no requests at all.
+func TestSharesStayWithinTheTermsTogether(t *testing.T) {
+	terms := spend.Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
+	for _, entries := range []int{1, 12, 82} {
+		for seed := range uint64(2) {
+			check(t, terms, entries, seed)
+		}
+	}
+}
+
+func check(t *testing.T, terms spend.Terms, entries int, seed uint64) {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 1))
+	now := time.Unix(0, 0)
+	budgets := make([]*spend.Budget, entries)
+	for i := range budgets {
+		budgets[i] = spend.New(terms, entries, now)
+	}
+	const step = 100 * time.Millisecond
+	window := int(terms.Window / step)
+	var requests, repeats []int
+	for tick := range 300 {
+		asked, repeated := 0, 0
+		busy := tick%150 < 60 || seed%2 == 0
+		for _, b := range budgets {
+			for range r.IntN(3) {
+				if busy {
+					b.Request()
+					asked++
+				}
+			}
+			for range 20 {
+				if b.Take(entries, now) {
+					repeated++
+				}
+			}
+		}
+		requests, repeats = append(requests, asked), append(repeats, repeated)
+		now = now.Add(step)
+		if tick < window {
+			continue
+		}
+		// The terms count the requests of the window, of the one before or of the one half a window before.
+		most := 0
+		for _, back := range []int{0, window / 2, window} {
+			most = max(most, sum(requests, tick-back-window+1, tick-back))
+		}
+		if got, bound := sum(repeats, tick-window+1, tick), terms.Ratio*float64(most)+terms.Slack; float64(got) > bound {
+			t.Fatalf("%d entries, seed %d, tick %d: %d repeats in a window, the terms allow %.0f", entries, seed, tick, got, bound)
+		}
+	}
+}
+
+func sum(v []int, from, to int) int {
+	n := 0
+	for i := max(0, from); i <= to && i < len(v); i++ {
+		n += v[i]
+	}
+	return n
+}
+
+// Guards against a budget that forbids the repeats of a load with few failures.
+func TestFewRepeatsAreAllowed(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := spend.New(spend.Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}, 12, now)
+	refused := 0
+	for i := range 1000 {
+		now = now.Add(50 * time.Millisecond)
+		b.Request()
+		if i%10 == 0 && !b.Take(12, now) {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d of 100 repeats at a tenth of the requests were refused", refused)
+	}
+}
