--- a/cmd/tamarackedge/main.go
+++ b/cmd/tamarackedge/main.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -92,7 +93,7 @@
 	}}
 	e, err := edge.New(s, edge.Dependencies{
 		Store: platform.NewStore(f.Store, client), Keys: platform.NewKeys(f.Zones),
-		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Events: events, Dropped: dropped,
+		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: net.Listen, Events: events, Dropped: dropped,
 	})
 	if err != nil {
 		return errors.Join(errStart, err)
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -84,7 +84,7 @@
 		if l.address == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := e.d.Listen("tcp", l.address)
 		if err != nil {
 			e.listeners.close()
 			return fmt.Errorf("edge: --%s: %w", l.name, err)
--- /dev/null
+++ b/internal/entry/edge/edge_test.go
@@ -0,0 +1,431 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tamarackspool/platform/platformtest"
+)
+
+// Guards against a path that does not work at all: look-up, readiness, one request of each kind, one unknown.
+func TestServesCallers(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		if got := f.page("e0", 81, "/v1/ready"); got.status != http.StatusServiceUnavailable {
+			t.Errorf("ready without a configuration: %v", got)
+		}
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`), rule("order", "/o/", "unsafe", `,"service":"s2"`), rule("file", "/u/", "upload", `,"service":"s2"`))
+		f.target("t1", "s1", "a1", nil)
+		f.target("t2", "s2", "b1", nil)
+		settle()
+		for _, c := range []struct{ method, path, want string }{
+			{"GET", "/r/1?q=%2f", "200 t1 GET /r/1?q=%2f"}, {"POST", "/o/1", "200 t2 POST /o/1"}, {"POST", "/u/1", "200 t2 POST /u/1"},
+			{"GET", "/other/", "404 "},
+		} {
+			if got := f.call("e1", c.method, c.path); !strings.HasPrefix(got.String(), c.want) {
+				t.Errorf("%s %s: %v, want %s", c.method, c.path, got, c.want)
+			}
+		}
+		if got := f.page("e0", 81, "/v1/ready"); got.status != http.StatusOK {
+			t.Errorf("ready: %v", got)
+		}
+		if got := f.page("e2", 82, "/v1/resolve?name=h&region=a&zone=a1"); got.body != `{"addresses":["10.2.0.1:80","10.2.0.2:80"],"ttlS":2}` {
+			t.Errorf("look-up: %v", got)
+		}
+	})
+}
+
+// Guards against entries that place one object on different targets.
+func TestEveryEntryPlacesAnObjectOnTheSameTarget(t *testing.T) {
+	play(t, []string{"a1", "a2"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		for i := range 5 {
+			f.target(fmt.Sprint("t", i), "s1", []string{"a1", "a2", "b1"}[i%3], nil)
+		}
+		settle()
+		used := make(map[string]bool)
+		for i := range 12 {
+			o := object(fmt.Sprint(i))
+			first := strings.Fields(f.call("e0", "GET", "/r/", o).body)[0]
+			second := strings.Fields(f.call("e1", "GET", "/r/", o).body)[0]
+			used[first] = true
+			if first != second {
+				t.Errorf("object %d is placed on %s and %s", i, first, second)
+			}
+		}
+		if len(used) < 2 {
+			t.Errorf("12 objects are placed on %v", used)
+		}
+	})
+}
+
+// Guards against an order that runs twice, and against a promise that it has
+// not run which is not true: whatever its target does with it.
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	for _, c := range []struct {
+		manner platformtest.Manner
+		want   int
+		runs   int
+	}{
+		{platformtest.Sound, 200, 1}, {platformtest.Hollow, 500, 1}, {platformtest.Mute, 502, 1}, {platformtest.Cut, 502, 1},
+		{platformtest.Frozen, 504, 1}, {platformtest.Full, 503, 0},
+	} {
+		play(t, []string{"a1"}, func(f *fleet) {
+			f.configure(1, rule("order", "/o/", "unsafe", `,"service":"s1","timeoutS":2`))
+			targets := []*platformtest.Target{f.target("t1", "s1", "a1", nil), f.target("t2", "s1", "a2", nil)}
+			for _, x := range targets {
+				x.Behave(c.manner)
+			}
+			settle()
+			got := f.call("e0", "POST", "/o/1")
+			runs := len(targets[0].Runs()) + len(targets[1].Runs())
+			if got.status != c.want || runs != c.runs {
+				t.Errorf("manner %d: %v after %d runs, want status %d after %d", c.manner, got, runs, c.want, c.runs)
+			}
+			if c.want == 503 && got.header.Get("Retry-After") == "" {
+				t.Errorf("manner %d: a refusal does not say when to come back", c.manner)
+			}
+		})
+	}
+}
+
+// Guards against reads that fail although another target would answer, and
+// against orders that are given up although nothing was run.
+func TestRequestsGoToAnotherTargetWhereTheyMay(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path string
+		spoil              func(f *fleet, x *platformtest.Target)
+	}{
+		{"read, answer lost", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Mute) }},
+		{"read, answer cut", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Cut) }},
+		{"read, full", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Full) }},
+		{"order, full", "POST", "/o/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Full) }},
+		{"order, another target at the address", "POST", "/o/", func(_ *fleet, x *platformtest.Target) { x.ID = "other" }},
+		{"order, dark", "POST", "/o/", func(f *fleet, x *platformtest.Target) { f.net.Darken(x.Address, true) }},
+	} {
+		play(t, []string{"a1"}, func(f *fleet) {
+			f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`), rule("order", "/o/", "unsafe", `,"service":"s1"`))
+			bad := f.target("t1", "s1", "a1", nil)
+			good := f.target("t2", "s1", "a1", nil)
+			settle()
+			c.spoil(f, bad)
+			for i := range 6 {
+				got := f.call("e0", c.method, c.path, object(fmt.Sprint(i)))
+				if got.status != http.StatusOK || !strings.HasPrefix(got.body, good.ID) {
+					t.Errorf("%s, request %d: %v", c.name, i, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a caller that is kept beyond its rule's timeout, and against a target that works on.
+func TestRuleTimeoutsAreKept(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1","timeoutS":1.5`))
+		x := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.Work = 10 * time.Second })
+		settle()
+		got := f.call("e0", "GET", "/r/")
+		if got.status != http.StatusGatewayTimeout || got.took < 1400*time.Millisecond || got.took > 1600*time.Millisecond {
+			t.Errorf("%v after %v, want 504 after 1.5 s", got, got.took)
+		}
+		synctest.Wait()
+		if r := x.Runs()[0]; r.Gone == 0 || r.Left > 1500*time.Millisecond {
+			t.Errorf("the target was told %v and saw the end after %v", r.Left, r.Gone)
+		}
+	})
+}
+
+// Guards against new requests for a target that is leaving or whose zone is emptied, and against a zone that stays empty.
+func TestLeavingTargetsAndEmptiedZonesGetNothing(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		left := f.target("t1", "s1", "a1", nil)
+		emptied := f.target("t2", "s1", "a2", nil)
+		f.target("t3", "s1", "b1", nil)
+		settle()
+		ask := func() (int, int) {
+			a, b := left.Seen(), emptied.Seen()
+			for i := range 30 {
+				if got := f.call("e0", "GET", "/r/", object(fmt.Sprint(i))); got.status != http.StatusOK {
+					t.Errorf("%v", got)
+				}
+			}
+			return left.Seen() - a, emptied.Seen() - b
+		}
+		if a, b := ask(); a == 0 || b == 0 {
+			t.Errorf("%d and %d requests before", a, b)
+		}
+		left.Register(f.store, "draining", 0)
+		f.store.Set("op/evacuate/a2", "{}")
+		settle()
+		if a, b := ask(); a != 0 || b != 0 {
+			t.Errorf("%d requests for a leaving target, %d for an emptied zone", a, b)
+		}
+		f.store.Remove("op/evacuate/a2")
+		time.Sleep(5 * time.Second)
+		if _, b := ask(); b == 0 {
+			t.Error("no request for a zone that was taken back")
+		}
+	})
+}
+
+// Guards against an emptied zone whose targets get a rush when it is taken back: they may have cooled down.
+func TestReturnedZonesWarmUp(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		back := f.target("t1", "s1", "a2", nil)
+		f.target("t2", "s1", "b1", nil)
+		f.store.Set("op/evacuate/a2", "{}")
+		settle()
+		f.store.Remove("op/evacuate/a2")
+		time.Sleep(time.Second)
+		for i := range 20 {
+			f.call("e0", "GET", "/r/", object(fmt.Sprint(i)))
+		}
+		if n := back.Seen(); n != 0 {
+			t.Errorf("%d requests within the warm-up", n)
+		}
+	})
+}
+
+// Guards against a cold target that gets more than it bears when no other is
+// left, from all entries together, and against one that gets nothing.
+func TestColdTargetsArePaced(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		cold := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.Slots = 100 })
+		settle()
+		cold.Register(f.store, "ready", 10*time.Second)
+		settle()
+		began := cold.Seen()
+		for i := range 120 {
+			go f.callAs(fmt.Sprint("c", i), fmt.Sprint("e", i%3), "GET", "/r/", object(fmt.Sprint(i)))
+			time.Sleep(50 * time.Millisecond)
+		}
+		// 3.6 a second are allowed, and half as much and 5 more in any one second.
+		if n := cold.Seen() - began; n < 10 || n > 36 {
+			t.Errorf("%d requests in 6 s for a target that bears 3.6 a second", n)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// Guards against requests outside the homes of their rule.
+func TestHomesAreKept(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1","homeRegions":["b"]`))
+		f.target("t1", "s1", "a1", nil)
+		home := f.target("t2", "s1", "b1", nil)
+		settle()
+		for i := range 10 {
+			if got := f.call("e0", "GET", "/r/", object(fmt.Sprint(i))); !strings.HasPrefix(got.body, home.ID) {
+				t.Errorf("%v", got)
+			}
+		}
+		f.store.Remove("servers/t2")
+		settle()
+		if got := f.call("e0", "GET", "/r/"); got.status != http.StatusServiceUnavailable {
+			t.Errorf("without a target at home: %v", got)
+		}
+	})
+}
+
+// Guards against a version that is late, falls back, or is replaced by one that cannot be read.
+func TestVersionsNeverFallBack(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.target("t1", "s1", "a1", nil)
+		f.target("t2", "s2", "a1", nil)
+		f.configure(7, rule("read", "/r/", "safe", `,"service":"s1"`))
+		settle()
+		f.configure(9, rule("read", "/r/", "safe", `,"service":"s2"`))
+		settle()
+		check := func(when string) {
+			for _, e := range []string{"e0", "e1", "e2"} {
+				if got := f.call(e, "GET", "/r/"); !strings.HasPrefix(got.body, "t2") {
+					t.Errorf("%s, %s: %v", when, e, got)
+				}
+			}
+		}
+		check("new version")
+		f.configure(8, rule("read", "/r/", "safe", `,"service":"s1"`))
+		settle()
+		check("older version")
+		f.store.Set("op/config", `{"version":`)
+		settle()
+		check("unreadable version")
+		if !f.log.has("name=item-invalid key=op/config") {
+			t.Error("the unreadable version is not logged with its key")
+		}
+		f.store.Remove("op/config")
+		settle()
+		check("removed version")
+	})
+}
+
+// Guards against a registration that cannot be read and takes the others with it.
+func TestUnreadableRegistrationsAreSkipped(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		f.store.Set("servers/odd", `{"address":5}`)
+		f.target("t1", "s1", "a1", nil)
+		settle()
+		if got := f.call("e0", "GET", "/r/"); got.status != http.StatusOK {
+			t.Errorf("%v", got)
+		}
+		if !f.log.has("name=item-invalid key=servers/odd") {
+			t.Error("the registration is not logged with its key")
+		}
+	})
+}
+
+// Guards against an entry that learns nothing while the store turns it away and answers others.
+func TestEntriesThatTheStoreTurnsAwayFollowTheirPeers(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.Silent, platformtest.Busy, platformtest.Reset} {
+		play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+			f.target("t1", "s1", "a1", nil)
+			f.target("t2", "s2", "a1", nil)
+			f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+			settle()
+			f.store.SetFault(func(caller, _ string) platformtest.Fault {
+				if caller == "10.2.0.1" {
+					return fault
+				}
+				return platformtest.None
+			})
+			time.Sleep(3 * time.Second)
+			f.configure(2, rule("read", "/r/", "safe", `,"service":"s2"`))
+			settle()
+			for _, e := range []string{"e0", "e1", "e2"} {
+				if got := f.call(e, "GET", "/r/"); !strings.HasPrefix(got.body, "t2") {
+					t.Errorf("fault %d, %s: %v", fault, e, got)
+				}
+			}
+			f.store.Fail(platformtest.None)
+			settle()
+		})
+	}
+}
+
+// Guards against an entry that is replaced while the store is down and cannot
+// serve, and against one that denies rules when it knows none.
+func TestEntriesStartWhileTheStoreIsDown(t *testing.T) {
+	play(t, []string{"a1", "a2"}, func(f *fleet) {
+		f.target("t1", "s1", "a1", nil)
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		settle()
+		f.stop("e1")
+		f.store.Fail(platformtest.Silent)
+		f.start("e1", "a2")
+		settle()
+		if got := f.call("e1", "GET", "/r/"); got.status != http.StatusOK {
+			t.Errorf("with a peer: %v", got)
+		}
+		f.stop("e0")
+		f.stop("e1")
+		f.start("e1", "a2")
+		settle()
+		if got := f.call("e1", "GET", "/r/"); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+			t.Errorf("without a peer: %v", got)
+		}
+		f.store.Fail(platformtest.None)
+		time.Sleep(4 * time.Second)
+		if got := f.call("e1", "GET", "/r/"); got.status != http.StatusOK {
+			t.Errorf("with the store back: %v", got)
+		}
+		f.start("e0", "a1")
+	})
+}
+
+// Guards against an entry that stays out of look-ups when the store took its
+// registration away or lost the answer that granted it, and against a stopped one that stays in.
+func TestEntriesRegisterAgain(t *testing.T) {
+	play(t, []string{"a1", "a2"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		settle()
+		both := []string{"entries/e0", "entries/e1"}
+		if got := f.store.Keys("entries/"); !slices.Equal(got, both) {
+			t.Errorf("registered %v", got)
+		}
+		f.store.Remove("entries/e1")
+		time.Sleep(3 * time.Second)
+		if got := f.store.Keys("entries/"); !slices.Equal(got, both) {
+			t.Errorf("registered %v after a removal", got)
+		}
+		f.store.Fail(platformtest.Lost)
+		time.Sleep(5 * time.Second)
+		f.store.Fail(platformtest.None)
+		time.Sleep(4 * time.Second)
+		if got := f.store.Keys("entries/"); !slices.Equal(got, both) {
+			t.Errorf("registered %v after lost answers", got)
+		}
+		f.entries["e1"].stop()
+		time.Sleep(time.Second)
+		if got := f.page("e0", 82, "/v1/resolve?name=h&region=a&zone=a1"); strings.Contains(got.body, address(2, 80)) {
+			t.Errorf("look-up a second after the signal to stop: %v", got)
+		}
+	})
+}
+
+// Guards against a stop that cuts a request or refuses callers that could not know of it.
+func TestStopCutsNothing(t *testing.T) {
+	play(t, []string{"a1", "a2"}, func(f *fleet) {
+		f.configure(1, rule("order", "/o/", "unsafe", `,"service":"s1"`))
+		x := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.Work = 3 * time.Second })
+		settle()
+		results := make(chan answer, 2)
+		go func() { results <- f.callAs("before", "e0", "POST", "/o/") }()
+		time.Sleep(500 * time.Millisecond)
+		f.entries["e0"].stop()
+		time.Sleep(500 * time.Millisecond)
+		go func() { results <- f.callAs("after", "e0", "POST", "/o/") }()
+		for range 2 {
+			if got := <-results; got.status != http.StatusOK || !got.closes {
+				t.Errorf("%v, connection announced to end: %v", got, got.closes)
+			}
+		}
+		if n := len(x.Runs()); n != 2 {
+			t.Errorf("%d runs", n)
+		}
+		if got := f.page("e0", 81, "/v1/ready"); got.status == http.StatusOK {
+			t.Errorf("ready while stopping: %v", got)
+		}
+	})
+}
+
+// Guards against repeats without bound when every target fails.
+func TestRepeatsAreBounded(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		targets := []*platformtest.Target{f.target("t1", "s1", "a1", nil), f.target("t2", "s1", "a1", nil)}
+		for _, x := range targets {
+			x.Behave(platformtest.Full)
+		}
+		settle()
+		const n = 400
+		for i := range n {
+			f.call("e0", "GET", "/r/", object(fmt.Sprint(i)))
+			time.Sleep(10 * time.Millisecond)
+		}
+		if repeats := targets[0].Seen() + targets[1].Seen() - n; repeats < 40 || repeats > n/5+64 {
+			t.Errorf("%d repeats of %d requests", repeats, n)
+		}
+	})
+}
+
+// Guards against entries that each call the store for what one of the region could read for all.
+func TestOneEntryARegionReadsTheStore(t *testing.T) {
+	play(t, []string{"a1", "a1", "a2", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		time.Sleep(10 * time.Second)
+		before := f.store.Calls("/v1/kv-watch")
+		time.Sleep(20 * time.Second)
+		if n := f.store.Calls("/v1/kv-watch") - before; n > 22 {
+			t.Errorf("%d watches in 20 s, want those of two readers that wait 2 s each", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/edge/fleet_test.go
@@ -0,0 +1,239 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tamarackspool/internal/entry/edge"
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/steer/spend"
+	"tamarackspool/platform"
+	"tamarackspool/platform/platformtest"
+)
+
+// regions are those of the availability zones of the fleet.
+var regions = map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+
+const storeAddress = "10.0.0.1:80"
+
+// fleet is a deployment in memory and in simulated time.
+type fleet struct {
+	t       *testing.T
+	net     *platformtest.Network
+	store   *platformtest.Store
+	entries map[string]*running
+	servers []*http.Server
+	log     lines
+	sent    int
+}
+
+type running struct {
+	index int
+	stop  context.CancelFunc // stop is the signal to stop.
+	done  chan struct{}
+	store *http.Transport
+}
+
+// lines collects log lines.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// play runs a test against a fleet of the given entries, named by their zones, and ends them all.
+func play(t *testing.T, zones []string, f func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fl := &fleet{t: t, net: platformtest.NewNetwork(), store: platformtest.NewStore(), entries: make(map[string]*running)}
+		fl.serve(storeAddress, fl.store)
+		for i, zone := range zones {
+			fl.start(fmt.Sprint("e", i), zone)
+		}
+		f(fl)
+		for name := range fl.entries {
+			fl.stop(name)
+		}
+		fl.store.Close()
+		for _, s := range fl.servers {
+			_ = s.Close()
+		}
+		synctest.Wait()
+	})
+}
+
+func (f *fleet) serve(address string, h http.Handler) {
+	f.t.Helper()
+	l, err := f.net.Listen("tcp", address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	s := &http.Server{Handler: h, ErrorLog: nil}
+	f.servers = append(f.servers, s)
+	go func() { _ = s.Serve(l) }()
+}
+
+func (f *fleet) target(id, service, zone string, change func(*platformtest.Target)) *platformtest.Target {
+	f.t.Helper()
+	t := &platformtest.Target{
+		ID: id, Service: service, Zone: zone, Slots: 3, Born: 1,
+		Address: fmt.Sprintf("10.1.0.%d:80", len(f.servers)), Work: 100 * time.Millisecond,
+	}
+	if change != nil {
+		change(t)
+	}
+	f.serve(t.Address, t)
+	t.Register(f.store, "ready", 0)
+	return t
+}
+
+// rule is one rule of the configuration as the operators write it.
+func rule(name, prefix, kind, rest string) string {
+	return fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":%q},"spec":{"host":"h","prefix":%q,"kind":%q,"maxAttempts":2,"targetLatencyS":0.5,"homeRegions":[]%s}}`,
+		name, prefix, kind, rest)
+}
+
+func (f *fleet) configure(version int, rules ...string) {
+	services := ""
+	for _, s := range []string{"s1", "s2"} {
+		services += fmt.Sprintf(`,{"resourceKind":"services","metadata":{"name":%q},"spec":{"healthPath":"/healthz","maxConns":390,"coldStartS":3,"coldPerS":3.6}}`, s)
+	}
+	f.store.Set("op/config", fmt.Sprintf(`{"version":"%08x","resources":[%s%s,{"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutS":3,"idleTimeoutS":15}}]}`,
+		version, strings.Join(rules, ","), services))
+}
+
+func address(index, port int) string { return fmt.Sprintf("10.2.0.%d:%d", index, port) }
+
+func (f *fleet) start(name, zone string) {
+	f.t.Helper()
+	index := len(f.entries) + 1
+	if old := f.entries[name]; old != nil {
+		index = old.index
+	}
+	host := fmt.Sprintf("10.2.0.%d:0", index)
+	dial := f.net.Dialer(host)
+	transport := &http.Transport{DialContext: dial}
+	e, err := edge.New(edge.Settings{
+		Name: name, Zone: zone, Region: regions[zone], Regions: 2,
+		Call: address(index, 80), Ready: address(index, 81), Directory: address(index, 82), Peer: address(index, 83),
+		Seeds: []string{address(1, 83), address(2, 83)}, LookupTTL: 2 * time.Second, Grace: 6 * time.Second,
+		Repeats: spend.Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}, Memory: 1 << 28, Strength: 1,
+	}, edge.Dependencies{
+		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}), Keys: platform.NewKeys(regions),
+		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: f.net.Listen,
+		Events: event.New(log.NewLogfmtLogger(&f.log)), Dropped: func() int64 { return 0 },
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{index: index, stop: stop, done: make(chan struct{}), store: transport}
+	f.entries[name] = r
+	go func() {
+		defer close(r.done)
+		if err := e.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+}
+
+// stop gives the signal to stop and waits for the end.
+func (f *fleet) stop(name string) {
+	r := f.entries[name]
+	r.stop()
+	<-r.done
+	r.store.CloseIdleConnections()
+}
+
+// answer is what a caller received.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	closes bool // closes says that the connection was announced to end.
+	took   time.Duration
+	err    error
+}
+
+func (a answer) String() string {
+	if a.err != nil {
+		return "error: " + a.err.Error()
+	}
+	return fmt.Sprintf("%d %s", a.status, a.body)
+}
+
+// call sends one request over a connection of its own.
+func (f *fleet) call(entry, method, path string, header ...string) answer {
+	f.sent++
+	return f.callAs(fmt.Sprint("id-", f.sent), entry, method, path, header...)
+}
+
+func (f *fleet) callAs(id, entry, method, path string, header ...string) answer {
+	began := time.Now()
+	c, err := f.connect(entry)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer c.Close()
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\n%s\r\n", method, path, id, strings.Join(header, ""))
+	if method == http.MethodPost {
+		text = strings.TrimSuffix(text, "\r\n") + "Content-Length: 4\r\n\r\nbody"
+	}
+	if _, err := io.WriteString(c, text); err != nil {
+		return answer{err: err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return answer{err: err, took: time.Since(began)}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), header: resp.Header, closes: resp.Close, took: time.Since(began), err: err}
+}
+
+func (f *fleet) connect(entry string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return f.net.Dialer("10.3.0.1:0")(ctx, "tcp", address(f.entries[entry].index, 80))
+}
+
+// page gets a page of an entry's other listeners.
+func (f *fleet) page(entry string, port int, path string) answer {
+	c, err := f.net.Dialer("10.3.0.1:0")(context.Background(), "tcp", address(f.entries[entry].index, port))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), err: err}
+}
+
+func object(name string) string { return "Cookie: X-Affinity-Key=" + name + "\r\n" }
+
+func settle() { time.Sleep(platformtest.Settle) }
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"time"
@@ -38,6 +40,9 @@
 	}
 )
 
+// quiet drops the library's own lines: a peer that goes away is an event of the follower.
+var quiet = log.New(io.Discard, "", 0)
+
 // peerIdle bounds how long a call of a peer is held open.
 const peerIdle = 30 * time.Second
 
@@ -53,7 +58,7 @@
 			continue
 		}
 		c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}),
-			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(e.answerPeer)))
+			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(e.answerPeer)), jsonrpc2.SetLogger(quiet))
 		go func() {
 			select {
 			case <-c.DisconnectNotify():
@@ -94,12 +99,17 @@
 
 // Peer returns a random entry, or one of the seeds while no entry is known.
 func (p *peers) Peer() mirror.Source {
-	addresses := p.s.Seeds
+	var addresses []string
+	for _, a := range p.s.Seeds {
+		if a != p.s.Peer {
+			addresses = append(addresses, a)
+		}
+	}
 	v := p.view.Load()
 	if rand.N(2) == 0 {
 		for _, o := range v.entries {
 			if o.Name != p.s.Name {
-				addresses = append(addresses[:len(addresses):len(addresses)], o.Peer)
+				addresses = append(addresses, o.Peer)
 			}
 		}
 	}
@@ -150,7 +160,8 @@
 		if err != nil {
 			return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 		}
-		p.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), jsonrpc2.HandlerWithError(refuse))
+		p.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), jsonrpc2.HandlerWithError(refuse),
+			jsonrpc2.SetLogger(quiet))
 	}
 	var a changesAnswer
 	err := p.conn.Call(ctx, methodChanges, changesRequest{After: after, Wait: wait.Milliseconds()}, &a)
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -85,6 +86,7 @@
 	Headers Headers
 	Pages   Pages
 	Dial    upstream.Dial
+	Listen  func(network, address string) (net.Listener, error) // Listen is net.Listen outside tests.
 	Events  *event.Log
 	Dropped func() int64 // Dropped returns how many log lines were dropped.
 }
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -26,13 +26,14 @@
 
 // Times and waits of the follower.
 const (
-	wait      = 2 * time.Second        // wait is how long the store holds a call open; a silent connection is noticed soon after.
-	grace     = 800 * time.Millisecond // grace is how long an answer may take beyond the wait, two round trips between regions and a slow store included.
-	firstRead = 2500 * time.Millisecond
-	spacing   = 250 * time.Millisecond // spacing is the least time between two calls, as each is counted.
-	retry     = 500 * time.Millisecond // retry is the wait after a failed call, before jitter.
-	peerEvery = 400 * time.Millisecond // peerEvery is how often a peer is asked while the store is silent.
-	peerWait  = 600 * time.Millisecond // peerWait bounds one question to a peer.
+	wait       = 2 * time.Second        // wait is how long the store holds a call open; a silent connection is noticed soon after.
+	grace      = 800 * time.Millisecond // grace is how long an answer may take beyond the wait, two round trips between regions and a slow store included.
+	firstRead  = 2500 * time.Millisecond
+	spacing    = 250 * time.Millisecond // spacing is the least time between two calls, as each is counted.
+	retry      = 500 * time.Millisecond // retry is the wait after a failed call, before jitter.
+	peerEvery  = 400 * time.Millisecond // peerEvery is how often a peer is asked while the store is silent.
+	startEvery = 150 * time.Millisecond // startEvery is the same for an entry that knows nothing yet.
+	peerWait   = 600 * time.Millisecond // peerWait bounds one question to a peer.
 
 	readerWait  = 900 * time.Millisecond // readerWait is how long the entry that reads for others holds a call open.
 	readerGrace = 400 * time.Millisecond // readerGrace is how long its answer may take beyond that.
@@ -161,7 +162,11 @@
 
 func (f *Follower) askPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerEvery)
+		if f.mirror.Revision() > 0 {
+			sleep(ctx, peerEvery)
+		} else {
+			sleep(ctx, startEvery)
+		}
 		if f.Age() < Stale && f.mirror.Revision() > 0 {
 			continue
 		}
