--- a/cmd/tamarackedge/flags.go
+++ b/cmd/tamarackedge/flags.go
@@ -32,7 +32,9 @@
 	Cores       float64 `help:"Share of a processor core that the entry has." default:"1"`
 	Memory      float64 `help:"Memory limit of the process in MB." default:"284"`
 	GC          int     `name:"gc" help:"Growth of the heap in percent that starts a garbage collection." default:"100"`
+	Log         string  `help:"Which events are written: none, beliefs or requests." default:"requests"`
 	LogRoom     int     `help:"Log lines held until they are written, in bytes." default:"1048576"`
+	LogRate     int     `help:"Log lines written per second, in bytes." default:"1000000"`
 }
 
 // settings returns the checked settings, or an error that names the flag and the accepted range.
@@ -44,6 +46,14 @@
 			return edge.Settings{}, fmt.Errorf("--%s %q: an IP address and a port are needed", a.flag, a.value)
 		}
 	}
+	for _, a := range f.Seeds {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return edge.Settings{}, fmt.Errorf("--seeds %q: IP addresses and ports are needed", a)
+		}
+	}
+	if _, err := netip.ParseAddrPort(f.Metrics); f.Metrics != "" && err != nil {
+		return edge.Settings{}, fmt.Errorf("--metrics %q: an IP address and a port are needed", f.Metrics)
+	}
 	for _, r := range []struct {
 		flag             string
 		value, low, high float64
@@ -58,6 +68,7 @@
 		{"memory", f.Memory, 32, 1 << 20},
 		{"gc", float64(f.GC), 10, 1000},
 		{"log-room", float64(f.LogRoom), 4096, 1 << 30},
+		{"log-rate", float64(f.LogRate), 1000, 1 << 30},
 	} {
 		if r.value < r.low || r.value > r.high {
 			return edge.Settings{}, fmt.Errorf("--%s %v is out of range; the range is %v to %v", r.flag, r.value, r.low, r.high)
--- a/cmd/tamarackedge/main.go
+++ b/cmd/tamarackedge/main.go
@@ -52,15 +52,19 @@
 	if err == nil {
 		s, err = f.settings()
 	}
+	var level event.Level
+	if err == nil {
+		level, err = event.ParseLevel(f.Log)
+	}
 	if err != nil {
 		fmt.Fprintln(problems, "tamarackedge:", err)
 		return exitUsage
 	}
 	debug.SetGCPercent(f.GC)
 	debug.SetMemoryLimit(s.Memory * 6 / 10)
-	spool := event.NewSpool(out, f.LogRoom)
+	spool := event.NewSpool(out, f.LogRoom, f.LogRate)
 	defer flush(spool)
-	events := event.New(log.With(log.NewLogfmtLogger(spool), "at", log.DefaultTimestampUTC))
+	events := event.New(log.With(log.NewLogfmtLogger(spool), "at", log.DefaultTimestampUTC)).At(level)
 	if err := serve(ctx, s, &f, events, spool.Dropped); err != nil {
 		fmt.Fprintln(problems, "tamarackedge:", err)
 		return exitInternal
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -221,18 +221,23 @@
 	return left
 }
 
-// expireEvery is how often unused connections are looked through.
+// expireEvery is how often unused connections are looked through and dropped log lines are reported.
 const expireEvery = time.Second
 
 func (e *Edge) expire(ctx context.Context) {
 	t := time.NewTicker(expireEvery)
 	defer t.Stop()
+	dropped := int64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
 			e.pool.Expire(now)
+			if n := e.d.Dropped(); n > dropped {
+				e.events.Log(event.LinesDropped, "lines", n-dropped, "since-start", n)
+				dropped = n
+			}
 		}
 	}
 }
--- a/internal/record/event/event.go
+++ b/internal/record/event/event.go
@@ -39,6 +39,7 @@
 // Log writes numbered events as log lines and may be used by several goroutines.
 type Log struct {
 	out   log.Logger
+	level Level
 	names map[Number]string
 }
 
@@ -48,11 +49,17 @@
 	for _, e := range Catalogue() {
 		names[e.number] = e.name
 	}
-	return &Log{out: out, names: names}
+	return &Log{out: out, level: Requests, names: names}
 }
 
+// At returns the log with events of the level only.
+func (l *Log) At(level Level) *Log { return &Log{out: l.out, level: level, names: l.names} }
+
 // Log writes the event with the given keys and values, which alternate.
 func (l *Log) Log(n Number, keyvals ...any) {
+	if !l.level.writes(n) {
+		return
+	}
 	line := append([]any{"event", int(n), "name", l.names[n]}, keyvals...)
 	// A log that cannot be written must not stop the request path.
 	_ = l.out.Log(line...)
--- a/internal/record/event/process.go
+++ b/internal/record/event/process.go
@@ -12,6 +12,7 @@
 	HandoverLost  Number = 1008
 	ListenerEnded Number = 1009
 	RosterLost    Number = 1010
+	LinesDropped  Number = 1011
 )
 
 var process = []Entry{
@@ -25,4 +26,5 @@
 	{HandoverLost, "handover-lost", "no other entry took the outcomes of the tickets; repeats of orders are answered may-have-run", "check that other entries of the region run before stopping one"},
 	{ListenerEnded, "listener-ended", "a listener ended with an error", "check the address and the limit of open files"},
 	{RosterLost, "roster-lost", "the VM list does not answer; configuration and heartbeats decide", "check the platform"},
+	{LinesDropped, "lines-dropped", "log lines were dropped for lack of room or beyond the rate limit", "look at what reads the output; raise --log-rate if it keeps up"},
 }
--- a/internal/record/event/spool.go
+++ b/internal/record/event/spool.go
@@ -4,14 +4,18 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Spool writes lines in the background: a reader that is slow or has stopped
-// never holds up the caller. Lines beyond its room are dropped and counted. It
-// is safe for concurrent use.
+// never holds up the caller. Lines beyond its room or its rate are dropped and
+// counted. It is safe for concurrent use.
 type Spool struct {
 	out     io.Writer
 	room    int
+	limit   *rate.Limiter
 	dropped atomic.Int64
 	failed  atomic.Int64
 
@@ -22,9 +26,10 @@
 	done    chan struct{}
 }
 
-// NewSpool returns a spool that writes to out and holds at most room bytes that are not yet written.
-func NewSpool(out io.Writer, room int) *Spool {
-	s := &Spool{out: out, room: room, done: make(chan struct{})}
+// NewSpool returns a spool that writes to out at most perSecond bytes per
+// second, and room bytes more at once; it holds at most room bytes that are not yet written.
+func NewSpool(out io.Writer, room, perSecond int) *Spool {
+	s := &Spool{out: out, room: room, limit: rate.NewLimiter(rate.Limit(perSecond), room), done: make(chan struct{})}
 	s.wake.L = &s.mu
 	go s.run()
 	return s
@@ -34,7 +39,7 @@
 func (s *Spool) Write(line []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.pending)+len(line) > s.room {
+	if s.closed || len(s.pending)+len(line) > s.room || !s.limit.AllowN(time.Now(), len(line)) {
 		s.dropped.Add(1)
 		return len(line), nil
 	}
@@ -43,7 +48,7 @@
 	return len(line), nil
 }
 
-// Dropped returns how many lines were dropped for lack of room.
+// Dropped returns how many lines were dropped.
 func (s *Spool) Dropped() int64 { return s.dropped.Load() }
 
 // Failed returns how many writes have failed.
