cmd/tamaracksoak: run real entries as processes under faults and check the promises

Change: a seeded soak of processes, store, targets, proxies and callers on loopback; seven promises are checked from what callers and targets saw, each with a switch that breaks it; a short run in the tests.

--- /dev/null
+++ b/cmd/tamaracksoak/main.go
@@ -0,0 +1,106 @@
+// Command tamaracksoak runs entries as processes on loopback, disturbs them and checks the promises.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"tamarackspool/internal/soak/world"
+)
+
+// The exit statuses.
+const (
+	exitDone     = 0
+	exitInternal = 1
+	exitUsage    = 2
+	exitBroken   = 6
+)
+
+// flags are those of the command.
+type flags struct {
+	Seed    uint64        `help:"Seed of the schedule; 0 takes one from the time and prints it." default:"0"`
+	For     time.Duration `help:"How long to run, from 20s to 1h." default:"60s"`
+	Nodes   int           `help:"Number of entries, from 2 to 300." default:"6"`
+	Break   string        `help:"Promise to break on purpose: whole, once, not-run, drain, stop, version or recovery."`
+	Program string        `help:"Program of the entry; built from this module when empty."`
+	Notes   bool          `help:"Print each step of the schedule."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string, out, problems io.Writer) int {
+	var f flags
+	parser, err := kong.New(&f, kong.Name("tamaracksoak"), kong.Writers(out, problems))
+	if err == nil {
+		_, err = parser.Parse(args)
+	}
+	s := world.Settings{Program: f.Program, Seed: f.Seed, For: f.For, Nodes: f.Nodes, Break: f.Break}
+	if err == nil {
+		err = s.Check()
+	}
+	if err != nil {
+		fmt.Fprintln(problems, "tamaracksoak:", err)
+		return exitUsage
+	}
+	if s.Seed == 0 {
+		s.Seed = uint64(time.Now().UnixNano())
+	}
+	if f.Notes {
+		s.Notes = out
+	}
+	code, err := soak(ctx, s, out)
+	if err != nil {
+		fmt.Fprintln(problems, "tamaracksoak:", err)
+		return exitInternal
+	}
+	return code
+}
+
+func soak(ctx context.Context, s world.Settings, out io.Writer) (int, error) {
+	if s.Program == "" {
+		dir, err := os.MkdirTemp("", "tamaracksoak")
+		if err != nil {
+			return 0, err
+		}
+		defer os.RemoveAll(dir) //nolint:errcheck // a leftover in the system's folder for such files does no harm
+		s.Program = filepath.Join(dir, "tamarackedge")
+		if text, err := exec.CommandContext(ctx, "go", "build", "-o", s.Program, "tamarackspool/cmd/tamarackedge").CombinedOutput(); err != nil {
+			return 0, fmt.Errorf("build: %w: %s", err, text)
+		}
+	}
+	w, err := world.New(s)
+	if err != nil {
+		return 0, err
+	}
+	r, err := w.Run(ctx)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return 0, err
+	}
+	fmt.Fprintf(out, "seed %d: %d entries, %d steps, %d requests, %d served, %d runs, %d promises broken\n",
+		s.Seed, s.Nodes, r.Steps, r.Asked, r.Served, r.Runs, len(r.Broken))
+	for _, b := range r.Broken[:min(len(r.Broken), 10)] {
+		fmt.Fprintf(out, "broken: %s: %s %s\n", b.Promise, b.ID, b.Text)
+	}
+	for _, l := range r.Lines {
+		fmt.Fprintln(out, l)
+	}
+	if len(r.Broken) > 0 {
+		return exitBroken, nil
+	}
+	return exitDone, nil
+}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -61,13 +61,18 @@
 		memory: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}),
 		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.Call, Peer: s.Peer, Strength: s.Strength},
 	}
+	if err := e.listen(); err != nil {
+		return nil, err
+	}
+	// Where a port was left to the system, others must know the one that it chose.
+	e.self.Call, e.self.Peer = e.listeners.call.Addr().String(), e.listeners.peer.Addr().String()
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
 	e.pool = upstream.New(d.Dial, e.lost)
 	e.server = inbound.New(e)
 	e.follower = mirror.NewFollower(e.mirror, d.Store, (*peers)(e), d.Events, e.changed)
 	e.measure()
-	return e, e.listen()
+	return e, nil
 }
 
 func (e *Edge) listen() error {
@@ -116,7 +121,8 @@
 
 // Run serves until ctx ends and then stops without cutting a request.
 func (e *Edge) Run(ctx context.Context) error {
-	e.events.Log(event.Started, "entry", e.s.Name, "zone", e.s.Zone, "region", e.s.Region)
+	e.events.Log(event.Started, "entry", e.s.Name, "zone", e.s.Zone, "region", e.s.Region, "strength", e.s.Strength,
+		"call", e.self.Call, "directory", e.listeners.directory.Addr(), "peer", e.self.Peer)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, _ := errgroup.WithContext(work)
--- /dev/null
+++ b/internal/soak/ledger/ledger_test.go
@@ -0,0 +1,87 @@
+package ledger_test
+
+import (
+	"testing"
+	"time"
+
+	"tamarackspool/internal/soak/ledger"
+)
+
+// Guards against a check that cannot fail, and against one that fails when the promise holds.
+func TestEachPromiseIsChecked(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name string
+		fill func(l *ledger.Ledger) []ledger.Run
+		want ledger.Promise
+	}{
+		{"all is well", func(l *ledger.Ledger) []ledger.Run {
+			l.Attempt(ledger.Attempt{ID: "a", Order: true, Status: 200, Success: true, Whole: true})
+			return []ledger.Run{{ID: "a"}}
+		}, ""},
+		{"foreign bytes", func(l *ledger.Ledger) []ledger.Run {
+			l.Attempt(ledger.Attempt{ID: "a", Status: 200, Success: true})
+			return nil
+		}, ledger.Whole},
+		{"two runs", func(*ledger.Ledger) []ledger.Run { return []ledger.Run{{ID: "o"}, {ID: "o"}} }, ledger.Once},
+		{"two runs of a read", func(*ledger.Ledger) []ledger.Run { return []ledger.Run{{ID: "r"}, {ID: "r"}} }, ""},
+		{"ran after all", func(l *ledger.Ledger) []ledger.Run {
+			l.Attempt(ledger.Attempt{ID: "a", Order: true, Status: 503, NotRun: true})
+			return []ledger.Run{{ID: "a"}}
+		}, ledger.NotRun},
+		{"cut by a stop", func(l *ledger.Ledger) []ledger.Run {
+			l.Attempt(ledger.Attempt{ID: "a", Sent: at(50), Done: at(51)})
+			return []ledger.Run{{ID: "a", At: at(50)}}
+		}, ledger.Stop},
+		{"cut by a disturbance", func(l *ledger.Ledger) []ledger.Run {
+			l.Trouble(at(47), at(48))
+			l.Attempt(ledger.Attempt{ID: "a", Sent: at(50), Done: at(51)})
+			return []ledger.Run{{ID: "a", At: at(50)}}
+		}, ""},
+		{"the caller left", func(l *ledger.Ledger) []ledger.Run {
+			l.Attempt(ledger.Attempt{ID: "a", Deserted: true, Sent: at(50), Done: at(51)})
+			return []ledger.Run{{ID: "a", At: at(50)}}
+		}, ""},
+		{"late for a leaving target", func(l *ledger.Ledger) []ledger.Run {
+			l.Drain("t", at(50))
+			return []ledger.Run{{ID: "x", Target: "t", At: at(54)}}
+		}, ledger.Drain},
+		{"in time for a leaving target", func(l *ledger.Ledger) []ledger.Run {
+			l.Drain("t", at(50))
+			return []ledger.Run{{ID: "x", Target: "t", At: at(52)}}
+		}, ""},
+		{"an old version", func(l *ledger.Ledger) []ledger.Run {
+			l.Version("s1", at(10))
+			l.Version("s2", at(50))
+			return []ledger.Run{{ID: "x", Service: "s1", Switch: true, At: at(54)}}
+		}, ledger.Version},
+		{"a version on its way", func(l *ledger.Ledger) []ledger.Run {
+			l.Version("s1", at(10))
+			l.Version("s2", at(50))
+			return []ledger.Run{{ID: "x", Service: "s1", Switch: true, At: at(52)}, {ID: "y", Service: "s2", Switch: true, At: at(52)}}
+		}, ""},
+		{"not served again", func(l *ledger.Ledger) []ledger.Run {
+			l.Trouble(at(60), at(80))
+			for range 9 {
+				l.Attempt(ledger.Attempt{ID: "z", Sent: at(90), Status: 503})
+			}
+			return nil
+		}, ledger.Recovery},
+	} {
+		l := ledger.New()
+		l.Attempt(ledger.Attempt{ID: "o", Order: true, Sent: at(100), Status: 200, Success: true, Whole: true})
+		l.Attempt(ledger.Attempt{ID: "r", Sent: at(100), Status: 200, Success: true, Whole: true})
+		breaks := l.Check(c.fill(l))
+		found := ledger.Promise("")
+		for _, b := range breaks {
+			// The attempts of some cases count as not served too.
+			if b.Promise != ledger.Recovery || c.want == ledger.Recovery {
+				found = b.Promise
+			}
+		}
+		if found != c.want {
+			t.Errorf("%s: %v, want %q", c.name, breaks, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy/doc.go
@@ -0,0 +1,2 @@
+// Package proxy passes loopback connections on and spoils them on demand.
+package proxy
--- /dev/null
+++ b/internal/soak/world/schedule.go
@@ -0,0 +1,189 @@
+package world
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tamarackspool/internal/soak/ledger"
+	"tamarackspool/platform/platformtest"
+)
+
+// phaseTime is how long planned work, or disturbances, go on before the other follows.
+const phaseTime = 6 * time.Second
+
+// disturb plays planned work and disturbances by turns until the time is up.
+// Each phase begins its steps close together, so that they overlap.
+func (w *World) disturb(ctx context.Context) {
+	end := time.Now().Add(w.s.For - settleTime - endTime)
+	var steps sync.WaitGroup
+	defer steps.Wait()
+	for planned := true; time.Now().Before(end) && ctx.Err() == nil; planned = !planned {
+		until := time.Now().Add(phaseTime)
+		for time.Now().Before(until) && ctx.Err() == nil {
+			if planned {
+				w.plan(ctx, &steps)
+			} else {
+				w.fault(ctx, &steps)
+			}
+			pause(ctx, time.Duration(300+w.random.IntN(1200))*time.Millisecond)
+		}
+		steps.Wait()
+		if planned {
+			continue
+		}
+		// The bounds of planned work hold again only some time after a disturbance.
+		pause(ctx, phaseTime)
+	}
+	if w.s.Break == string(ledger.Recovery) {
+		w.store.Fail(platformtest.Silent)
+		for _, e := range w.entries {
+			w.restart(ctx, e, os.Kill, 0)
+		}
+	}
+}
+
+// spoil has the world break the promise that was asked for.
+func (w *World) spoil() {
+	manner := map[string]platformtest.Manner{
+		string(ledger.Whole): platformtest.Swap, string(ledger.Once): platformtest.Twin, string(ledger.NotRun): platformtest.Liar,
+	}[w.s.Break]
+	if manner == platformtest.Sound {
+		return
+	}
+	for _, t := range w.targets {
+		t.SetManner(func(r *http.Request) platformtest.Manner {
+			if strings.HasSuffix(r.URL.Path, "7") || strings.HasSuffix(r.URL.RawQuery, "7") {
+				return manner
+			}
+			return platformtest.Sound
+		})
+	}
+}
+
+// plan begins one step of planned work.
+func (w *World) plan(ctx context.Context, steps *sync.WaitGroup) {
+	e := w.entries[w.random.IntN(len(w.entries))]
+	switch w.random.IntN(6) {
+	case 0, 1:
+		w.note("stop %s", e.name)
+		signal := os.Signal(syscall.SIGTERM)
+		if w.s.Break == string(ledger.Stop) {
+			signal = os.Kill
+		}
+		steps.Go(func() { w.restart(ctx, e, signal, time.Second) })
+		pause(ctx, grace/2)
+	case 2:
+		next := map[string]string{"s1": "s2", "s2": "s1"}[w.moved]
+		w.note("configuration: moving rule to %s", next)
+		w.configure(next)
+	case 3:
+		w.replace()
+	case 4:
+		zone := zoneNames[w.random.IntN(len(zoneNames))]
+		w.note("evacuate %s", zone)
+		w.store.Set("op/evacuate/"+zone, "{}")
+		steps.Go(func() {
+			pause(ctx, 3*time.Second)
+			w.store.Remove("op/evacuate/" + zone)
+		})
+	case 5:
+		w.note("reload %s", e.name)
+		e.signal(syscall.SIGHUP)
+	}
+}
+
+// replace adds a target and has an older one of its service leave.
+func (w *World) replace() {
+	live := w.live()
+	t := live[w.random.IntN(len(live))]
+	w.note("replace target %s", t.ID)
+	if err := w.add(t.Service, t.Zone); err != nil {
+		w.note("no new target: %v", err)
+		return
+	}
+	t.left = true
+	w.ledger.Drain(t.ID, time.Now())
+	if w.s.Break != string(ledger.Drain) {
+		t.Register(w.store, "draining", 0)
+	}
+}
+
+// restart ends an entry's process by the signal and starts it again.
+func (w *World) restart(ctx context.Context, e *entry, s os.Signal, after time.Duration) {
+	exited := e.signal(s)
+	select {
+	case <-exited:
+	case <-time.After(grace + time.Second):
+		w.note("%s did not end within its grace period", e.name)
+		<-e.signal(os.Kill)
+	}
+	pause(ctx, after)
+	if err := e.start(); err != nil {
+		w.note("%v", err)
+	}
+}
+
+// fault begins one disturbance, which ends by itself.
+func (w *World) fault(ctx context.Context, steps *sync.WaitGroup) {
+	e := w.entries[w.random.IntN(len(w.entries))]
+	live := w.live()
+	t := live[w.random.IntN(len(live))]
+	d := time.Duration(500+w.random.IntN(3500)) * time.Millisecond
+	begin := func(what string, on, off func()) {
+		w.note("%s for %v", what, d)
+		from := time.Now()
+		on()
+		steps.Go(func() {
+			pause(ctx, d)
+			off()
+			w.ledger.Trouble(from, time.Now())
+		})
+	}
+	behave := func(name string, m platformtest.Manner) {
+		begin("target "+t.ID+" "+name, func() { t.Behave(m) }, func() { t.SetManner(nil); w.spoil() })
+	}
+	storeFails := func(name string, f platformtest.Fault) {
+		begin("store "+name, func() { w.store.Fail(f) }, func() { w.store.Fail(platformtest.None) })
+	}
+	switch w.random.IntN(17) {
+	case 0:
+		begin("kill "+e.name, func() {}, func() { w.restart(ctx, e, os.Kill, 0) })
+	case 1:
+		begin("freeze "+e.name, func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
+	case 2:
+		storeFails("silent", platformtest.Silent)
+	case 3:
+		storeFails("busy", platformtest.Busy)
+	case 4:
+		storeFails("loses answers", platformtest.Lost)
+	case 5:
+		begin("store forgets", w.store.Compact, func() {})
+	case 6:
+		begin("store cut off from "+e.name, func() { e.store.Cut(true) }, func() { e.store.Cut(false); e.store.Reset() })
+	case 7:
+		begin("store mute to "+e.name, func() { e.store.Mute(true) }, func() { e.store.Mute(false) })
+	case 8:
+		begin("store slow to "+e.name, func() { e.store.Delay(200 * time.Millisecond) }, func() { e.store.Delay(0) })
+	case 9:
+		begin("connections of "+t.ID+" reset", t.proxy.Reset, func() {})
+	case 10:
+		begin("connections of "+t.ID+" silent", t.proxy.Silence, func() {})
+	case 11:
+		begin("target "+t.ID+" cut off", func() { t.proxy.Cut(true) }, func() { t.proxy.Cut(false); t.proxy.Reset() })
+	case 12:
+		behave("mute", platformtest.Mute)
+	case 13:
+		behave("cuts answers", platformtest.Cut)
+	case 14:
+		behave("full", platformtest.Full)
+	case 15:
+		behave("frozen", platformtest.Frozen)
+	case 16:
+		begin("target "+t.ID+" slow", func() { t.proxy.Delay(150 * time.Millisecond) }, func() { t.proxy.Delay(0) })
+	}
+}
--- /dev/null
+++ b/internal/soak/world/world.go
@@ -0,0 +1,261 @@
+package world
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tamarackspool/internal/soak/ledger"
+	"tamarackspool/internal/soak/proxy"
+	"tamarackspool/platform/platformtest"
+)
+
+// zones holds the region of each availability zone.
+var zones = map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+
+var zoneNames = []string{"a1", "b1", "a2", "b2"}
+
+func zoneList() string {
+	var list []string
+	for _, z := range zoneNames {
+		list = append(list, z+"="+zones[z])
+	}
+	return strings.Join(list, ",")
+}
+
+// World is one soak.
+type World struct {
+	s      Settings
+	random *rand.Rand
+	ledger *ledger.Ledger
+	store  *platformtest.Store
+	server *http.Server
+
+	mu      sync.Mutex
+	entries []*entry
+	targets []*target
+
+	version int
+	moved   string // moved is the service of the moving rule.
+	ids     int
+	steps   int
+}
+
+// New returns a world whose store and targets run; its entries do not yet.
+func New(s Settings) (*World, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	w := &World{
+		s: s, random: rand.New(rand.NewPCG(s.Seed, 0x736f616b)), ledger: ledger.New(), store: platformtest.NewStore(), moved: "s1",
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w.server = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Minute}
+	go func() {
+		if err := w.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic(fmt.Sprintf("world: store: %v", err))
+		}
+	}()
+	for i := range s.Nodes {
+		p, err := proxy.New(l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		w.entries = append(w.entries, &entry{
+			name: fmt.Sprint("e", i), zone: zoneNames[i%len(zoneNames)], store: p, program: s.Program, seeds: w.seeds,
+		})
+	}
+	for i := range 3 * len(zoneNames) {
+		if err := w.add([]string{"s1", "s2", "s3"}[i%3], zoneNames[i%len(zoneNames)]); err != nil {
+			return nil, err
+		}
+	}
+	w.configure(w.moved)
+	return w, nil
+}
+
+// add starts and registers one more target.
+func (w *World) add(service, zone string) error {
+	w.ids++
+	t, err := newTarget(fmt.Sprint("t", w.ids), service, zone, int64(w.ids))
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.targets = append(w.targets, t)
+	w.mu.Unlock()
+	t.Register(w.store, "ready", 0)
+	return nil
+}
+
+// configure writes the next version, in which the service runs the moving rule.
+func (w *World) configure(service string) {
+	w.version += 1 + w.random.IntN(3)
+	w.moved = service
+	w.ledger.Version(service, time.Now())
+	if w.s.Break == string(ledger.Version) && w.version > 5 {
+		return
+	}
+	w.store.Configure(w.version, []platformtest.Rule{
+		{Prefix: "/r/", Kind: "safe", Service: "s1", Timeout: 3 * time.Second},
+		{Prefix: movePrefix, Kind: "safe", Service: service, Timeout: 3 * time.Second},
+		{Prefix: "/o/", Kind: "unsafe", Service: "s2", Timeout: 3 * time.Second},
+		{Prefix: "/u/", Kind: "upload", Service: "s3", Timeout: 3 * time.Second},
+	}, []string{"s1", "s2", "s3"})
+}
+
+// seeds returns the addresses of up to three running entries.
+func (w *World) seeds() []string {
+	var list []string
+	for _, e := range w.entries {
+		if _, _, peer := e.addresses(); peer != "" && len(list) < 3 {
+			list = append(list, peer)
+		}
+	}
+	return list
+}
+
+// directory returns the look-up address of a random entry; empty when it has none yet.
+func (w *World) directory(r *rand.Rand) string {
+	_, directory, _ := w.entries[r.IntN(len(w.entries))].addresses()
+	return directory
+}
+
+// settleTime is how long the world runs before the first disturbance.
+const settleTime = 3 * time.Second
+
+// endTime is how long it runs behind the last one, so that callers are served again.
+const endTime = 12 * time.Second
+
+// Run runs the world and returns what was found. No process outlives it.
+func (w *World) Run(ctx context.Context) (Report, error) {
+	defer w.close()
+	for _, e := range w.entries {
+		if err := e.start(); err != nil {
+			return Report{}, err
+		}
+	}
+	if err := w.await(ctx); err != nil {
+		return Report{}, err
+	}
+	callers, stop := context.WithCancel(ctx)
+	defer stop()
+	var calling sync.WaitGroup
+	for i := range min(4*w.s.Nodes, 120) {
+		c := &caller{w: w, number: i, random: rand.New(rand.NewPCG(w.s.Seed, uint64(i)+1)), client: &http.Client{Transport: &http.Transport{}}}
+		calling.Go(func() { c.run(callers) })
+	}
+	pause(ctx, settleTime)
+	w.spoil()
+	w.disturb(ctx)
+	pause(ctx, endTime)
+	stop()
+	calling.Wait()
+	return w.report(), ctx.Err()
+}
+
+// await waits until every entry has said where it listens.
+func (w *World) await(ctx context.Context) error {
+	for range 300 {
+		ready := true
+		for _, e := range w.entries {
+			call, _, _ := e.addresses()
+			ready = ready && call != ""
+		}
+		if ready {
+			return nil
+		}
+		if !pause(ctx, 100*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	return errors.New("world: the entries did not start within 30 s")
+}
+
+// pause reports whether the time has passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// maxShown is the number of broken promises whose log lines are kept.
+const maxShown = 3
+
+func (w *World) report() Report {
+	var runs []ledger.Run
+	for _, t := range w.targets {
+		runs = append(runs, t.runs()...)
+	}
+	r := Report{Runs: len(runs), Steps: w.steps, Broken: w.ledger.Check(runs)}
+	r.Asked, r.Served = w.ledger.Attempts()
+	for _, b := range r.Broken[:min(len(r.Broken), maxShown)] {
+		if b.ID == "" {
+			continue
+		}
+		for _, e := range w.entries {
+			r.Lines = append(r.Lines, e.grep("id="+b.ID+" ")...)
+		}
+	}
+	return r
+}
+
+func (w *World) close() {
+	for _, e := range w.entries {
+		if e.cmd != nil {
+			e.signal(syscall.SIGCONT)
+			<-e.signal(os.Kill)
+		}
+		e.store.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, t := range w.targets {
+		t.close(ctx)
+	}
+	_ = w.server.Close()
+	w.store.Close()
+}
+
+// Running returns the number of entries whose process has not ended.
+func (w *World) Running() int {
+	n := 0
+	for _, e := range w.entries {
+		select {
+		case <-e.exited:
+		default:
+			n++
+		}
+	}
+	return n
+}
+
+// note writes a line of the schedule.
+func (w *World) note(format string, args ...any) {
+	w.steps++
+	if w.s.Notes != nil {
+		_, _ = fmt.Fprintf(w.s.Notes, "%s %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+	}
+}
+
+// live returns the targets that have not begun to leave.
+func (w *World) live() []*target {
+	return slices.DeleteFunc(slices.Clone(w.targets), func(t *target) bool { return t.left })
+}
--- /dev/null
+++ b/internal/soak/world/world_test.go
@@ -0,0 +1,109 @@
+package world_test
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/soak/ledger"
+	"tamarackspool/internal/soak/world"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "tamarackedge")
+	if out, err := exec.Command("go", "build", "-o", program, "tamarackspool/cmd/tamarackedge").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func soak(t *testing.T, ctx context.Context, s world.Settings) world.Report {
+	t.Helper()
+	s.Program, s.For, s.Nodes = program, 20*time.Second, 3
+	w, err := world.New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := w.Run(ctx)
+	if err != nil && ctx.Err() == nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against promises that the real programs break under disturbances. A
+// seed that ever failed is added here with a line on its cause.
+func TestSeeds(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{1, 2} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			r := soak(t, t.Context(), world.Settings{Seed: seed})
+			if len(r.Broken) > 0 {
+				t.Errorf("seed %d: %v\n%s", seed, r.Broken, strings.Join(r.Lines, "\n"))
+			}
+			if r.Served < 500 || r.Runs < r.Served {
+				t.Errorf("seed %d: %d requests served, %d runs", seed, r.Served, r.Runs)
+			}
+		})
+	}
+}
+
+// Guards against a soak that finds nothing when a promise is broken.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	t.Parallel()
+	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery} {
+		t.Run(string(p), func(t *testing.T) {
+			t.Parallel()
+			r := soak(t, t.Context(), world.Settings{Seed: 3, Break: string(p)})
+			for _, b := range r.Broken {
+				if b.Promise == p {
+					return
+				}
+			}
+			t.Errorf("found %v", r.Broken)
+		})
+	}
+}
+
+// Guards against a process that outlives an interrupted soak.
+func TestInterruptedRunLeavesNoProcess(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	w, err := world.New(world.Settings{Seed: 4, Program: program, For: time.Minute, Nodes: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Run(ctx); err == nil {
+		t.Error("an interrupted run reports no error")
+	}
+	if n := w.Running(); n != 0 {
+		t.Errorf("%d processes run on", n)
+	}
+}
+
+// Guards against a value out of range that is run with.
+func TestSettingsAreChecked(t *testing.T) {
+	for want, s := range map[string]world.Settings{
+		"--for":   {For: time.Second, Nodes: 3},
+		"--nodes": {For: time.Minute, Nodes: 1},
+		"--break": {For: time.Minute, Nodes: 3, Break: "all"},
+	} {
+		if err := s.Check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%+v: %v, want an error that names %s", s, err, want)
+		}
+	}
+}
