internal/request: take only answers that are the target's own, bound the bodies held

Cause: a success without the target's stamp, or with an encoding that nobody asked for, would have been handed on; a target's 503 without a proof would have promised an order not run; bodies were bounded one by one only. Change: an answer is ours, foreign (skipped) or spoiled (a failure); unproven promises of targets become 502 for orders; all bodies together take at most a quarter of the memory; headers that Connection names are not forwarded. Tests: TestOrdersRunAtMostOnce (vague, bare), TestBodiesAreBoundedTogether, TestHeadersOfTheConnectionAreNotForwarded.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -127,12 +127,7 @@
 
 // send sends the request to the target of a seat.
 func (e *Edge) send(ctx context.Context, q *query, s *seat, earlier int) (*upstream.Answer, *upstream.Failure) {
-	h := make(http.Header, len(q.Header)+2)
-	for name, values := range q.Header {
-		if !inbound.PerConnection(name) {
-			h[name] = values
-		}
-	}
+	h := inbound.Forwarded(q.Header)
 	e.d.Headers.SetDeadline(h, time.Until(q.deadline))
 	e.d.Headers.SetTarget(h, s.target.ID())
 	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(),
@@ -143,7 +138,7 @@
 	a, err := e.pool.Do(ctx, upstream.Call{
 		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
 		Framed: q.Method != http.MethodGet && q.Method != http.MethodHead, Once: q.rule.Kind() != book.Safe,
-		Mine: func(status int, h http.Header) bool { return e.mine(q, status, h) },
+		Claim: func(status int, h http.Header) upstream.Claim { return e.claim(q, status, h) },
 	})
 	if err != nil {
 		var f *upstream.Failure
@@ -156,15 +151,42 @@
 	return a, nil
 }
 
-// mine reports whether an answer belongs to the request: a success must say so, a failure must not deny it.
-func (e *Edge) mine(q *query, status int, h http.Header) bool {
+// claim says what an answer is to the request. A success must name the request
+// and be the target's own; a failure must not name another.
+func (e *Edge) claim(q *query, status int, h http.Header) upstream.Claim {
 	id := e.d.Headers.RequestID(h)
-	return id == q.id || id == "" && status >= http.StatusBadRequest
+	success := status < http.StatusMultipleChoices
+	switch {
+	case id != q.id && (id != "" || success):
+		return upstream.Foreign
+	case success && (!e.d.Headers.Stamped(h) || h.Get("Content-Encoding") != ""):
+		return upstream.Spoiled
+	default:
+		return upstream.Ours
+	}
+}
+
+// promises reports whether callers take the status for a promise that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // deliver hands a target's answer to the caller.
 func (e *Edge) deliver(q *query, s *seat, a *upstream.Answer) *inbound.Answer {
 	s.gauge.Answered()
+	if promises(a.Status) && q.rule.Kind() != book.Safe {
+		// The target does not prove what the status would promise.
+		if a.Rest != nil {
+			_ = a.Rest.Close()
+		}
+		e.events.Log(event.RequestFailed, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
+		e.meters.ended(q, outcomeFailed)
+		return inbound.Refusal(http.StatusBadGateway)
+	}
 	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
 	e.meters.ended(q, outcomeAnswered)
 	return &inbound.Answer{Status: a.Status, Header: a.Header, Body: a.Body, Rest: a.Rest, Length: a.Length}
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -72,7 +72,7 @@
 		runs   int
 	}{
 		{platformtest.Sound, 200, 1}, {platformtest.Hollow, 500, 1}, {platformtest.Mute, 502, 1}, {platformtest.Cut, 502, 1},
-		{platformtest.Frozen, 504, 1}, {platformtest.Full, 503, 0},
+		{platformtest.Frozen, 504, 1}, {platformtest.Full, 503, 0}, {platformtest.Vague, 502, 1}, {platformtest.Bare, 502, 1},
 	} {
 		play(t, []string{"a1"}, func(f *fleet) {
 			f.configure(1, rule("order", "/o/", "unsafe", `,"service":"s1","timeoutS":2`))
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -43,12 +43,18 @@
 func (e *Edge) Limits() inbound.Limits {
 	b := e.view.Load().book
 	if b == nil {
-		return inbound.Limits{Header: startHeader, Body: startBody, HeaderTimeout: startWait, IdleTimeout: startWait}
+		return inbound.Limits{Header: startHeader, Body: startBody, HeaderTimeout: startWait, IdleTimeout: startWait, Held: e.held()}
 	}
 	l := b.Limits()
-	return inbound.Limits{Header: l.Header, Body: l.Body, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
+	return inbound.Limits{Header: l.Header, Body: l.Body, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, Held: e.held()}
 }
 
+// bodyPart is the part of the process's memory that bodies may take together;
+// the rest is for connections, answers and garbage.
+const bodyPart = 4
+
+func (e *Edge) held() int64 { return e.s.Memory / bodyPart }
+
 // Repeatable reports whether the request's rule lets it run more than once.
 func (e *Edge) Repeatable(r *inbound.Request) bool {
 	b := e.view.Load().book
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -68,6 +68,7 @@
 	SetTarget(h http.Header, id string)
 	Object(h http.Header) string
 	NotRun(status int, h http.Header) bool
+	Stamped(h http.Header) bool
 	Load(h http.Header) (running, waiting, slots int, ok bool)
 }
 
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -83,6 +83,7 @@
 	for c.await() {
 		r, err := c.next()
 		if err != nil {
+			c.release(r)
 			c.reject(err)
 			return
 		}
@@ -231,6 +232,10 @@
 		_ = c.raw.SetReadDeadline(time.Now().Add(bodyPause))
 		n, err := hr.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		r.held += int64(n)
+		if c.s.held.Add(int64(n)) > limits.Held {
+			return &problem{http.StatusServiceUnavailable, "too many bytes of bodies are held"}
+		}
 		if int64(len(buffer)) > limits.Body {
 			return &problem{http.StatusRequestEntityTooLarge, "body is too large"}
 		}
@@ -248,6 +253,7 @@
 // admit starts the work on a request and reports whether to read on.
 func (c *conn) admit(r *Request) bool {
 	if c.ctx.Err() != nil {
+		c.release(r)
 		return false
 	}
 	last := r.close || r.old
@@ -257,10 +263,21 @@
 	e := &exchange{request: r, answer: make(chan *Answer, 1)}
 	c.pending.Add(1)
 	c.queue <- e
-	go func() { e.answer <- c.s.handler.Serve(c.ctx, r) }()
+	go func() {
+		defer c.release(r)
+		e.answer <- c.s.handler.Serve(c.ctx, r)
+	}()
 	return true
 }
 
+// release gives the room of the request's body back.
+func (c *conn) release(r *Request) {
+	if r != nil {
+		c.s.held.Add(-r.held)
+		r.held = 0
+	}
+}
+
 // reject answers a request that could not be read, behind the earlier answers.
 func (c *conn) reject(err error) {
 	var timeout net.Error
--- a/internal/request/inbound/message.go
+++ b/internal/request/inbound/message.go
@@ -17,8 +17,9 @@
 	Body    []byte
 	Arrived time.Time // Arrived is when the header was complete.
 
-	close bool // close says that the caller takes no further answer on the connection.
-	old   bool // old is set for HTTP/1.0.
+	held  int64 // held is how many bytes of the body count as held.
+	close bool  // close says that the caller takes no further answer on the connection.
+	old   bool  // old is set for HTTP/1.0.
 }
 
 // Answer is what a caller receives.
@@ -37,6 +38,7 @@
 	Body          int64
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
+	Held          int64 // Held is how many bytes of bodies are held at once, of all requests together.
 }
 
 // Handler answers requests; its methods are called from several goroutines.
--- a/internal/request/inbound/server.go
+++ b/internal/request/inbound/server.go
@@ -20,6 +20,7 @@
 type Server struct {
 	handler Handler
 	phase   atomic.Int32
+	held    atomic.Int64 // held is how many bytes of bodies are held.
 
 	mu    sync.Mutex
 	conns map[*conn]bool
--- a/internal/request/inbound/server_test.go
+++ b/internal/request/inbound/server_test.go
@@ -25,7 +25,7 @@
 }
 
 func newDesk() *desk {
-	return &desk{limits: inbound.Limits{Header: 1024, Body: 4096, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second}}
+	return &desk{limits: inbound.Limits{Header: 1024, Body: 4096, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second, Held: 6000}}
 }
 
 func (d *desk) Limits() inbound.Limits             { return d.limits }
@@ -243,3 +243,37 @@
 		}
 	})
 }
+
+// Guards against bodies that together take more memory than there is, and
+// against room that is not given back.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	d := newDesk()
+	play(t, d, func(_ *inbound.Server, l *line) {
+		post := func() *bufio.Reader {
+			c := l.dial()
+			send(c, "POST /2s/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 4000\r\n\r\n"+strings.Repeat("x", 4000))
+			return bufio.NewReader(c)
+		}
+		first := post()
+		time.Sleep(time.Second)
+		if got := answer(post()); got != "503  close" {
+			t.Errorf("second body: %.20q", got)
+		}
+		if got := answer(first); !strings.HasPrefix(got, "200 ") {
+			t.Errorf("first body: %.20q", got)
+		}
+		if got := answer(post()); !strings.HasPrefix(got, "200 ") {
+			t.Errorf("third body: %.20q", got)
+		}
+	})
+}
+
+// Guards against headers of one connection that reach another.
+func TestHeadersOfTheConnectionAreNotForwarded(t *testing.T) {
+	got := inbound.Forwarded(http.Header{
+		"Connection": {"close, x-hop"}, "X-Hop": {"1"}, "Keep-Alive": {"1"}, "Transfer-Encoding": {"chunked"}, "X-Kept": {"1"},
+	})
+	if len(got) != 1 || got.Get("X-Kept") != "1" {
+		t.Errorf("forwarded %v", got)
+	}
+}
--- a/internal/request/inbound/writer.go
+++ b/internal/request/inbound/writer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -23,8 +24,23 @@
 	"Proxy-Authorization": true,
 }
 
-// PerConnection reports whether a header concerns one connection only and is not forwarded.
-func PerConnection(name string) bool { return perConnection[name] }
+// Forwarded returns the headers without those that concern one connection
+// only: the fixed ones and those that the header Connection names.
+func Forwarded(h http.Header) http.Header {
+	named := make(map[string]bool)
+	for _, line := range h["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+		}
+	}
+	kept := make(http.Header, len(h)+2)
+	for name, values := range h {
+		if !perConnection[name] && !named[name] {
+			kept[name] = values
+		}
+	}
+	return kept
+}
 
 func (w writer) write(r *Request, a *Answer, shut bool) error {
 	bare := r.Method == http.MethodHead || a.Status == http.StatusNoContent || a.Status == http.StatusNotModified
@@ -56,10 +72,7 @@
 		text = "Status"
 	}
 	_, _ = w.bw.WriteString("HTTP/1.1 " + strconv.Itoa(a.Status) + " " + text + "\r\n")
-	for name, values := range a.Header {
-		if perConnection[name] {
-			continue
-		}
+	for name, values := range Forwarded(a.Header) {
 		for _, v := range values {
 			_, _ = w.bw.WriteString(name + ": " + v + "\r\n")
 		}
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -20,10 +20,20 @@
 	Body    []byte
 	Framed  bool // Framed has a body of length 0 announced.
 	Once    bool // Once says that the request must run at most once.
-	// Mine reports whether an answer belongs to the request.
-	Mine func(status int, h http.Header) bool
+	// Claim says what an answer is to the request.
+	Claim func(status int, h http.Header) Claim
 }
 
+// Claim is what an answer is to a request.
+type Claim uint8
+
+// The claims.
+const (
+	Spoiled Claim = iota // Spoiled answers cannot be handed to a caller.
+	Foreign              // Foreign answers belong to another request and are skipped.
+	Ours                 // Ours is the answer to the request.
+)
+
 // Answer is a target's final answer.
 type Answer struct {
 	Status int
@@ -165,11 +175,14 @@
 			}
 			continue
 		}
-		if !call.Mine(resp.StatusCode, resp.Header) {
+		switch call.Claim(resp.StatusCode, resp.Header) {
+		case Foreign:
 			if foreign++; foreign > maxForeign || skip(resp) != nil {
 				return nil, false, &garbled{"answer to another request"}
 			}
 			continue
+		case Spoiled:
+			return nil, false, &garbled{"answer that is not the target's"}
 		}
 		a, err := read(resp)
 		return a, !resp.Close && foreign == 0, err
--- a/internal/request/upstream/pool_test.go
+++ b/internal/request/upstream/pool_test.go
@@ -51,7 +51,15 @@
 func (r *rig) do(ctx context.Context, id string, change func(*upstream.Call)) string {
 	call := upstream.Call{
 		Address: "t", Method: http.MethodGet, Target: "/x?y=%2f", Host: "a", Header: http.Header{"Id": {id}},
-		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Claim: func(_ int, h http.Header) upstream.Claim {
+			switch {
+			case h.Get("Id") != id:
+				return upstream.Foreign
+			case h.Get("Spoiled") != "":
+				return upstream.Spoiled
+			}
+			return upstream.Ours
+		},
 	}
 	if change != nil {
 		change(&call)
@@ -135,6 +143,7 @@
 		"cut header":                     {"HTTP/1.1 200 OK\r\nId: 1\r\n", "broken sent=true"},
 		"no answer":                      {"", "broken sent=true"},
 		"no protocol":                    {"%%%% nonsense\r\n\r\n", "garbled sent=true"},
+		"spoiled answer":                 {head + "Spoiled: 1\r\nContent-Length: 2\r\n\r\nno", "garbled sent=true"},
 		"chunks":                         {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "200 abc"},
 		"no length":                      {head + "\r\nabc", "200 abc"},
 		"interim answer":                 {"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", "200 ok"},
