internal/entry/edge: log sheds, the load in each answer, the choice of home and answers that were cut

Cause: from an id the on-call could not tell a queue from a slow target, nor why a request was repeated. Change: event 4013, running, waiting and slots in 4006 and 4013, home and first-load in 4005, 4004 when a caller did not take an answer whole.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -53,7 +53,7 @@
 		case f == nil && !e.d.Headers.NotRun(a.Status, a.Header):
 			return e.deliver(q, s, a)
 		case f == nil:
-			e.shed(s, a)
+			e.shed(q, s, a)
 			sent++
 		case f.Kind() == upstream.Cancelled:
 			return e.ended(ctx, q, s)
@@ -103,14 +103,18 @@
 }
 
 // shed notes what an answer says that proves the request not run.
-func (e *Edge) shed(s *seat, a *upstream.Answer) {
+func (e *Edge) shed(q *query, s *seat, a *upstream.Answer) {
+	now := time.Now()
+	running, waiting, _, _ := e.d.Headers.Load(a.Header)
+	e.events.Log(event.RequestShed, "id", q.id, "target", s.target.ID(), "status", a.Status, "running", running, "waiting", waiting,
+		"slots", s.target.Slots(), "after", time.Since(q.Arrived))
 	if a.Status == http.StatusMisdirectedRequest {
 		// Another target has the address: this one has ended.
-		s.gauge.Failed(time.Now())
-		s.gauge.Broke(time.Now())
+		s.gauge.Failed(now)
+		s.gauge.Broke(now)
 		return
 	}
-	s.gauge.Shed(time.Now())
+	s.gauge.Shed(now)
 }
 
 // ended answers a request whose time has passed or whose caller has left.
@@ -131,7 +135,7 @@
 	e.d.Headers.SetDeadline(h, time.Until(q.deadline))
 	e.d.Headers.SetTarget(h, s.target.ID())
 	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(),
-		"object", q.object, "earlier", earlier, "load", s.gauge.Load(time.Now()), "waited", time.Since(q.Arrived), "revision", s.revision)
+		"object", q.object, "earlier", earlier, "home", q.home, "first-load", q.first, "load", s.gauge.Load(time.Now()), "slots", s.target.Slots(), "waited", time.Since(q.Arrived), "revision", s.revision)
 	e.memory.Note(q.key, s.mark, time.Now())
 	s.gauge.Begin()
 	defer s.gauge.End()
@@ -187,9 +191,16 @@
 		e.meters.ended(q, outcomeFailed)
 		return inbound.Refusal(http.StatusBadGateway)
 	}
-	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
+	running, waiting, _, _ := e.d.Headers.Load(a.Header)
+	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived),
+		"running", running, "waiting", waiting, "slots", s.target.Slots())
 	e.meters.ended(q, outcomeAnswered)
-	return &inbound.Answer{Status: a.Status, Header: a.Header, Body: a.Body, Rest: a.Rest, Length: a.Length}
+	return &inbound.Answer{
+		Status: a.Status, Header: a.Header, Body: a.Body, Rest: a.Rest, Length: a.Length,
+		Cut: func(err error) {
+			e.events.Log(event.AnswerCut, "id", q.id, "target", s.target.ID(), "error", err, "after", time.Since(q.Arrived))
+		},
+	}
 }
 
 // choose returns the target for the next attempt, or nil when none may get the request.
@@ -236,7 +247,9 @@
 	if n == 0 {
 		return nil
 	}
-	return seats[order[placement.Pick(homes[:n])]]
+	picked := placement.Pick(homes[:n])
+	q.home, q.first = picked, homes[0].Load
+	return seats[order[picked]]
 }
 
 // chooseCold returns a cold target whose rate allows one more request from this entry.
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -36,7 +36,8 @@
 	deadline time.Time // deadline is when the answer is due: the caller's or the rule's, whichever is first.
 	tried    []*seat
 	ran      bool // ran says that a target may have run the request.
-	header   http.Header
+	home     int  // home is which of the object's places was chosen, 0 for the first.
+	first    int  // first is the load of the first place when the choice was made.
 }
 
 // Limits returns the callers' limits of the configuration in force.
--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -13,6 +13,7 @@
 	CallerLeft       Number = 4010
 	RequestFailed    Number = 4011
 	RequestUnknown   Number = 4012
+	RequestShed      Number = 4013
 )
 
 var request = []Entry{
@@ -27,4 +28,5 @@
 	{CallerLeft, "caller-left", "the caller closed its connection before the answer", "none"},
 	{RequestFailed, "request-failed", "a request ended without a whole answer and may have run", "look at the target named"},
 	{RequestUnknown, "request-unknown", "no rule of the configuration in force matches the request", "compare the version with the operators' newest"},
+	{RequestShed, "request-shed", "a target proved that it has not run the request: it was full, or another target has its address", "none; look at the target's load in the line"},
 }
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -353,6 +353,9 @@
 	}
 	w := writer{bw: c.bw, raw: c.raw}
 	if err := w.write(e.request, a, shut); err != nil {
+		if a.Cut != nil {
+			a.Cut(err)
+		}
 		return false
 	}
 	return !shut
--- a/internal/request/inbound/message.go
+++ b/internal/request/inbound/message.go
@@ -30,6 +30,7 @@
 	Rest   io.ReadCloser // Rest follows Body and may be nil; an error other than io.EOF cuts the connection.
 	Length int64         // Length is that of Body and Rest; negative when unknown.
 	Close  bool          // Close ends the connection behind the answer.
+	Cut    func(error)   // Cut is called when the answer could not be written whole; it may be nil.
 }
 
 // Limits bound what a caller may send and how long it may take.
