--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -36,7 +36,7 @@
 // than others holds up to that many times its even part. Uploads are a small
 // part of the work and most of the bytes.
 const (
-	lightReach = 1.0
+	lightReach = 0.8
 	heavyReach = 3
 )
 
