internal/site/mirror: leave a reader that is out of touch before a version is late

Change: the store counts as heard with each lease renewal (0.9 s), readers are left 1.25 s after its last word; from 40 entries in a region on, those of a zone share one that asks the region's reader; only benches whose targets changed are made anew. TestEntriesLeaveAReaderThatIsCutOff failed with the old bound.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"tamarackspool/internal/record/event"
@@ -25,6 +26,8 @@
 
 	book    *book.Book
 	seats   map[string]*seat // seats is by the target's id.
+	benches map[string]*bench
+	dirty   map[string]bool // dirty holds the services whose bench must be made anew.
 	closed  map[string]bool
 	entries map[string]census.Entry
 }
@@ -32,7 +35,8 @@
 func newBelief(keys Keys, events *event.Log, self census.Entry, regions int) *belief {
 	return &belief{
 		keys: keys, events: events, self: self, regions: regions,
-		seats: make(map[string]*seat), closed: make(map[string]bool), entries: make(map[string]census.Entry),
+		seats: make(map[string]*seat), benches: make(map[string]*bench), dirty: make(map[string]bool),
+		closed: make(map[string]bool), entries: make(map[string]census.Entry),
 	}
 }
 
@@ -94,6 +98,9 @@
 }
 
 func (b *belief) evacuate(zone string, it mirror.Item, now time.Time) {
+	for service := range b.benches {
+		b.dirty[service] = true
+	}
 	if !it.Removed {
 		b.closed[zone] = true
 		b.events.Log(event.ZoneEvacuated, "zone", zone, "revision", it.Revision)
@@ -126,6 +133,7 @@
 	if it.Removed {
 		if old != nil {
 			delete(b.seats, id)
+			b.dirty[old.target.Service()] = true
 			b.events.Log(event.TargetGone, "target", id, "service", old.target.Service(), "revision", it.Revision)
 		}
 		return nil
@@ -134,6 +142,10 @@
 	if err != nil {
 		return err
 	}
+	if old != nil {
+		b.dirty[old.target.Service()] = true
+	}
+	b.dirty[t.Service()] = true
 	b.seats[id] = b.seat(old, t, it, now)
 	return nil
 }
@@ -187,17 +199,30 @@
 	return nil
 }
 
+// rebuild makes the benches of the services anew whose targets have changed.
+func (b *belief) rebuild() {
+	seats := make(map[string][]*seat, len(b.dirty))
+	for _, s := range b.seats {
+		if b.dirty[s.target.Service()] {
+			seats[s.target.Service()] = append(seats[s.target.Service()], s)
+		}
+	}
+	for service := range b.dirty {
+		list := seats[service]
+		slices.SortFunc(list, func(x, y *seat) int { return strings.Compare(x.target.ID(), y.target.ID()) })
+		b.benches[service] = newBench(list, b.closed, b.self.Region, b.regions)
+		if len(list) == 0 {
+			delete(b.benches, service)
+		}
+	}
+	clear(b.dirty)
+}
+
 // view returns what is believed now.
 func (b *belief) view(revision uint64) *view {
 	v := &view{book: b.book, seats: make(map[string]*bench), closed: maps.Clone(b.closed), revision: revision}
-	seats := make(map[string][]*seat)
-	for _, id := range slices.Sorted(maps.Keys(b.seats)) {
-		s := b.seats[id]
-		seats[s.target.Service()] = append(seats[s.target.Service()], s)
-	}
-	for service, list := range seats {
-		v.seats[service] = newBench(list, v.closed, b.self.Region, b.regions)
-	}
+	b.rebuild()
+	maps.Copy(v.seats, b.benches)
 	v.stored = slices.Sorted(maps.Keys(b.entries))
 	entries := maps.Clone(b.entries)
 	entries[b.self.Name] = b.self
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -429,3 +429,31 @@
 		}
 	})
 }
+
+// Guards against a version that comes late to entries whose reader is cut off
+// from the store just before it, and against entries that leave a sound reader.
+func TestEntriesLeaveAReaderThatIsCutOff(t *testing.T) {
+	play(t, []string{"a1", "a1", "a2"}, func(f *fleet) {
+		f.target("t1", "s1", "a1", nil)
+		f.target("t2", "s2", "a1", nil)
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		time.Sleep(20 * time.Second)
+		if f.log.has("name=reader-left") {
+			t.Error("a sound reader was left")
+		}
+		f.store.SetFault(func(caller, _ string) platformtest.Fault {
+			if caller == "10.2.0.1" {
+				return platformtest.Silent
+			}
+			return platformtest.None
+		})
+		f.configure(2, rule("read", "/r/", "safe", `,"service":"s2"`))
+		time.Sleep(1900 * time.Millisecond)
+		for _, e := range []string{"e1", "e2"} {
+			if got := f.call(e, "GET", "/r/"); !strings.HasPrefix(got.body, "t2") {
+				t.Errorf("%s after 1.9 s: %v", e, got)
+			}
+		}
+		f.store.Fail(platformtest.None)
+	})
+}
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -48,6 +48,9 @@
 	defer cancel()
 	if lease != 0 {
 		err := e.d.Store.Renew(ctx, lease)
+		if err == nil {
+			e.follower.Heard()
+		}
 		if err == nil && e.registered() {
 			return lease
 		}
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -119,15 +119,26 @@
 	return &peer{address: addresses[rand.N(len(addresses))], dial: p.d.Dial, once: true}
 }
 
-// Reader returns the entry that reads the store for the region, so that the
+// manyEntries is the number of entries of a region from which those of a zone
+// share one that asks the region's: their answers would fill the region's
+// link, and the links between zones, otherwise.
+const manyEntries = 40
+
+// Reader returns the entry that reads the store for this one, so that the
 // calls to the store grow with the regions and not with the entries.
-func (p *peers) Reader() mirror.Source {
-	chosen, ok := census.Strongest(p.view.Load().entries, p.s.Region)
-	if !ok {
-		return nil
-	}
-	if chosen.Name == p.s.Name {
-		return nil
+func (p *peers) Reader() (mirror.Source, int) {
+	entries := p.view.Load().entries
+	inRegion := func(o census.Entry) bool { return o.Region == p.s.Region }
+	chosen, ok := census.Strongest(entries, inRegion)
+	if !ok || chosen.Name == p.s.Name {
+		return nil, 0
+	}
+	between := 0
+	if census.Count(entries, inRegion) >= manyEntries {
+		nearer, ok := census.Strongest(entries, func(o census.Entry) bool { return o.Zone == p.s.Zone })
+		if ok && nearer.Name != p.s.Name && nearer.Name != chosen.Name {
+			chosen, between = nearer, 1
+		}
 	}
 	if p.reader == nil || p.reader.address != chosen.Peer {
 		if p.reader != nil {
@@ -135,7 +146,7 @@
 		}
 		p.reader = &peer{address: chosen.Peer, dial: p.d.Dial}
 	}
-	return p.reader
+	return p.reader, between
 }
 
 // peer is another entry as a source of changes; one goroutine asks it at a time.
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -18,8 +18,9 @@
 
 // Peers chooses other entries to ask.
 type Peers interface {
-	// Reader returns the entry that reads the store for this one, or nil when this one reads it itself.
-	Reader() Source
+	// Reader returns the entry that reads the store for this one, or nil when
+	// this one reads it itself, and how many entries stand between it and the store.
+	Reader() (Source, int)
 	// Peer returns an entry to ask while the store is silent; nil when none is known.
 	Peer() Source
 }
@@ -35,13 +36,15 @@
 	startEvery = 150 * time.Millisecond // startEvery is the same for an entry that knows nothing yet.
 	peerWait   = 600 * time.Millisecond // peerWait bounds one question to a peer.
 
-	readerWait  = 900 * time.Millisecond // readerWait is how long the entry that reads for others holds a call open.
+	readerWait  = 500 * time.Millisecond // readerWait is how long the entry that reads for others holds a call open.
 	readerGrace = 400 * time.Millisecond // readerGrace is how long its answer may take beyond that.
 	distrust    = 3 * time.Second        // distrust is how long an entry reads the store itself after its reader failed.
 )
 
-// Stale is the age of the last answer from which an entry asks its peers too.
-const Stale = wait + 200*time.Millisecond
+// Stale is the age of the store's last word from which an entry asks its peers
+// too. The store is heard with each renewal of the entry's lease, about once a
+// second; a reader out of touch is left before a version is late.
+const Stale = 1250 * time.Millisecond
 
 // Follower keeps a mirror up to date.
 type Follower struct {
@@ -63,6 +66,9 @@
 	return &Follower{mirror: m, store: store, peers: peers, events: events, change: change, start: time.Now()}
 }
 
+// Heard notes that the store has answered another call of this entry.
+func (f *Follower) Heard() { f.heard.Store(int64(time.Since(f.start))) }
+
 // Age returns how long ago the store last answered.
 func (f *Follower) Age() time.Duration {
 	return time.Since(f.start) - time.Duration(f.heard.Load())
@@ -113,7 +119,7 @@
 // whether there is one, and whether what it holds is as good as the store's.
 func (f *Follower) askReader(ctx context.Context) (asked, ok bool) {
 	after := f.mirror.Revision()
-	reader := f.peers.Reader()
+	reader, between := f.peers.Reader()
 	if reader == nil || after == 0 {
 		return false, false
 	}
@@ -123,7 +129,7 @@
 	if ctx.Err() != nil {
 		return true, true
 	}
-	if err != nil || b.Age > Stale || b.Revision < after {
+	if err != nil || b.Age > Stale+time.Duration(between)*readerWait || b.Revision < after {
 		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after)
 		return true, false
 	}
@@ -134,7 +140,9 @@
 
 // listened notes that the store was heard from, directly or through a reader.
 func (f *Follower) listened(b Batch) {
-	f.heard.Store(int64(time.Since(f.start) - b.Age))
+	if at := int64(time.Since(f.start) - b.Age); at > f.heard.Load() {
+		f.heard.Store(at)
+	}
 	if f.lost {
 		f.lost = false
 		f.events.Log(event.StoreRestored, "revision", b.Revision)
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -54,11 +54,11 @@
 // ring is the peers of a follower.
 type ring struct{ reader, peer *well }
 
-func (r ring) Reader() mirror.Source {
+func (r ring) Reader() (mirror.Source, int) {
 	if r.reader == nil {
-		return nil
+		return nil, 0
 	}
-	return r.reader
+	return r.reader, 0
 }
 
 func (r ring) Peer() mirror.Source {
