--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -22,7 +22,9 @@
 		f.target("t2", "s2", "b1", nil)
 		settle()
 		for _, c := range []struct{ method, path, want string }{
-			{"GET", "/r/1?q=%2f", "200 t1 GET /r/1?q=%2f"}, {"POST", "/o/1", "200 t2 POST /o/1"}, {"POST", "/u/1", "200 t2 POST /u/1"},
+			{"GET", "/r/1?q=%2f", "200 t1 GET /r/1?q=%2f"},
+			{"POST", "/o/1", "200 t2 POST /o/1"},
+			{"POST", "/u/1", "200 t2 POST /u/1"},
 			{"GET", "/other/", "404 "},
 		} {
 			if got := f.call("e1", c.method, c.path); !strings.HasPrefix(got.String(), c.want) {
@@ -70,8 +72,14 @@
 		want   int
 		runs   int
 	}{
-		{platformtest.Sound, 200, 1}, {platformtest.Hollow, 500, 1}, {platformtest.Mute, 502, 1}, {platformtest.Cut, 502, 1},
-		{platformtest.Frozen, 504, 1}, {platformtest.Full, 503, 0}, {platformtest.Vague, 502, 1}, {platformtest.Bare, 502, 1},
+		{platformtest.Sound, 200, 1},
+		{platformtest.Hollow, 500, 1},
+		{platformtest.Mute, 502, 1},
+		{platformtest.Cut, 502, 1},
+		{platformtest.Frozen, 504, 1},
+		{platformtest.Full, 503, 0},
+		{platformtest.Vague, 502, 1},
+		{platformtest.Bare, 502, 1},
 	} {
 		play(t, []string{"a1"}, func(f *fleet) {
 			f.configure(1, rule("order", "/o/", "unsafe", `,"service":"s1","timeoutS":2`))
--- a/internal/site/book/book_test.go
+++ b/internal/site/book/book_test.go
@@ -28,8 +28,13 @@
 		t.Fatal(err)
 	}
 	for _, c := range []struct{ host, path, want string }{
-		{"a", "/x/1", "short"}, {"a", "/x/y/1", "long"}, {"a", "/x/yz", "short"}, {"a", "/x", ""},
-		{"a", "/z/", ""}, {"b", "/x/y/", "other"}, {"c", "/x/", ""},
+		{"a", "/x/1", "short"},
+		{"a", "/x/y/1", "long"},
+		{"a", "/x/yz", "short"},
+		{"a", "/x", ""},
+		{"a", "/z/", ""},
+		{"b", "/x/y/", "other"},
+		{"c", "/x/", ""},
 	} {
 		r, ok := b.Find(c.host, c.path)
 		if got := ""; ok && r.Name() != c.want || !ok && c.want != got {
