internal/demo/deployment: wait for what a step of the script needs

Change: the drain is submitted again for up to 10 s while it is refused; the fault cut waits up to 10 s for a request in flight. The checks are the same.

--- a/internal/demo/deployment/script.go
+++ b/internal/demo/deployment/script.go
@@ -18,6 +18,9 @@
 	stopAt  = 0.60
 )
 
+// stepLimit is how long a step waits for what it needs.
+const stepLimit = 10 * time.Second
+
 // replaceAfter is how long the platform takes to replace a lost VM.
 const replaceAfter = 1500 * time.Millisecond
 
@@ -157,11 +160,17 @@
 		}
 	}
 	entry := w.plan.entryNames(zoneNames(w.plan.regions[0])[0])[0]
-	n.drainStart = time.Now()
-	_, err := w.operate(ctx, entry, "/drain", map[string]any{
-		"id": "demo-drain", "who": "demo", "why": "maintenance", "name": "maintenance", "targets": []string{n.drained},
-	})
-	return err
+	for begin := time.Now(); ; {
+		n.drainStart = time.Now()
+		_, err := w.operate(ctx, entry, "/drain", map[string]any{
+			"id": "demo-drain", "who": "demo", "why": "maintenance", "name": "maintenance", "targets": []string{n.drained},
+		})
+		// An entry that has not adopted the patch yet makes the drain for an outdated version.
+		if err == nil || time.Since(begin) > stepLimit || ctx.Err() != nil {
+			return err
+		}
+		wait(ctx, replaceAfter/10)
+	}
 }
 
 // lose kills an entry and starts its replacement, which has empty memory.
@@ -186,6 +195,10 @@
 	n.stopStart = time.Now()
 	w.list.Set(n.stopped, true)
 	if w.settings.has(FaultCut) {
+		// Without a request in flight the fault would break nothing.
+		for limit := time.Now().Add(stepLimit); s.node.Flight() == 0 && time.Now().Before(limit); {
+			wait(ctx, time.Millisecond)
+		}
 		s.kill()
 	} else {
 		s.node.Drain(ctx)
--- a/internal/entry/node/run.go
+++ b/internal/entry/node/run.go
@@ -89,6 +89,9 @@
 	})
 }
 
+// Flight returns the number of requests in flight at this entry, relayed ones included.
+func (n *Node) Flight() int64 { return n.flight.Load() }
+
 // counted counts the requests in flight, which a graceful shutdown waits for.
 func (n *Node) counted(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
