--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -11,9 +11,9 @@
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 const (
-	// dialTimeout covers three round trips between regions. A lost opening packet is repeated
-	// after a second, so that another target is the faster way.
-	dialTimeout = 250 * time.Millisecond
+	// dialTimeout covers a round trip between regions behind a full queue of a link of 10 Mbit/s. A
+	// lost opening packet is repeated after a second, so that another target is the faster way then.
+	dialTimeout = 500 * time.Millisecond
 	// keepTime is how long an unused connection is kept when the target states no time.
 	keepTime = 5 * time.Second
 	// keepMargin is taken off the time that the target states, for the way there.
