internal/entry/edge: try another target after a read's failure; divide repeats by the most entries known

Cause: found by reading the diff: a process that has just started knows itself only and could spend the slack of repeats of the whole fleet; a target that closed a connection unused for long counted as just started and was passed over for 3 s, without a line in the log; a read that failed at its target was not tried elsewhere. Change: no slack at a start, sums divided by the most entries known; connections closed within 2 s of their use mark a target as possibly cold (event 3116); a safe request goes to another target after a 5xx when its objective still fits, else the caller gets the target's own answer.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -35,13 +35,21 @@
 // attempts sends the request to one target after another until one answers.
 func (e *Edge) attempts(ctx context.Context, q *query) *inbound.Answer {
 	sent, unsent := 0, 0
+	// failure is a target's own failure, which the caller gets when no other target does better.
+	var failure func() *inbound.Answer
+	giveUp := func(reason string) *inbound.Answer {
+		if failure != nil {
+			return failure()
+		}
+		return e.refuse(q, reason, e.comeBack(q))
+	}
 	for {
 		s := e.choose(q, time.Now())
 		if s == nil {
-			return e.refuse(q, "no target has room", e.comeBack(q))
+			return giveUp("no target has room")
 		}
 		if sent > 0 && !e.budget(q.service).Take(e.peersKnown(), time.Now()) {
-			return e.refuse(q, "repeats are used up", e.comeBack(q))
+			return giveUp("repeats are used up")
 		}
 		if len(q.tried) > 0 {
 			e.events.Log(event.RequestRepeated, "id", q.id, "target", s.target.ID(), "sent", sent, "unsent", unsent, "after", time.Since(q.Arrived))
@@ -51,12 +59,18 @@
 		a, f := e.send(ctx, q, s, sent)
 		switch {
 		case f == nil && !e.d.Headers.NotRun(a.Status, a.Header):
-			return e.deliver(q, s, a)
+			if !e.worthAnother(q, a) {
+				return e.deliver(q, s, a)
+			}
+			failure = func() *inbound.Answer { return e.deliver(q, s, a) }
+			sent++
 		case f == nil:
 			e.shed(q, s, a)
 			sent++
-		case f.Kind() == upstream.Cancelled:
+		case f.Kind() == upstream.Cancelled && failure == nil:
 			return e.ended(ctx, q, s)
+		case f.Kind() == upstream.Cancelled:
+			return failure()
 		case f.Sent():
 			sent++
 			e.failed(q, s, f)
@@ -71,11 +85,18 @@
 			e.failed(q, s, f)
 		}
 		if sent >= q.rule.Attempts() || unsent >= maxUnsent {
-			return e.refuse(q, "attempts are used up", e.comeBack(q))
+			return giveUp("attempts are used up")
 		}
 	}
 }
 
+// worthAnother reports whether another target may do better than an answer:
+// a read that failed at its target, with enough time left for one more run.
+func (e *Edge) worthAnother(q *query, a *upstream.Answer) bool {
+	return q.rule.Kind() == book.Safe && a.Status >= http.StatusInternalServerError && a.Rest == nil &&
+		time.Until(q.deadline) > q.rule.Objective()
+}
+
 // comeBack returns when a caller that is refused may find room.
 func (e *Edge) comeBack(q *query) time.Duration {
 	v, now := e.view.Load(), time.Now()
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -43,6 +43,7 @@
 	mu      sync.Mutex
 	budgets map[string]*spend.Budget // budgets is by service.
 	draws   atomic.Uint64
+	most    atomic.Int64 // most is the largest number of entries that was known at once.
 	memory  *placement.Memory
 	meters  *meters
 	packs   packs
@@ -112,6 +113,7 @@
 	e.belief.apply(items, time.Now())
 	v := e.belief.view(e.mirror.Revision())
 	first := v.book != nil && e.view.Load().book == nil
+	e.most.Store(max(e.most.Load(), int64(len(v.entries))))
 	e.view.Store(v)
 	if first {
 		e.events.Log(event.Serving, "version", v.book.Version(), "revision", v.revision, "after", time.Since(e.started))
@@ -248,12 +250,14 @@
 	}
 }
 
-// lost notes that a target closed a connection that was not in use, as one that ends does.
+// lost notes that a target closed a connection that was used just before, as one that ends does.
 func (e *Edge) lost(address string) {
+	now := time.Now()
 	for _, b := range e.view.Load().seats {
 		for _, s := range b.seats {
 			if s.target.Address() == address {
-				s.gauge.Broke(time.Now())
+				s.gauge.Broke(now)
+				e.events.Log(event.TargetCold, "target", s.target.ID(), "reason", "it closed a connection that was just used", "confirmed", now.Sub(s.confirmed))
 			}
 		}
 	}
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -109,6 +109,7 @@
 	}{
 		{"read, answer lost", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Mute) }},
 		{"read, answer cut", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Cut) }},
+		{"read, failure", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Hollow) }},
 		{"read, full", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Full) }},
 		{"order, full", "POST", "/o/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Full) }},
 		{"order, another target at the address", "POST", "/o/", func(_ *fleet, x *platformtest.Target) { x.ID = "other" }},
@@ -130,6 +131,19 @@
 	}
 }
 
+// Guards against a target's own failure that the caller does not get when no other target is left.
+func TestFailuresOfTargetsAreHandedOn(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		only := f.target("t1", "s1", "a1", nil)
+		only.Behave(platformtest.Hollow)
+		settle()
+		if got := f.call("e0", "GET", "/r/"); got.status != http.StatusInternalServerError || !strings.HasPrefix(got.body, "t1") {
+			t.Errorf("%v, want the target's own failure", got)
+		}
+	})
+}
+
 // Guards against a caller that is kept beyond its rule's timeout, and against a target that works on.
 func TestRuleTimeoutsAreKept(t *testing.T) {
 	play(t, []string{"a1"}, func(f *fleet) {
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -149,14 +149,15 @@
 	defer e.mu.Unlock()
 	b := e.budgets[service]
 	if b == nil {
-		b = spend.New(e.s.Repeats, e.peersKnown(), time.Now())
+		b = spend.New(e.s.Repeats, e.started)
 		e.budgets[service] = b
 	}
 	return b
 }
 
-// peersKnown returns the number of entries among which sums are divided.
-func (e *Edge) peersKnown() int { return max(1, len(e.view.Load().entries)) }
+// peersKnown returns the number of entries among which sums are divided: the
+// most that this process has known, as some may only be out of the store's sight.
+func (e *Edge) peersKnown() int { return int(max(1, e.most.Load())) }
 
 // refuse answers that the request has not run and when to come back.
 func (e *Edge) refuse(q *query, reason string, after time.Duration) *inbound.Answer {
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -164,7 +164,7 @@
 	defer c.settling.Store(false)
 	for c.pending.Load() > 0 && c.ctx.Err() == nil {
 		if c.br.Buffered() > 0 {
-			c.rest()
+			c.awaitAnswer()
 			continue
 		}
 		_ = c.raw.SetReadDeadline(time.Time{})
@@ -180,8 +180,8 @@
 	}
 }
 
-// rest waits for the next answer.
-func (c *conn) rest() {
+// awaitAnswer waits for the next answer.
+func (c *conn) awaitAnswer() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for n := c.pending.Load(); n > 0 && c.pending.Load() == n && c.ctx.Err() == nil; {
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -21,6 +21,9 @@
 	// onceKeep is the longest pause after which a connection may carry a request that must run at most once:
 	// a connection that was closed or forgotten meanwhile would leave its outcome unknown.
 	onceKeep = 1500 * time.Millisecond
+	// recentUse is the pause up to which a closed connection says that its target has ended: targets
+	// close, or forget, connections that are unused for longer.
+	recentUse = 2 * time.Second
 	// maxIdle is the most unused connections kept for one target.
 	maxIdle = 4
 )
@@ -36,7 +39,7 @@
 }
 
 // New returns a pool that opens connections by dial and calls lost, which may
-// be nil, when an unused connection was found closed by the target.
+// be nil, when a connection was found closed by the target soon after its last use.
 func New(dial Dial, lost func(address string)) *Pool {
 	if lost == nil {
 		lost = func(string) {}
@@ -102,7 +105,9 @@
 			c.close()
 		case !c.quiet():
 			c.close()
-			p.lost(address)
+			if now.Sub(c.used) < recentUse {
+				p.lost(address)
+			}
 		default:
 			c.reused = true
 			return c, nil
--- a/internal/steer/spend/budget.go
+++ b/internal/steer/spend/budget.go
@@ -29,10 +29,9 @@
 	at     time.Time
 }
 
-// New returns a budget with its full share of the slack among the given number of entries.
-func New(t Terms, entries int, now time.Time) *Budget {
-	return &Budget{terms: t, slack: share(t, entries), at: now}
-}
+// New returns a budget without slack for a process that started at the given time: it may not
+// know yet among how many entries the slack is divided, and many may start at once.
+func New(t Terms, now time.Time) *Budget { return &Budget{terms: t, at: now} }
 
 func share(t Terms, entries int) float64 { return Margin * t.Slack / float64(max(1, entries)) }
 
