internal/request/inbound: let a request that has begun to arrive finish at a stop

Cause: found by reading: closing the server interrupted every reader, also one in the middle of a header or a body, which was answered 408; an upload under way was cut by a planned stop. Change: only readers that wait for a request are interrupted. TestStopReadsRequestsThatHaveBegun failed with 408 before.

--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -39,6 +39,7 @@
 	pending  atomic.Int32 // pending counts the exchanges that are not answered.
 	idle     sync.Cond    // idle is signalled when pending falls.
 	mu       sync.Mutex
+	reading  bool         // reading is set while a request arrives; mu guards it.
 	used     atomic.Int64 // used is when the last answer was written, in Unix nanoseconds.
 	ended    atomic.Bool  // ended is set when no further request is read.
 	settling atomic.Bool  // settling is set while the reader waits for the answers in progress.
@@ -68,8 +69,25 @@
 	<-written
 }
 
-// wake has a reader that waits for a request look at the server's phase.
-func (c *conn) wake() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
+// wake has a reader that waits for a request look at the server's phase. A
+// request that has begun to arrive is not disturbed.
+func (c *conn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.reading {
+		c.interrupt()
+	}
+}
+
+// interrupt ends a read in progress.
+func (c *conn) interrupt() { _ = c.raw.SetReadDeadline(time.Unix(1, 0)) }
+
+// arriving notes whether a request has begun to arrive.
+func (c *conn) arriving(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = on
+}
 
 // cut ends the connection at once.
 func (c *conn) cut() {
@@ -81,7 +99,9 @@
 // answered, or the connection is to end.
 func (c *conn) read() {
 	for c.await() {
+		c.arriving(true)
 		r, err := c.next()
+		c.arriving(false)
 		if err != nil {
 			c.release(r)
 			c.reject(err)
@@ -110,7 +130,7 @@
 		limit := c.s.handler.Limits().IdleTimeout
 		_ = c.raw.SetReadDeadline(time.Now().Add(limit))
 		if c.s.phase.Load() == closing && c.pending.Load() == 0 {
-			c.wake()
+			c.interrupt()
 		}
 		_, err := c.br.Peek(1)
 		if err == nil {
@@ -328,7 +348,7 @@
 	c.idle.Broadcast()
 	c.mu.Unlock()
 	if c.settling.Load() {
-		c.wake()
+		c.interrupt()
 	}
 }
 
--- a/internal/request/inbound/server_test.go
+++ b/internal/request/inbound/server_test.go
@@ -184,6 +184,27 @@
 	}
 }
 
+// Guards against a stop that cuts an upload whose body is still arriving, or a header.
+func TestStopReadsRequestsThatHaveBegun(t *testing.T) {
+	const text = "POST /1s/ HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd"
+	for _, sent := range []int{10, len(text) - 2} {
+		play(t, newDesk(), func(s *inbound.Server, l *line) {
+			c := l.dial()
+			defer c.Close()
+			_, _ = io.WriteString(c, text[:sent])
+			time.Sleep(100 * time.Millisecond)
+			s.Drain()
+			_ = l.Close()
+			go s.Close(context.Background())
+			time.Sleep(500 * time.Millisecond)
+			send(c, text[sent:])
+			if got, want := answer(bufio.NewReader(c)), "200 POST /1s/ abcd close"; got != want {
+				t.Errorf("stopped after %d bytes: answer %q, want %q", sent, got, want)
+			}
+		})
+	}
+}
+
 // Guards against a stop that waits for connections without a request.
 func TestStopClosesUnusedConnections(t *testing.T) {
 	play(t, newDesk(), func(s *inbound.Server, l *line) {
