internal/entry/edge: log renewals, questions to peers and connections that fail

Cause: three errors were dropped without a line: a renewal that failed, a peer that did not answer, a connection that could not be accepted.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -70,7 +70,7 @@
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
 	e.pool = upstream.New(d.Dial, e.lost)
-	e.server = inbound.New(e)
+	e.server = inbound.New(e, func(err error) { e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.Open()) })
 	e.follower = mirror.NewFollower(e.mirror, d.Store, (*peers)(e), d.Events, e.changed)
 	e.measure()
 	return e, nil
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -60,12 +60,17 @@
 			return lease
 		}
 		if !e.d.Store.Ended(err) {
+			e.events.Log(event.RenewalFailed, "lease", lease, "error", err, "store-age", e.follower.Age())
 			return lease
 		}
 		e.events.Log(event.LeaseLost, "lease", lease, "error", err)
 	}
 	lease, _, err := e.d.Store.Grant(ctx, leaseTime)
-	if err != nil || !e.enrol(ctx, lease) {
+	if err != nil {
+		e.events.Log(event.RenewalFailed, "error", err, "store-age", e.follower.Age())
+		return 0
+	}
+	if !e.enrol(ctx, lease) {
 		return 0
 	}
 	e.events.Log(event.LeaseGranted, "lease", lease)
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -18,6 +18,7 @@
 	ZoneReturned     Number = 2014
 	ReloadIgnored    Number = 2015
 	ReaderLeft       Number = 2016
+	RenewalFailed    Number = 2017
 )
 
 var configuration = []Entry{
@@ -37,4 +38,5 @@
 	{ZoneReturned, "zone-returned", "an availability zone is taken back into use", "none"},
 	{ReloadIgnored, "reload-ignored", "a reload was asked for; settings are read at the start only", "restart the entry to change its settings"},
 	{ReaderLeft, "reader-left", "the entry that reads the key-value service for this one failed or is out of touch; this one reads it itself for a while", "none; look at that entry if it repeats"},
+	{RenewalFailed, "renewal-failed", "the entry's registration could not be renewed or made; it is tried again within a second", "check the platform if it lasts"},
 }
--- a/internal/record/event/process.go
+++ b/internal/record/event/process.go
@@ -13,6 +13,7 @@
 	ListenerEnded Number = 1009
 	RosterLost    Number = 1010
 	LinesDropped  Number = 1011
+	AcceptFailed  Number = 1012
 )
 
 var process = []Entry{
@@ -27,4 +28,5 @@
 	{ListenerEnded, "listener-ended", "a listener ended with an error", "check the address and the limit of open files"},
 	{RosterLost, "roster-lost", "the VM list does not answer; configuration and heartbeats decide", "check the platform"},
 	{LinesDropped, "lines-dropped", "log lines were dropped for lack of room or beyond the rate limit", "look at what reads the output; raise --log-rate if it keeps up"},
+	{AcceptFailed, "accept-failed", "a connection could not be accepted; it is tried again", "check the limit of open files"},
 }
--- a/internal/request/inbound/server.go
+++ b/internal/request/inbound/server.go
@@ -19,6 +19,7 @@
 // Server serves callers' connections.
 type Server struct {
 	handler Handler
+	failed  func(error)
 	phase   atomic.Int32
 	held    atomic.Int64 // held is how many bytes of bodies are held.
 
@@ -27,9 +28,10 @@
 	wg    sync.WaitGroup
 }
 
-// New returns a server that answers by the handler.
-func New(h Handler) *Server {
-	return &Server{handler: h, conns: make(map[*conn]bool)}
+// New returns a server that answers by the handler and calls failed when a
+// connection could not be accepted.
+func New(h Handler, failed func(error)) *Server {
+	return &Server{handler: h, failed: failed, conns: make(map[*conn]bool)}
 }
 
 // Serve accepts connections until the listener is closed, and returns nil then.
@@ -41,6 +43,7 @@
 		}
 		if err != nil {
 			// Out of descriptors, for example: those in use must end first.
+			s.failed(err)
 			time.Sleep(acceptPause)
 			continue
 		}
--- a/internal/request/inbound/server_test.go
+++ b/internal/request/inbound/server_test.go
@@ -79,7 +79,7 @@
 func play(t *testing.T, d *desk, f func(s *inbound.Server, l *line)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s, l := inbound.New(d), newLine()
+		s, l := inbound.New(d, func(error) {}), newLine()
 		go func() { _ = s.Serve(l) }()
 		f(s, l)
 		_ = l.Close()
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -186,7 +186,11 @@
 		asked, cancel := context.WithTimeout(ctx, peerWait)
 		b, err := p.Changes(asked, after, 0)
 		cancel()
-		if err != nil || b.Revision <= after {
+		if err != nil {
+			f.events.Log(event.PeerSilent, "error", err, "after", after)
+			continue
+		}
+		if b.Revision <= after {
 			continue
 		}
 		f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Whole)
