internal/site/mirror: hear the store's return at once

A call for changes that is sent into a silent store is answered by nothing, also after the store is back: it hung until its limit of 2.8 s, so that the entries heard the store 2.1 to 3.1 s after its return. The evacuation that the outage had held up was taken back before they read it, and its targets, cold at the end, got the traffic of warm ones.

The first answer after a silence ends the call for changes that is in progress and the wait after a failed one.

TestEntriesHearTheStoreSoonAfterItsReturn and TestEntriesServeSoonAfterAnOutageAtTheirStart failed before.

--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -186,3 +187,52 @@
 		f.store.Fail(platformtest.None)
 	})
 }
+
+// Guards against entries that go on waiting for calls of the outage after the
+// store is back: an evacuation that was held up by it ends before they read it.
+func TestEntriesHearTheStoreSoonAfterItsReturn(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.Silent, platformtest.Busy, platformtest.Reset} {
+		play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+			f.target("t1", "s1", "a1", nil)
+			f.target("t2", "s2", "a1", nil)
+			settle()
+			for i := range 8 {
+				version, service, served := 2*i+1, "s1", "t1"
+				if i%2 == 1 {
+					service, served = "s2", "t2"
+				}
+				f.store.Fail(fault)
+				time.Sleep(5*time.Second + time.Duration(i)*330*time.Millisecond)
+				f.store.Fail(platformtest.None)
+				f.configure(version, rule("read", "/r/", "safe", fmt.Sprintf(`,"service":%q`, service)))
+				time.Sleep(time.Second)
+				for _, e := range []string{"e0", "e1", "e2"} {
+					if got := f.call(e, "GET", "/r/"); !strings.HasPrefix(got.body, served) {
+						t.Errorf("fault %d, outage %d, %s a second after it: %v", fault, i, e, got)
+					}
+				}
+				time.Sleep(5 * time.Second)
+			}
+		})
+	}
+}
+
+// Guards against an entry that starts during an outage, with no other to ask,
+// and refuses callers long after the store is back.
+func TestEntriesServeSoonAfterAnOutageAtTheirStart(t *testing.T) {
+	for i := range 8 {
+		play(t, []string{"a1"}, func(f *fleet) {
+			f.target("t1", "s1", "a1", nil)
+			f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+			f.stop("e0")
+			f.store.Fail(platformtest.Silent)
+			f.start("e0", "a1")
+			time.Sleep(time.Duration(i) * 330 * time.Millisecond)
+			f.store.Fail(platformtest.None)
+			time.Sleep(time.Second)
+			if got := f.call("e0", "GET", "/r/"); got.status != http.StatusOK {
+				t.Errorf("outage %d, a second after it: %v", i, got)
+			}
+		})
+	}
+}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,10 @@
 // second; a reader out of touch is left before a version is late.
 const Stale = 1250 * time.Millisecond
 
+// startStale is the same for a store that has not been heard since the start:
+// more than the round trips of a first call.
+const startStale = 250 * time.Millisecond
+
 // Follower keeps a mirror up to date.
 type Follower struct {
 	mirror *Mirror
@@ -53,6 +58,7 @@
 	peers  Peers
 	events *event.Log
 	change func([]Item)
+	back   chan struct{} // back has an element once the store is heard again after a silence.
 
 	mu    sync.Mutex   // mu is held while a batch is taken over.
 	heard atomic.Int64 // heard is when the store last answered, in nanoseconds since start.
@@ -63,11 +69,22 @@
 // NewFollower returns a follower that calls change, from one goroutine at a
 // time, with the items of each batch that changed something.
 func NewFollower(m *Mirror, store Source, peers Peers, events *event.Log, change func([]Item)) *Follower {
-	return &Follower{mirror: m, store: store, peers: peers, events: events, change: change, start: time.Now()}
+	return &Follower{mirror: m, store: store, peers: peers, events: events, change: change, start: time.Now(), back: make(chan struct{}, 1)}
 }
 
-// Heard notes that the store has answered another call of this entry.
-func (f *Follower) Heard() { f.heard.Store(int64(time.Since(f.start))) }
+// Heard notes that the store has answered another call of this entry. After a
+// silence it ends the call for changes that is in progress, which may be one
+// that the store never received.
+func (f *Follower) Heard() {
+	age := f.Age()
+	if age >= Stale || age >= startStale && f.heard.Load() == 0 {
+		select {
+		case f.back <- struct{}{}:
+		default:
+		}
+	}
+	f.heard.Store(int64(time.Since(f.start)))
+}
 
 // Age returns how long ago the store last answered.
 func (f *Follower) Age() time.Duration {
@@ -104,9 +121,12 @@
 			}
 		}
 		b, err := f.call(ctx)
+		if errors.Is(err, errReturned) {
+			continue
+		}
 		if err != nil {
 			f.failed(ctx, err)
-			sleep(ctx, retry/2+rand.N(retry))
+			f.rest(ctx, retry/2+rand.N(retry))
 			continue
 		}
 		f.listened(b)
@@ -155,9 +175,39 @@
 	if after == 0 {
 		limit = firstRead
 	}
+	select {
+	case <-f.back:
+	default:
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return f.store.Changes(ctx, after, wait)
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	go func() {
+		select {
+		case <-f.back:
+			abandon(errReturned)
+		case <-ctx.Done():
+		}
+	}()
+	b, err := f.store.Changes(ctx, after, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errReturned) {
+		return Batch{}, errReturned
+	}
+	return b, err
+}
+
+// errReturned ends a call because the store was heard again after a silence.
+var errReturned = errors.New("mirror: the store is back")
+
+// rest waits before the next call, at most until the store is heard again.
+func (f *Follower) rest(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	select {
+	case <-f.back:
+	case <-ctx.Done():
+	}
 }
 
 func (f *Follower) failed(ctx context.Context, err error) {
