--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -12,8 +12,11 @@
 const (
 	// leaseTime bounds how long a killed entry is named by look-ups.
 	leaseTime = 3 * time.Second
-	// renewEvery leaves room for two lost renewals.
+	// renewEvery is the time between renewals of an entry that reads the store
+	// for others, which judge by it whether the store is silent.
 	renewEvery = 900 * time.Millisecond
+	// restfulEvery is the same for all others; it leaves room for four renewals that are sent again.
+	restfulEvery = 1400 * time.Millisecond
 	// callTimeout bounds a call that registers or renews.
 	callTimeout = 1200 * time.Millisecond
 	// hedgeAfter is when a grant or renewal without an answer is sent once more over another
@@ -31,6 +34,9 @@
 		var ok bool
 		lease, ok = e.renew(ctx, lease)
 		every := renewEvery
+		if _, _, led := e.view.Load().reader(e.self); led {
+			every = restfulEvery
+		}
 		if !ok {
 			every = retryEvery
 		}
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -124,22 +124,31 @@
 // link, and the links between zones, otherwise.
 const manyEntries = 40
 
-// Reader returns the entry that reads the store for this one, so that the
-// calls to the store grow with the regions and not with the entries.
+// reader returns the entry that reads the store for this one, so that the
+// calls to the store grow with the regions and not with the entries, and how
+// many entries stand between that one and the store. It returns false when
+// this entry reads the store itself.
+func (v *view) reader(self census.Entry) (chosen census.Entry, between int, ok bool) {
+	inRegion := func(o census.Entry) bool { return o.Region == self.Region }
+	chosen, ok = census.Strongest(v.entries, inRegion)
+	if !ok || chosen.Name == self.Name {
+		return census.Entry{}, 0, false
+	}
+	if census.Count(v.entries, inRegion) >= manyEntries {
+		nearer, ok := census.Strongest(v.entries, func(o census.Entry) bool { return o.Zone == self.Zone })
+		if ok && nearer.Name != self.Name && nearer.Name != chosen.Name {
+			return nearer, 1, true
+		}
+	}
+	return chosen, 0, true
+}
+
+// Reader returns the entry that reads the store for this one.
 func (p *peers) Reader() (mirror.Source, int) {
-	entries := p.view.Load().entries
-	inRegion := func(o census.Entry) bool { return o.Region == p.s.Region }
-	chosen, ok := census.Strongest(entries, inRegion)
-	if !ok || chosen.Name == p.s.Name {
+	chosen, between, ok := p.view.Load().reader(p.self)
+	if !ok {
 		return nil, 0
 	}
-	between := 0
-	if census.Count(entries, inRegion) >= manyEntries {
-		nearer, ok := census.Strongest(entries, func(o census.Entry) bool { return o.Zone == p.s.Zone })
-		if ok && nearer.Name != p.s.Name && nearer.Name != chosen.Name {
-			chosen, between = nearer, 1
-		}
-	}
 	if p.reader == nil || p.reader.address != chosen.Peer {
 		if p.reader != nil {
 			p.reader.close()
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -99,10 +99,15 @@
 	asking.Wait()
 }
 
-// take takes a batch over before the next call asks for what comes after it.
+// take takes a batch over before the next call asks for what comes after it. A
+// whole batch that is older than what a peer has told meanwhile is left out: it
+// may hold keys that were removed since.
 func (f *Follower) take(b Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if b.Whole && b.Revision < f.mirror.Revision() {
+		return
+	}
 	if items := f.mirror.Apply(b); len(items) > 0 {
 		f.change(items)
 	}
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// past is a source whose first answer is slow and holds a key that is gone by now.
+type past struct{ well }
+
+func (p *past) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	if after > 0 {
+		return p.well.Changes(ctx, after, wait)
+	}
+	time.Sleep(time.Second)
+	return mirror.Batch{Items: []mirror.Item{item("key", 2), item("gone", 3)}, Revision: 3, Whole: true}, nil
+}
+
 // ring is the peers of a follower.
 type ring struct{ reader, peer *well }
 
@@ -69,7 +80,7 @@
 }
 
 // follow runs a follower in simulated time.
-func follow(t *testing.T, store *well, peers ring, f func(m *mirror.Mirror, at func(time.Duration))) {
+func follow(t *testing.T, store mirror.Source, peers ring, f func(m *mirror.Mirror, at func(time.Duration))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New()
@@ -171,3 +182,14 @@
 		})
 	}
 }
+
+// Guards against a key that a first read of some seconds ago brings back though a peer knew it to be gone.
+func TestFollowerLeavesOutAnOlderRead(t *testing.T) {
+	store, peer := &past{well: well{revision: 4}}, &well{revision: 4}
+	follow(t, store, ring{peer: peer}, func(m *mirror.Mirror, at func(time.Duration)) {
+		at(3 * time.Second)
+		if got := m.Since(0); got.Revision != 4 || len(got.Items) != 1 || got.Items[0].Key != "key" {
+			t.Errorf("%v, want the key alone at revision 4", got)
+		}
+	})
+}
