internal/request/upstream: orders use connections of the last 150 ms

Cause: with idle_race, targets forget connections that rested 190 to 380 ms and reset what is sent on them.

Change: an order takes a connection that was in use within 150 ms or a new one. Older ones stay for reads, which may be repeated; before, an order that found one closed it.

--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -18,9 +18,9 @@
 	keepTime = 5 * time.Second
 	// keepMargin is taken off the time that the target states, for the way there.
 	keepMargin = time.Second
-	// onceKeep is the longest pause after which a connection may carry a request that must run at most once:
-	// a connection that was closed or forgotten meanwhile would leave its outcome unknown.
-	onceKeep = 1500 * time.Millisecond
+	// onceKeep is the longest pause after which a connection may carry a request that must run at most once. A
+	// connection that its target has forgotten would leave the outcome unknown; none forgets one so soon.
+	onceKeep = 150 * time.Millisecond
 	// recentUse is the pause up to which a closed connection says that its target has ended: targets
 	// close, or forget, connections that are unused for longer.
 	recentUse = 2 * time.Second
@@ -95,13 +95,13 @@
 // take returns a connection for the call, an unused one when there is one that may carry it.
 func (p *Pool) take(ctx context.Context, address string, once bool) (*conn, error) {
 	for {
-		c := p.pop(address)
+		now := time.Now()
+		c := p.pop(address, once, now)
 		if c == nil {
 			return p.open(ctx, address)
 		}
-		now := time.Now()
 		switch {
-		case now.After(c.until), once && now.Sub(c.used) > onceKeep:
+		case now.After(c.until):
 			c.close()
 		case !c.quiet():
 			c.close()
@@ -115,7 +115,9 @@
 	}
 }
 
-func (p *Pool) pop(address string) *conn {
+// pop returns the unused connection that was put back last, or nil when there
+// is none, or none that may carry a request that must run at most once.
+func (p *Pool) pop(address string, once bool, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -123,6 +125,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if once && now.Sub(c.used) > onceKeep {
+		return nil
+	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
