internal/soak/world: measure what control costs the entries

For this an entry counts its calls to the store and the bytes to the store and to other entries, which the metrics page shows.

Found by it: 300 entries that start at once against a store whose answers take long gave up their first read after 2.5 s and began it again, for ever (420 calls and 16.5 MB a second, no entry ready). The limit now doubles with each read that fails; TestFollowerWaitsLongerForAHeavyRead failed before. The stand-in had pages of 50 items, the soak now uses 500 as the platform does.

--- a/cmd/tamarackedge/main.go
+++ b/cmd/tamarackedge/main.go
@@ -18,6 +18,7 @@
 
 	"tamarackspool/internal/entry/edge"
 	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/record/traffic"
 	"tamarackspool/internal/request/upstream"
 	"tamarackspool/platform"
 )
@@ -92,11 +93,12 @@
 		}
 	}()
 	dial := upstream.NewDial()
+	storeTraffic := new(traffic.Meter)
 	client := &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdle, DisableCompression: true,
+		DialContext: storeTraffic.Dial(dial), MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdle, DisableCompression: true,
 	}}
 	e, err := edge.New(s, edge.Dependencies{
-		Store: platform.NewStore(f.Store, client), Keys: platform.NewKeys(f.Zones),
+		Store: platform.NewStore(f.Store, client), StoreTraffic: storeTraffic, Keys: platform.NewKeys(f.Zones),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: net.Listen, Events: events, Dropped: dropped,
 	})
 	if err != nil {
--- a/cmd/tamaracksoak/main.go
+++ b/cmd/tamaracksoak/main.go
@@ -33,6 +33,8 @@
 	Nodes   int           `help:"Number of entries, from 2 to 300." default:"6"`
 	Break   string        `help:"Promise to break on purpose: whole, once, not-run, drain, stop, version or recovery."`
 	Program string        `help:"Program of the entry; built from this module when empty."`
+	Cost    bool          `help:"Measure what control costs the entries, without callers and disturbances."`
+	Targets int           `help:"Number of registered targets of such a measurement, up to 5000." default:"0"`
 	Notes   bool          `help:"Print each step of the schedule."`
 }
 
@@ -49,7 +51,7 @@
 	if err == nil {
 		_, err = parser.Parse(args)
 	}
-	s := world.Settings{Program: f.Program, Seed: f.Seed, For: f.For, Nodes: f.Nodes, Break: f.Break}
+	s := world.Settings{Program: f.Program, Seed: f.Seed, For: f.For, Nodes: f.Nodes, Break: f.Break, Targets: f.Targets}
 	if err == nil {
 		err = s.Check()
 	}
@@ -63,7 +65,7 @@
 	if f.Notes {
 		s.Notes = out
 	}
-	code, err := soak(ctx, s, out)
+	code, err := soak(ctx, s, f.Cost, out)
 	if err != nil {
 		fmt.Fprintln(problems, "tamaracksoak:", err)
 		return exitInternal
@@ -71,7 +73,7 @@
 	return code
 }
 
-func soak(ctx context.Context, s world.Settings, out io.Writer) (int, error) {
+func soak(ctx context.Context, s world.Settings, cost bool, out io.Writer) (int, error) {
 	if s.Program == "" {
 		dir, err := os.MkdirTemp("", "tamaracksoak")
 		if err != nil {
@@ -87,6 +89,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if cost {
+		return exitDone, measure(ctx, w, out)
+	}
 	r, err := w.Run(ctx)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return 0, err
@@ -104,3 +109,18 @@
 	}
 	return exitDone, nil
 }
+
+// measure prints what control costs the entries.
+func measure(ctx context.Context, w *world.World, out io.Writer) error {
+	costs, err := w.Measure(ctx)
+	if err != nil {
+		return err
+	}
+	for _, c := range costs {
+		fmt.Fprintf(out, "%d entries, %d targets, %.1f changes a second\n", c.Entries, c.Targets, c.Changes)
+		for _, r := range c.Rows {
+			fmt.Fprintf(out, "  %-24s all %10.1f  middle %8.2f  busiest %8.2f\n", r.Name, r.Sum, r.Middle, r.Top)
+		}
+	}
+	return nil
+}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -10,9 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/record/traffic"
 	"tamarackspool/internal/request/inbound"
 	"tamarackspool/internal/request/upstream"
 	"tamarackspool/internal/site/census"
@@ -47,7 +49,10 @@
 	memory  *placement.Memory
 	meters  *meters
 	packs   packs
-	reader  *peer // reader is the entry that reads the store for this one; the follower's goroutine uses it.
+	// peerTraffic counts the bytes between this entry and others, dialPeer opens connections that it counts.
+	peerTraffic traffic.Meter
+	dialPeer    traffic.Dial
+	reader      *peer // reader is the entry that reads the store for this one; the follower's goroutine uses it.
 
 	listeners listeners
 }
@@ -67,11 +72,16 @@
 	}
 	// Where a port was left to the system, others must know the one that it chose.
 	e.self.Call, e.self.Peer = e.listeners.call.Addr().String(), e.listeners.peer.Addr().String()
+	e.d.Store = counted{
+		d.Store, metrics.NewRegisteredCounter("store.calls", e.meters.registry),
+		metrics.NewRegisteredCounter("store.renewals", e.meters.registry),
+	}
+	e.dialPeer = e.peerTraffic.Dial(d.Dial)
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
 	e.view.Store(e.belief.view(0))
 	e.pool = upstream.New(d.Dial, e.lost)
 	e.server = inbound.New(e, func(err error) { e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.Open()) })
-	e.follower = mirror.NewFollower(e.mirror, d.Store, (*peers)(e), d.Events, e.changed)
+	e.follower = mirror.NewFollower(e.mirror, e.d.Store, (*peers)(e), d.Events, e.changed)
 	e.measure()
 	return e, nil
 }
@@ -100,6 +110,14 @@
 	return nil
 }
 
+// metricsAddress returns where the metrics page is served; empty for nowhere.
+func (l *listeners) metricsAddress() string {
+	if l.metrics == nil {
+		return ""
+	}
+	return l.metrics.Addr().String()
+}
+
 func (l *listeners) close() {
 	for _, o := range []net.Listener{l.call, l.ready, l.directory, l.peer, l.metrics} {
 		if o != nil {
@@ -124,7 +142,7 @@
 // Run serves until ctx ends and then stops without cutting a request.
 func (e *Edge) Run(ctx context.Context) error {
 	e.events.Log(event.Started, "entry", e.s.Name, "zone", e.s.Zone, "region", e.s.Region, "strength", e.s.Strength,
-		"call", e.self.Call, "directory", e.listeners.directory.Addr(), "peer", e.self.Peer)
+		"call", e.self.Call, "directory", e.listeners.directory.Addr(), "peer", e.self.Peer, "metrics", e.listeners.metricsAddress())
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, _ := errgroup.WithContext(work)
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"tamarackspool/internal/entry/edge"
 	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/record/traffic"
 	"tamarackspool/internal/steer/spend"
 	"tamarackspool/platform"
 	"tamarackspool/platform/platformtest"
@@ -134,14 +135,15 @@
 	}
 	host := fmt.Sprintf("10.2.0.%d:0", index)
 	dial := f.net.Dialer(host)
-	transport := &http.Transport{DialContext: dial}
+	storeTraffic := new(traffic.Meter)
+	transport := &http.Transport{DialContext: storeTraffic.Dial(dial)}
 	e, err := edge.New(edge.Settings{
 		Name: name, Zone: zone, Region: regions[zone], Regions: 2,
 		Call: address(index, 80), Ready: address(index, 81), Directory: address(index, 82), Peer: address(index, 83), Metrics: address(index, 84),
 		Seeds: []string{address(1, 83), address(2, 83)}, LookupTTL: 2 * time.Second, Grace: 6 * time.Second,
 		Repeats: spend.Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}, Memory: 1 << 28, Strength: 1,
 	}, edge.Dependencies{
-		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}), Keys: platform.NewKeys(regions),
+		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}), StoreTraffic: storeTraffic, Keys: platform.NewKeys(regions),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: f.net.Listen,
 		Events: event.New(log.NewLogfmtLogger(&f.log)), Dropped: func() int64 { return 0 },
 	})
--- a/internal/entry/edge/metrics.go
+++ b/internal/entry/edge/metrics.go
@@ -120,8 +120,13 @@
 		"entry.connections": func() int64 { return int64(e.server.Open()) },
 		"entry.peers":       func() int64 { return int64(len(e.view.Load().entries)) },
 		"log.dropped":       e.d.Dropped,
+		"peer.received":     e.peerTraffic.Received,
+		"peer.sent":         e.peerTraffic.Sent,
+		"pool.idle":         e.pool.Idle,
 		"pool.opened":       e.pool.Opened,
 		"store.age-ms":      func() int64 { return e.follower.Age().Milliseconds() },
+		"store.received":    e.d.StoreTraffic.Received,
+		"store.sent":        e.d.StoreTraffic.Sent,
 		"store.revision":    func() int64 { return int64(e.mirror.Revision()) },
 	} {
 		e.meters.gauge(name, value)
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -57,7 +57,7 @@
 			time.Sleep(expireEvery)
 			continue
 		}
-		c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}),
+		c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(e.peerTraffic.Conn(raw), jsonrpc2.VarintObjectCodec{}),
 			jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(e.answerPeer)), jsonrpc2.SetLogger(quiet))
 		go func() {
 			select {
@@ -116,7 +116,7 @@
 	if len(addresses) == 0 {
 		return nil
 	}
-	return &peer{address: addresses[rand.N(len(addresses))], dial: p.d.Dial, once: true}
+	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, once: true}
 }
 
 // manyEntries is the number of entries of a region from which those of a zone
@@ -153,7 +153,7 @@
 		if p.reader != nil {
 			p.reader.close()
 		}
-		p.reader = &peer{address: chosen.Peer, dial: p.d.Dial}
+		p.reader = &peer{address: chosen.Peer, dial: p.dialPeer}
 	}
 	return p.reader, between
 }
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/record/traffic"
 	"tamarackspool/internal/request/upstream"
 	"tamarackspool/internal/site/book"
 	"tamarackspool/internal/site/census"
@@ -82,12 +83,14 @@
 
 // Dependencies are what an entry is built from.
 type Dependencies struct {
-	Store   Store
-	Keys    Keys
-	Headers Headers
-	Pages   Pages
-	Dial    upstream.Dial
-	Listen  func(network, address string) (net.Listener, error) // Listen is net.Listen outside tests.
-	Events  *event.Log
-	Dropped func() int64 // Dropped returns how many log lines were dropped.
+	Store Store
+	// StoreTraffic counts the bytes of the connections to the store.
+	StoreTraffic *traffic.Meter
+	Keys         Keys
+	Headers      Headers
+	Pages        Pages
+	Dial         upstream.Dial
+	Listen       func(network, address string) (net.Listener, error) // Listen is net.Listen outside tests.
+	Events       *event.Log
+	Dropped      func() int64 // Dropped returns how many log lines were dropped.
 }
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -54,6 +54,17 @@
 	return p.opened
 }
 
+// Idle returns how many unused connections are kept.
+func (p *Pool) Idle() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return int64(n)
+}
+
 // Forget closes the unused connections to an address.
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -28,14 +28,15 @@
 
 // Times and waits of the follower.
 const (
-	wait       = 2 * time.Second        // wait is how long the store holds a call open; a silent connection is noticed soon after.
-	grace      = 800 * time.Millisecond // grace is how long an answer may take beyond the wait, two round trips between regions and a slow store included.
-	firstRead  = 2500 * time.Millisecond
-	spacing    = 250 * time.Millisecond // spacing is the least time between two calls, as each is counted.
-	retry      = 500 * time.Millisecond // retry is the wait after a failed call, before jitter.
-	peerEvery  = 400 * time.Millisecond // peerEvery is how often a peer is asked while the store is silent.
-	startEvery = 150 * time.Millisecond // startEvery is the same for an entry that knows nothing yet.
-	peerWait   = 600 * time.Millisecond // peerWait bounds one question to a peer.
+	wait       = 2 * time.Second         // wait is how long the store holds a call open; a silent connection is noticed soon after.
+	grace      = 800 * time.Millisecond  // grace is how long an answer may take beyond the wait, two round trips between regions and a slow store included.
+	firstRead  = 2500 * time.Millisecond // firstRead is the limit of the first read of everything, which doubles with each that fails.
+	longRead   = 20 * time.Second        // longRead is the most that it grows to.
+	spacing    = 250 * time.Millisecond  // spacing is the least time between two calls, as each is counted.
+	retry      = 500 * time.Millisecond  // retry is the wait after a failed call, before jitter.
+	peerEvery  = 400 * time.Millisecond  // peerEvery is how often a peer is asked while the store is silent.
+	startEvery = 150 * time.Millisecond  // startEvery is the same for an entry that knows nothing yet.
+	peerWait   = 600 * time.Millisecond  // peerWait bounds one question to a peer.
 
 	readerWait  = 500 * time.Millisecond // readerWait is how long the entry that reads for others holds a call open.
 	readerGrace = 400 * time.Millisecond // readerGrace is how long its answer may take beyond that.
@@ -64,6 +65,8 @@
 	heard atomic.Int64 // heard is when the store last answered, in nanoseconds since start.
 	start time.Time
 	lost  bool
+	// failures counts the calls to the store that failed in a row.
+	failures int
 }
 
 // NewFollower returns a follower that calls change, from one goroutine at a
@@ -130,10 +133,12 @@
 			continue
 		}
 		if err != nil {
+			f.failures++
 			f.failed(ctx, err)
 			f.rest(ctx, retry/2+rand.N(retry))
 			continue
 		}
+		f.failures = 0
 		f.listened(b)
 		f.take(b)
 		sleep(ctx, spacing-time.Since(began))
@@ -178,7 +183,7 @@
 	after := f.mirror.Revision()
 	limit := wait + grace
 	if after == 0 {
-		limit = firstRead
+		limit = min(firstRead<<min(f.failures, 8), longRead)
 	}
 	select {
 	case <-f.back:
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -193,3 +193,30 @@
 		}
 	})
 }
+
+// heavy is a source whose first answer takes long, as a store with many readers does.
+type heavy struct{ well }
+
+func (h *heavy) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	if after > 0 {
+		return h.well.Changes(ctx, after, wait)
+	}
+	h.set(func(w *well) { w.calls++ })
+	select {
+	case <-time.After(9 * time.Second):
+		return mirror.Batch{Items: []mirror.Item{item("key", 3)}, Revision: 3, Whole: true}, nil
+	case <-ctx.Done():
+		return mirror.Batch{}, ctx.Err()
+	}
+}
+
+// Guards against an entry that gives up the same long read again and again and never starts.
+func TestFollowerWaitsLongerForAHeavyRead(t *testing.T) {
+	store := &heavy{well{revision: 3}}
+	follow(t, store, ring{}, func(m *mirror.Mirror, at func(time.Duration)) {
+		at(22 * time.Second)
+		if m.Revision() != 3 {
+			t.Errorf("revision %d after 22 s, want 3", m.Revision())
+		}
+	})
+}
--- /dev/null
+++ b/internal/soak/world/cost.go
@@ -0,0 +1,215 @@
+package world
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"tamarackspool/platform/platformtest"
+)
+
+// churn is the part of the registrations that changes in a second while the
+// cost of changes is measured.
+const churn = 0.01
+
+// Cost is what control costs the entries: no caller asks for anything.
+type Cost struct {
+	Entries, Targets int
+	Changes          float64 // Changes is the number of registrations that change in a second.
+	Rows             []CostRow
+}
+
+// CostRow is one figure over all entries.
+type CostRow struct {
+	Name             string
+	Sum, Middle, Top float64
+}
+
+// figures are the counters of one entry that grow with time.
+type figures map[string]float64
+
+// grows names the figures and the metrics that each is the sum of.
+var grows = []struct {
+	name    string
+	metrics []string
+}{
+	{"calls to the store, 1/s", []string{"store.calls"}},
+	{"renewals, 1/s", []string{"store.renewals"}},
+	{"store, B/s", []string{"store.received", "store.sent"}},
+	{"other entries, B/s", []string{"peer.received", "peer.sent"}},
+	{"processor, %", []string{"cpu"}},
+}
+
+// Measure starts the entries and, half of the soak's time later, returns what control costs them without
+// changes, and with them. No process outlives it.
+func (w *World) Measure(ctx context.Context) ([]Cost, error) {
+	defer w.close()
+	register := func(i, generation int) {
+		service := []string{"s1", "s2", "s3"}[i%3]
+		t := platformtest.Target{
+			ID: fmt.Sprintf("x%d-%d", i, generation), Service: service, Zone: zoneNames[i%len(zoneNames)], Slots: 6,
+			Born: int64(generation), Address: fmt.Sprintf("127.0.0.1:%d", 1+i),
+		}
+		t.Register(w.store, "ready", 0)
+	}
+	for i := range w.s.Targets {
+		register(i, 0)
+	}
+	for _, e := range w.entries {
+		if err := e.start(); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.await(ctx); err != nil {
+		return nil, err
+	}
+	if !pause(ctx, w.s.For/2) {
+		return nil, ctx.Err()
+	}
+	var costs []Cost
+	for _, rate := range []float64{0, churn * float64(w.s.Targets)} {
+		c, err := w.cost(ctx, rate, register)
+		if err != nil {
+			return nil, err
+		}
+		costs = append(costs, c)
+	}
+	return costs, nil
+}
+
+// cost measures for half of the soak's time, while registrations are replaced at the rate.
+func (w *World) cost(ctx context.Context, rate float64, register func(i, generation int)) (Cost, error) {
+	before, err := w.read(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	began := time.Now()
+	changes := 0
+	for end := began.Add(w.s.For / 2); time.Now().Before(end) && ctx.Err() == nil; {
+		for due := int(rate * time.Since(began).Seconds()); changes+1 < due; changes += 2 {
+			i, generation := changes/2%w.s.Targets, changes/2/w.s.Targets
+			w.store.Remove(fmt.Sprintf("servers/x%d-%d", i, generation))
+			register(i, generation+1)
+		}
+		pause(ctx, 20*time.Millisecond)
+	}
+	seconds := time.Since(began).Seconds()
+	after, err := w.read(ctx)
+	if err != nil {
+		return Cost{}, err
+	}
+	c := Cost{Entries: w.s.Nodes, Targets: w.s.Targets, Changes: float64(changes) / seconds}
+	for _, g := range grows {
+		var values []float64
+		for i := range after {
+			v := 0.0
+			for _, m := range g.metrics {
+				v += (after[i][m] - before[i][m]) / seconds
+			}
+			values = append(values, v)
+		}
+		c.Rows = append(c.Rows, row(g.name, values))
+	}
+	var memory []float64
+	for _, a := range after {
+		memory = append(memory, a["memory"])
+	}
+	c.Rows = append(c.Rows, row("memory, MB", memory))
+	return c, ctx.Err()
+}
+
+func row(name string, values []float64) CostRow {
+	slices.Sort(values)
+	r := CostRow{Name: name, Middle: values[len(values)/2], Top: values[len(values)-1]}
+	for _, v := range values {
+		r.Sum += v
+	}
+	return r
+}
+
+// read returns the figures of every entry.
+func (w *World) read(ctx context.Context) ([]figures, error) {
+	var all []figures
+	for _, e := range w.entries {
+		f, err := e.figures(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("world: %s: %w", e.name, err)
+		}
+		all = append(all, f)
+	}
+	return all, nil
+}
+
+// ticks is the number of the system's clock ticks in a second, in which it counts processor time.
+const ticks = 100
+
+// figures returns the entry's metrics, its processor time in hundredths of a
+// second ("cpu") and its memory in MB ("memory").
+func (e *entry) figures(ctx context.Context) (figures, error) {
+	e.mu.Lock()
+	address, pid := e.metrics, e.cmd.Process.Pid
+	e.mu.Unlock()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close() //nolint:errcheck // the answer has been read
+	f := make(figures)
+	for s := bufio.NewScanner(resp.Body); s.Scan(); {
+		name, value, _ := strings.Cut(s.Text(), " ")
+		if f[name], err = strconv.ParseFloat(value, 64); err != nil {
+			return nil, err
+		}
+	}
+	if f["cpu"], err = cpuTicks(pid); err != nil {
+		return nil, err
+	}
+	f["cpu"] *= 100 / ticks
+	f["memory"], err = residentMB(pid)
+	return f, err
+}
+
+// cpuTicks returns the processor time that a process has used.
+func cpuTicks(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name of the program, in brackets, may hold spaces.
+	fields := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:]))
+	const user, system = 11, 12
+	if len(fields) <= system {
+		return math.NaN(), fmt.Errorf("world: process %d has no times", pid)
+	}
+	u, err := strconv.ParseFloat(fields[user], 64)
+	if err != nil {
+		return 0, err
+	}
+	s, err := strconv.ParseFloat(fields[system], 64)
+	return u + s, err
+}
+
+// residentMB returns the memory that a process holds.
+func residentMB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("world: process %d has no sizes", pid)
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	return pages * float64(os.Getpagesize()) / 1e6, err
+}
--- a/internal/soak/world/entry.go
+++ b/internal/soak/world/entry.go
@@ -31,19 +31,20 @@
 	call      string
 	directory string
 	peer      string
+	metrics   string
 	lines     []string
 }
 
 // maxLines is the number of log lines that are kept of an entry.
 const maxLines = 20_000
 
-var started = regexp.MustCompile(`name=started .* call=(\S+) directory=(\S+) peer=(\S+)`)
+var started = regexp.MustCompile(`name=started .* call=(\S+) directory=(\S+) peer=(\S+) metrics=(\S+)`)
 
 // start starts the process.
 func (e *entry) start() error {
 	cmd := exec.Command(e.program,
 		"--name", e.name, "--zone", e.zone, "--region", zones[e.zone], "--zones", zoneList(),
-		"--call", "127.0.0.1:0", "--ready", "127.0.0.1:0", "--directory", "127.0.0.1:0", "--peer", "127.0.0.1:0",
+		"--call", "127.0.0.1:0", "--ready", "127.0.0.1:0", "--directory", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--metrics", "127.0.0.1:0",
 		"--store", e.store.Address(), "--grace", fmt.Sprint(grace.Seconds()), "--seeds", strings.Join(e.seeds(), ","))
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	// The process ends with this one, also when this one is killed.
@@ -58,7 +59,7 @@
 	}
 	exited := make(chan struct{})
 	e.mu.Lock()
-	e.cmd, e.exited, e.call, e.directory, e.peer = cmd, exited, "", "", ""
+	e.cmd, e.exited, e.call, e.directory, e.peer, e.metrics = cmd, exited, "", "", "", ""
 	e.mu.Unlock()
 	go func() {
 		defer close(exited)
@@ -74,7 +75,7 @@
 	for s.Scan() {
 		e.mu.Lock()
 		if m := started.FindStringSubmatch(s.Text()); m != nil {
-			e.call, e.directory, e.peer = m[1], m[2], m[3]
+			e.call, e.directory, e.peer, e.metrics = m[1], m[2], m[3], m[4]
 		}
 		if len(e.lines) >= maxLines {
 			e.lines = e.lines[maxLines/2:]
--- a/internal/soak/world/settings.go
+++ b/internal/soak/world/settings.go
@@ -16,6 +16,7 @@
 	For     time.Duration
 	Nodes   int
 	Break   string    // Break names the promise that is broken on purpose; empty for none.
+	Targets int       // Targets is the number of registrations of a measurement of the cost.
 	Notes   io.Writer // Notes gets a line for each step of the schedule.
 }
 
@@ -23,6 +24,7 @@
 const (
 	leastFor, mostFor     = 20 * time.Second, time.Hour
 	leastNodes, mostNodes = 2, 300
+	mostTargets           = 5000
 )
 
 // Check returns an error that names the flag and the accepted range of a value out of range.
@@ -33,6 +35,9 @@
 	if s.Nodes < leastNodes || s.Nodes > mostNodes {
 		return fmt.Errorf("--nodes %d is out of range; the range is %d to %d", s.Nodes, leastNodes, mostNodes)
 	}
+	if s.Targets < 0 || s.Targets > mostTargets {
+		return fmt.Errorf("--targets %d is out of range; the range is 0 to %d", s.Targets, mostTargets)
+	}
 	if s.Break != "" && !slices.Contains(ledger.Promises(), ledger.Promise(s.Break)) {
 		return fmt.Errorf("--break %q is none of %v", s.Break, ledger.Promises())
 	}
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -32,6 +32,9 @@
 	return strings.Join(list, ",")
 }
 
+// storePage is the number of items of a page of the platform's store.
+const storePage = 500
+
 // World is one soak.
 type World struct {
 	s      Settings
@@ -58,6 +61,7 @@
 	w := &World{
 		s: s, random: rand.New(rand.NewPCG(s.Seed, 0x736f616b)), ledger: ledger.New(), store: platformtest.NewStore(), moved: "s1",
 	}
+	w.store.SetPage(storePage)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/soak/world/world_test.go
+++ b/internal/soak/world/world_test.go
@@ -98,12 +98,39 @@
 // Guards against a value out of range that is run with.
 func TestSettingsAreChecked(t *testing.T) {
 	for want, s := range map[string]world.Settings{
-		"--for":   {For: time.Second, Nodes: 3},
-		"--nodes": {For: time.Minute, Nodes: 1},
-		"--break": {For: time.Minute, Nodes: 3, Break: "all"},
+		"--for":     {For: time.Second, Nodes: 3},
+		"--nodes":   {For: time.Minute, Nodes: 1},
+		"--break":   {For: time.Minute, Nodes: 3, Break: "all"},
+		"--targets": {For: time.Minute, Nodes: 3, Targets: -1},
 	} {
 		if err := s.Check(); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%+v: %v, want an error that names %s", s, err, want)
 		}
 	}
 }
+
+// Guards against a measurement that leaves a figure out or a process behind.
+func TestCostIsMeasured(t *testing.T) {
+	t.Parallel()
+	w, err := world.New(world.Settings{Seed: 5, Program: program, For: 20 * time.Second, Nodes: 3, Targets: 200})
+	if err != nil {
+		t.Fatal(err)
+	}
+	costs, err := w.Measure(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(costs) != 2 || costs[0].Changes != 0 || costs[1].Changes <= 0 {
+		t.Fatalf("%+v, want one cost without changes and one with them", costs)
+	}
+	for _, c := range costs {
+		for _, r := range c.Rows {
+			if r.Sum <= 0 || r.Top < r.Middle {
+				t.Errorf("%d entries, %.1f changes a second: %+v", c.Entries, c.Changes, r)
+			}
+		}
+	}
+	if n := w.Running(); n != 0 {
+		t.Errorf("%d processes run on", n)
+	}
+}
