internal/steer/placement: leave slow targets for places with free slots

Tried first, not kept: such a target rests like one that failed, from two requests in a row without an answer in their time.

Change: it counts as crowded instead. Its requests go to another place of their object only while that one has free slots; an answer within the rule's objective ends it. Event 3119 tells of it.

In the test of the hanging target at least 34 of 40 callers are served (TestHangingTargetsArePassedOver failed before).

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -146,6 +146,11 @@
 		return nil
 	}
 	e.events.Log(event.RequestTimedOut, "id", q.id, "target", s.target.ID(), "after", time.Since(q.Arrived))
+	if now := time.Now(); now.Sub(q.sent) > q.rule.Objective() {
+		if until, slow := s.gauge.Overdue(now); slow {
+			e.events.Log(event.TargetSlow, "id", q.id, "target", s.target.ID(), "waited", now.Sub(q.sent), "objective", q.rule.Objective(), "for", until.Sub(now))
+		}
+	}
 	e.meters.ended(q, outcomeTimedOut)
 	return inbound.Refusal(http.StatusGatewayTimeout)
 }
@@ -158,6 +163,7 @@
 	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(),
 		"object", q.object, "earlier", earlier, "home", q.home, "first-load", q.first, "load", s.gauge.Load(time.Now()), "slots", s.target.Slots(), "waited", time.Since(q.Arrived), "revision", s.revision)
 	e.memory.Note(q.key, s.mark, time.Now())
+	q.sent = time.Now()
 	s.gauge.Begin()
 	defer s.gauge.End()
 	a, err := e.pool.Do(ctx, upstream.Call{
@@ -202,7 +208,7 @@
 
 // deliver hands a target's answer to the caller.
 func (e *Edge) deliver(q *query, s *seat, a *upstream.Answer) *inbound.Answer {
-	s.gauge.Answered()
+	s.gauge.Answered(time.Since(q.sent) <= q.rule.Objective())
 	if promises(a.Status) && q.rule.Kind() != book.Safe {
 		// The target does not prove what the status would promise.
 		if a.Rest != nil {
@@ -262,7 +268,7 @@
 			break
 		}
 		s := seats[i]
-		homes[n] = placement.Home{Load: s.gauge.Load(now), Slots: s.target.Slots(), Warm: e.memory.Knows(q.key, s.mark, now)}
+		homes[n] = placement.Home{Load: s.gauge.Load(now), Slots: s.target.Slots(), Warm: e.memory.Knows(q.key, s.mark, now), Slow: s.gauge.Slow(now)}
 		n++
 	}
 	if n == 0 {
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -161,6 +161,36 @@
 	})
 }
 
+// Guards against callers who are sent to a target that does not answer, one after another, while another one is free.
+func TestHangingTargetsArePassedOver(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1","timeoutS":1.5,"targetLatencyS":0.5`))
+		hangs := f.target("t1", "s1", "a1", nil)
+		f.target("t2", "s1", "a1", nil)
+		settle()
+		hangs.Behave(platformtest.Frozen)
+		served := 0
+		for i := range 40 {
+			if f.call("e0", "GET", "/r/", object(fmt.Sprint(i))).status == http.StatusOK {
+				served++
+			}
+		}
+		// Half of the objects have their place at the target that hangs; it is tried again now and then.
+		if served < 34 {
+			t.Errorf("%d of 40 callers are served, want all but a few", served)
+		}
+		hangs.Behave(platformtest.Sound)
+		time.Sleep(5 * time.Second)
+		before := hangs.Seen()
+		for i := range 40 {
+			f.call("e0", "GET", "/r/", object(fmt.Sprint(i)))
+		}
+		if got := hangs.Seen() - before; got < 10 {
+			t.Errorf("the target that answers again gets %d of 40 requests", got)
+		}
+	})
+}
+
 // Guards against new requests for a target that is leaving or whose zone is emptied, and against a zone that stays empty.
 func TestLeavingTargetsAndEmptiedZonesGetNothing(t *testing.T) {
 	play(t, []string{"a1"}, func(f *fleet) {
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -35,9 +35,10 @@
 	key      placement.Key
 	deadline time.Time // deadline is when the answer is due: the caller's or the rule's, whichever is first.
 	tried    []*seat
-	ran      bool // ran says that a target may have run the request.
-	home     int  // home is which of the object's places was chosen, 0 for the first.
-	first    int  // first is the load of the first place when the choice was made.
+	sent     time.Time // sent is when the last attempt was made.
+	ran      bool      // ran says that a target may have run the request.
+	home     int       // home is which of the object's places was chosen, 0 for the first.
+	first    int       // first is the load of the first place when the choice was made.
 }
 
 // Limits returns the callers' limits of the configuration in force.
--- a/internal/record/event/steering.go
+++ b/internal/record/event/steering.go
@@ -20,6 +20,7 @@
 	TargetCold     Number = 3116
 	EntryJoined    Number = 3117
 	EntryGone      Number = 3118
+	TargetSlow     Number = 3119
 )
 
 var steering = []Entry{
@@ -41,4 +42,5 @@
 	{TargetCold, "target-cold", "a target may have just started and is paced until it has warmed up", "none"},
 	{EntryJoined, "entry-joined", "another entry has registered", "none"},
 	{EntryGone, "entry-gone", "another entry's registration has ended or it is leaving", "replace the VM if the platform has not done so"},
+	{TargetSlow, "target-slow", "requests to a target pass their time in a row; its objects go where there is room", "check the target VM if it repeats"},
 }
--- a/internal/steer/health/gauge.go
+++ b/internal/steer/health/gauge.go
@@ -10,6 +10,9 @@
 	firstRest = 400 * time.Millisecond
 	// longestRest bounds the rest of a target that fails again and again.
 	longestRest = 4 * time.Second
+	// overdueInRow is the number of overdue requests in a row from which a target is taken for a slow one;
+	// one alone is common where a queue is long.
+	overdueInRow = 2
 	// shedRest is how long a target that was full is passed over.
 	shedRest = 150 * time.Millisecond
 	// fresh is the age up to which a target's report of its load counts.
@@ -22,6 +25,8 @@
 	inflight int
 	rest     time.Time // rest is until when the target is passed over.
 	failures int       // failures counts those in a row.
+	overdue  int       // overdue counts requests that got no answer in their time, in a row.
+	slow     time.Time // slow is until when the target is taken for one that answers too late.
 	broken   time.Time // broken is when a connection or a registration last showed that the target had ended.
 	load     int       // load is what the target last said that it ran and held waiting.
 	loadAt   time.Time
@@ -41,11 +46,36 @@
 	g.inflight--
 }
 
-// Answered notes an answer.
-func (g *Gauge) Answered() {
+// Answered notes an answer, and whether it came within the rule's objective.
+func (g *Gauge) Answered(inTime bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.failures = 0
+	if inTime {
+		g.overdue = 0
+	}
+}
+
+// Overdue notes a request that waited for longer than its rule's objective and
+// got no answer in its time. It returns until when the target is taken for a
+// slow one, and whether it is: one that hangs, or is slow through and through,
+// does this again and again, one with a long queue answers others in between.
+func (g *Gauge) Overdue(now time.Time) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.overdue++
+	if g.overdue < overdueInRow {
+		return time.Time{}, false
+	}
+	g.slow = now.Add(min(firstRest<<min(g.overdue-overdueInRow, 8), longestRest))
+	return g.slow, true
+}
+
+// Slow reports whether the target is taken for one that answers too late.
+func (g *Gauge) Slow(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Before(g.slow)
 }
 
 // Shed notes that the target had no room.
--- a/internal/steer/health/gauge_test.go
+++ b/internal/steer/health/gauge_test.go
@@ -23,7 +23,7 @@
 		}
 		now = now.Add(rest)
 	}
-	g.Answered()
+	g.Answered(true)
 	if rest := g.Failed(now).Sub(now); rest >= last {
 		t.Errorf("an answer does not shorten the next rest, %v", rest)
 	}
@@ -50,3 +50,42 @@
 		t.Errorf("load %d after the end, want 0", got)
 	}
 }
+
+// Guards against a target that hangs, or is slow through and through, and gets
+// request after request, and against one with a long queue that is passed over.
+func TestOverdueRequestsMakeATargetSlow(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		name    string
+		answers string // answers holds what each request gets: an answer in time, a late one or none.
+		slow    int    // slow is how often the target is found slow.
+	}{
+		{"hangs", "------", 5},
+		{"slow, with late answers", "-l-l--l-", 4},
+		{"long queue", "-aa-aal-aa-alaa-a", 0},
+		{"recovers", "--a-a-", 1},
+	} {
+		var g health.Gauge
+		slow, last := 0, time.Duration(0)
+		for _, a := range c.answers {
+			now = now.Add(10 * time.Second)
+			if a != '-' {
+				g.Answered(a == 'a')
+				continue
+			}
+			until, ok := g.Overdue(now)
+			if !ok {
+				continue
+			}
+			slow++
+			span := until.Sub(now)
+			if span < last || span > 4*time.Second || !g.Slow(now) || g.Slow(until) {
+				t.Errorf("%s: slow for %v after %v", c.name, span, last)
+			}
+			last = span
+		}
+		if slow != c.slow {
+			t.Errorf("%s: found slow %d times, want %d", c.name, slow, c.slow)
+		}
+	}
+}
--- a/internal/steer/placement/crowd.go
+++ b/internal/steer/placement/crowd.go
@@ -5,6 +5,7 @@
 	Load  int  // Load is how many requests the target runs and holds waiting.
 	Slots int  // Slots is how many it runs at once.
 	Warm  bool // Warm says that the target has lately handled the object.
+	Slow  bool // Slow says that the target answers too late, whatever its load.
 }
 
 const (
@@ -28,7 +29,8 @@
 		if h.Warm {
 			limit = warmCrowd
 		}
-		if float64(first.Load) >= limit*float64(first.Slots) && h.Load < h.Slots {
+		crowded := first.Slow || float64(first.Load) >= limit*float64(first.Slots)
+		if crowded && h.Load < h.Slots && !h.Slow {
 			return i + 1
 		}
 	}
--- a/internal/steer/placement/crowd_test.go
+++ b/internal/steer/placement/crowd_test.go
@@ -15,13 +15,16 @@
 		homes []placement.Home
 		want  int
 	}{
-		{"free", []placement.Home{{0, 6, true}, {0, 6, true}}, 0},
-		{"busy, the object is elsewhere too", []placement.Home{{6, 6, true}, {2, 6, true}}, 1},
-		{"busy, the object is not elsewhere", []placement.Home{{8, 6, true}, {2, 6, false}}, 0},
-		{"crowded", []placement.Home{{15, 6, true}, {2, 6, false}}, 1},
-		{"crowded everywhere", []placement.Home{{15, 6, true}, {6, 6, true}, {7, 6, true}}, 0},
-		{"crowded, the third has room", []placement.Home{{15, 6, true}, {9, 6, true}, {1, 6, false}}, 2},
-		{"alone", []placement.Home{{15, 6, true}}, 0},
+		{"free", []placement.Home{{Load: 0, Slots: 6, Warm: true}, {Load: 0, Slots: 6, Warm: true}}, 0},
+		{"busy, the object is elsewhere too", []placement.Home{{Load: 6, Slots: 6, Warm: true}, {Load: 2, Slots: 6, Warm: true}}, 1},
+		{"busy, the object is not elsewhere", []placement.Home{{Load: 8, Slots: 6, Warm: true}, {Load: 2, Slots: 6, Warm: false}}, 0},
+		{"crowded", []placement.Home{{Load: 15, Slots: 6, Warm: true}, {Load: 2, Slots: 6, Warm: false}}, 1},
+		{"crowded everywhere", []placement.Home{{Load: 15, Slots: 6, Warm: true}, {Load: 6, Slots: 6, Warm: true}, {Load: 7, Slots: 6, Warm: true}}, 0},
+		{"crowded, the third has room", []placement.Home{{Load: 15, Slots: 6, Warm: true}, {Load: 9, Slots: 6, Warm: true}, {Load: 1, Slots: 6, Warm: false}}, 2},
+		{"slow, another is free", []placement.Home{{Load: 1, Slots: 6, Warm: true, Slow: true}, {Load: 2, Slots: 6}}, 1},
+		{"slow, no other has room", []placement.Home{{Load: 1, Slots: 6, Warm: true, Slow: true}, {Load: 6, Slots: 6}}, 0},
+		{"both slow", []placement.Home{{Load: 9, Slots: 6, Warm: true, Slow: true}, {Load: 0, Slots: 6, Slow: true}}, 0},
+		{"alone", []placement.Home{{Load: 15, Slots: 6, Warm: true}}, 0},
 	} {
 		if got := placement.Pick(c.homes); got != c.want {
 			t.Errorf("%s: home %d, want %d", c.name, got, c.want)
