internal/soak/world: restart targets under their id with a stepped clock

Cause: the soak moved no clocks. A target that starts again under its id may state an earlier time of its start than before.

Change: a fault that restarts a target so, cold for the time of the fault.

--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -106,6 +107,8 @@
 		w.note("no new target: %v", err)
 		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	t.left = true
 	w.ledger.Drain(t.ID, time.Now())
 	if w.s.Break != string(ledger.Drain) {
@@ -113,6 +116,15 @@
 	}
 }
 
+// warm registers a target that has warmed up, unless it has begun to leave.
+func (w *World) warm(t *target) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !t.left {
+		t.Register(w.store, "ready", 0)
+	}
+}
+
 // restart ends an entry's process by the signal and starts it again.
 func (w *World) restart(ctx context.Context, e *entry, s os.Signal, after time.Duration) {
 	exited := e.signal(s)
@@ -150,7 +162,7 @@
 	storeFails := func(name string, f platformtest.Fault) {
 		begin("store "+name, func() { w.store.Fail(f) }, func() { w.store.Fail(platformtest.None) })
 	}
-	switch w.random.IntN(17) {
+	switch w.random.IntN(18) {
 	case 0:
 		begin("kill "+e.name, func() {}, func() { w.restart(ctx, e, os.Kill, 0) })
 	case 1:
@@ -183,6 +195,14 @@
 		behave("full", platformtest.Full)
 	case 15:
 		behave("frozen", platformtest.Frozen)
+	case 17:
+		// The time of day of a target's VM may lie before that of its last start.
+		step := time.Duration(w.random.IntN(120)-60) * time.Second
+		begin(fmt.Sprintf("target %s restarts, its clock stepped by %v", t.ID, step), func() {
+			t.Restart(step + time.Millisecond)
+			t.proxy.Reset()
+			t.Register(w.store, "ready", d)
+		}, func() { w.warm(t) })
 	case 16:
 		begin("target "+t.ID+" slow", func() { t.proxy.Delay(150 * time.Millisecond) }, func() { t.proxy.Delay(0) })
 	}
