internal/entry/edge: ask targets for their health while the store is silent

Change: once the store was not heard for 1.8 s, and until 2 s after its return, the entry that would pace a target asks it for its health: every 0.2 s behind an answer that shows half of the slots in use, every 0.6 s behind one that does not. A cold one is told to all entries once. Nothing is asked while the store is heard.

Tried, not kept: to take a target for cold whose check is late (0.15 s) though it had free slots.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -310,7 +310,7 @@
 // cold reports whether a target is or may be cold: it said so, or it may have
 // ended since its registration was last read and runs again.
 func (v *view) cold(s *seat, now time.Time) bool {
-	if now.Before(s.coldUntil) {
+	if now.Before(s.coldUntil) || now.Before(s.gauge.ColdUntil()) {
 		return true
 	}
 	broken := s.gauge.Broken()
--- /dev/null
+++ b/internal/entry/edge/check.go
@@ -0,0 +1,213 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/request/upstream"
+	"tamarackspool/internal/site/census"
+)
+
+const (
+	// checkAfter is the age of the store's last word from which targets are asked
+	// for their health: one that cools down cannot say so in the store then. It
+	// is above the time between two renewals of a lease.
+	checkAfter = 1800 * time.Millisecond
+	// checkBeyond is how long checks go on after the store's return: the targets
+	// have registered again by then.
+	checkBeyond = 2 * time.Second
+	// checkBusy is the time between an answer and the next check of a target with
+	// half of its slots in use: one that gets about as many requests within it
+	// as a cold one bears in a second. Behind more, its check would wait in its queue.
+	checkBusy = 200 * time.Millisecond
+	// checkIdle is the same for a target that gets fewer.
+	checkIdle = 600 * time.Millisecond
+	// checkTick is how often targets are looked through for checks that are due.
+	checkTick = 100 * time.Millisecond
+	// checkLimit bounds a check, which waits in the target's queue as a request does.
+	checkLimit = time.Second
+	// chillSlack is the difference between two words on how long a target is
+	// cold from which other entries are told again.
+	chillSlack = 500 * time.Millisecond
+)
+
+// checks are the times of health checks by the target's id.
+type checks struct {
+	mu  sync.Mutex
+	due map[string]time.Time // due is when the next check may begin; the zero time while one is pending.
+}
+
+// begin reports whether a check of the target is due, and notes that it is pending.
+func (c *checks) begin(id string, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if due, ok := c.due[id]; ok && (due.IsZero() || now.Before(due)) {
+		return false
+	}
+	if c.due == nil {
+		c.due = make(map[string]time.Time)
+	}
+	c.due[id] = time.Time{}
+	return true
+}
+
+// end notes when the next check is due.
+func (c *checks) end(id string, due time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.due[id] = due
+}
+
+// forget drops the times, which are of use only while checks go on.
+func (c *checks) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, due := range c.due {
+		if !due.IsZero() {
+			delete(c.due, id)
+		}
+	}
+}
+
+// checkTargets asks the targets that this entry paces for their health while
+// the store is silent, so that each is asked by one entry, and tells all
+// entries which are cold.
+func (e *Edge) checkTargets(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	t := time.NewTicker(checkTick)
+	defer t.Stop()
+	var until time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			if e.follower.Age() >= checkAfter {
+				until = now.Add(checkBeyond)
+			}
+			if now.Before(until) {
+				e.checkPaced(ctx, now, &running)
+			} else {
+				e.checks.forget()
+			}
+		}
+	}
+}
+
+// checkPaced begins a check of each target that this entry paces.
+func (e *Edge) checkPaced(ctx context.Context, now time.Time, running *sync.WaitGroup) {
+	v := e.view.Load()
+	if v.book == nil {
+		return
+	}
+	for name, b := range v.seats {
+		service, ok := v.book.Service(name)
+		if !ok || service.HealthPath == "" {
+			continue
+		}
+		for _, s := range b.seats {
+			if s.target.Leaving() || !v.paces(e.s.Name, s) || !e.checks.begin(s.target.ID(), now) {
+				continue
+			}
+			running.Go(func() {
+				next := e.check(ctx, s, service.HealthPath)
+				e.checks.end(s.target.ID(), time.Now().Add(next))
+			})
+		}
+	}
+}
+
+// check asks one target for its health and returns when to ask again. A check
+// without an answer says nothing: requests to the target show themselves
+// whether it runs.
+func (e *Edge) check(ctx context.Context, s *seat, path string) time.Duration {
+	bounded, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+	h := make(http.Header)
+	e.d.Headers.SetTarget(h, s.target.ID())
+	a, err := e.pool.Do(bounded, upstream.Call{
+		Address: s.target.Address(), Method: http.MethodGet, Target: path, Host: s.target.Address(), Header: h,
+		Claim: func(_ int, h http.Header) upstream.Claim {
+			if e.d.Headers.RequestID(h) != "" {
+				return upstream.Foreign
+			}
+			return upstream.Ours
+		},
+	})
+	if err != nil || e.d.Headers.Instance(a.Header) != s.target.ID() {
+		return checkIdle
+	}
+	if a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+	if left := e.d.Headers.ColdLeft(a.Header); left > 0 {
+		if e.chill(s, left, "its health answer says so") {
+			e.tell(ctx, coldTarget{ID: s.target.ID(), Born: s.target.Born(), Left: left.Milliseconds()})
+		}
+		return checkIdle
+	}
+	running, waiting, slots, ok := e.d.Headers.Load(a.Header)
+	if ok {
+		s.gauge.Report(running, waiting, time.Now())
+	}
+	if ok && 2*(running+waiting) < slots {
+		return checkIdle
+	}
+	return checkBusy
+}
+
+// chill notes that a target is cold for the time that is left, and reports whether that is news.
+func (e *Edge) chill(s *seat, left time.Duration, reason string) bool {
+	now := time.Now()
+	until := now.Add(left)
+	if known := later(s.coldUntil, s.gauge.ColdUntil()); until.Sub(known) < chillSlack {
+		return false
+	}
+	s.gauge.Chilled(until)
+	e.events.Log(event.TargetCold, "target", s.target.ID(), "reason", reason, "for", left, "store-age", e.follower.Age())
+	return true
+}
+
+// coldTarget is the message that tells other entries of a cold target.
+type coldTarget struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"` // Born is when the target started, in milliseconds of its own clock.
+	Left int64  `json:"left"` // Left is in milliseconds.
+}
+
+// tell passes the word on a cold target to all entries that are known, once;
+// one that misses it hears of the target from the store later.
+func (e *Edge) tell(ctx context.Context, c coldTarget) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for _, o := range e.view.Load().entries {
+		if o.Name == e.s.Name {
+			continue
+		}
+		running.Go(func() { e.tellOne(ctx, o, c) })
+	}
+}
+
+func (e *Edge) tellOne(ctx context.Context, o census.Entry, c coldTarget) {
+	bounded, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+	p := &peer{address: o.Peer, dial: e.dialPeer, once: true}
+	if err := p.call(bounded, methodCold, c, new(struct{})); err != nil {
+		e.events.Log(event.PeerSilent, "error", err, "entry", o.Name, "target", c.ID)
+	}
+}
+
+// told takes another entry's word on a cold target, unless that has started again since.
+func (e *Edge) told(c coldTarget) {
+	for _, b := range e.view.Load().seats {
+		for _, s := range b.seats {
+			if s.target.ID() == c.ID && s.target.Born() == c.Born {
+				e.chill(s, time.Duration(c.Left)*time.Millisecond, "another entry says so")
+			}
+		}
+	}
+}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -49,6 +49,7 @@
 	memory  *placement.Memory
 	meters  *meters
 	packs   packs
+	checks  checks
 	// peerTraffic counts the bytes between this entry and others, dialPeer opens connections that it counts.
 	peerTraffic traffic.Meter
 	dialPeer    traffic.Dial
@@ -152,6 +153,7 @@
 	g.Go(func() error { e.follower.Run(work); return nil })
 	g.Go(func() error { e.register(work, ctx); return nil })
 	g.Go(func() error { e.expire(work); return nil })
+	g.Go(func() error { e.checkTargets(work); return nil })
 	<-ctx.Done()
 	e.stop(ctx)
 	stop()
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -16,8 +16,10 @@
 	"tamarackspool/internal/site/mirror"
 )
 
-// methodChanges asks a peer what changed after a revision.
-const methodChanges = "changes"
+const (
+	methodChanges = "changes" // methodChanges asks a peer what changed after a revision.
+	methodCold    = "cold"    // methodCold tells a peer of a cold target.
+)
 
 // The messages between entries.
 type (
@@ -69,13 +71,28 @@
 }
 
 func (e *Edge) answerPeer(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	if r.Method != methodChanges || r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "edge: method " + r.Method + " is unknown"}
-	}
-	var asked changesRequest
-	if err := json.Unmarshal(*r.Params, &asked); err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	if r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "edge: " + r.Method + " has no parameters"}
+	}
+	switch r.Method {
+	case methodChanges:
+		var asked changesRequest
+		if err := json.Unmarshal(*r.Params, &asked); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return e.answerChanges(ctx, asked)
+	case methodCold:
+		var c coldTarget
+		if err := json.Unmarshal(*r.Params, &c); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		e.told(c)
+		return struct{}{}, nil
 	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "edge: method " + r.Method + " is unknown"}
+}
+
+func (e *Edge) answerChanges(ctx context.Context, asked changesRequest) (any, error) {
 	if asked.Wait > 0 {
 		e.hold(ctx, asked.After, min(time.Duration(asked.Wait)*time.Millisecond, peerIdle))
 	}
@@ -182,27 +199,35 @@
 
 // Changes asks the peer, which holds the call open until something changes or the wait has passed.
 func (p *peer) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+	var a changesAnswer
+	if err := p.call(ctx, methodChanges, changesRequest{After: after, Wait: wait.Milliseconds()}, &a); err != nil {
+		return mirror.Batch{}, err
+	}
+	items, err := unpack(a.Packed)
+	if err != nil {
+		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
+	}
+	return mirror.Batch{Items: items, Revision: a.Revision, Whole: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}, nil
+}
+
+// call calls a method of the peer.
+func (p *peer) call(ctx context.Context, method string, asked, answer any) error {
 	if p.conn == nil {
 		raw, err := p.dial(ctx, "tcp", p.address)
 		if err != nil {
-			return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
+			return fmt.Errorf("edge: peer %s: %w", p.address, err)
 		}
 		p.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), jsonrpc2.HandlerWithError(refuse),
 			jsonrpc2.SetLogger(quiet))
 	}
-	var a changesAnswer
-	err := p.conn.Call(ctx, methodChanges, changesRequest{After: after, Wait: wait.Milliseconds()}, &a)
+	err := p.conn.Call(ctx, method, asked, answer)
 	if err != nil || p.once {
 		p.close()
 	}
 	if err != nil {
-		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
+		return fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
-	items, err := unpack(a.Packed)
-	if err != nil {
-		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
-	}
-	return mirror.Batch{Items: items, Revision: a.Revision, Whole: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}, nil
+	return nil
 }
 
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -71,6 +71,10 @@
 	NotRun(status int, h http.Header) bool
 	Stamped(h http.Header) bool
 	Load(h http.Header) (running, waiting, slots int, ok bool)
+	// Instance returns the id of the target that answered a health check; empty when it does not say.
+	Instance(h http.Header) string
+	// ColdLeft returns how long the target that answered a health check is still cold; 0 when it is warm.
+	ColdLeft(h http.Header) time.Duration
 }
 
 // Pages are the platform's own calls to an entry.
--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -273,3 +273,48 @@
 		f.store.Fail(platformtest.None)
 	})
 }
+
+// Guards against a target that cools down while the store is silent and gets
+// the requests of a warm one from entries that cannot know, and against checks
+// of targets while the store tells enough.
+func TestTargetsThatCoolDuringAnOutageArePaced(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		quick := func(x *platformtest.Target) { x.Work = 5 * time.Millisecond }
+		cools := f.target("t1", "s1", "a1", quick)
+		f.target("t2", "s1", "a1", quick)
+		ask := func() (seen int) {
+			before := cools.Seen()
+			for i := range 99 {
+				if got := f.call(fmt.Sprint("e", i%3), "GET", "/r/", object(fmt.Sprint(i%20))); got.status != http.StatusOK {
+					t.Errorf("request %d: %v", i, got)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			return cools.Seen() - before
+		}
+		time.Sleep(20 * time.Second)
+		if n := ask(); n < 20 || cools.Checks() > 0 {
+			t.Errorf("%d of 99 requests and %d checks while the store is heard", n, cools.Checks())
+		}
+		f.store.Fail(platformtest.Silent)
+		time.Sleep(3 * time.Second)
+		cools.Chill(3 * time.Second)
+		time.Sleep(500 * time.Millisecond)
+		// A cold target of the service bears 3.6 requests a second; 10 in one are allowed.
+		if n := ask(); n > 10 {
+			t.Errorf("%d requests in a second to a target that cools down during an outage", n)
+		}
+		time.Sleep(3 * time.Second)
+		if n := ask(); n < 20 {
+			t.Errorf("%d of 99 requests to a target that has warmed up", n)
+		}
+		f.store.Fail(platformtest.None)
+		time.Sleep(5 * time.Second)
+		before := cools.Checks()
+		time.Sleep(5 * time.Second)
+		if n := cools.Checks() - before; n > 0 {
+			t.Errorf("%d checks after the store's return", n)
+		}
+	})
+}
--- a/internal/steer/health/gauge.go
+++ b/internal/steer/health/gauge.go
@@ -26,6 +26,7 @@
 	rest     time.Time // rest is until when the target is passed over.
 	failures int       // failures counts those in a row.
 	overdue  int       // overdue counts requests that got no answer in their time, in a row.
+	cold     time.Time // cold is until when the target said that it is cold.
 	slow     time.Time // slow is until when the target is taken for one that answers too late.
 	broken   time.Time // broken is when a connection or a registration last showed that the target had ended.
 	load     int       // load is what the target last said that it ran and held waiting.
@@ -109,6 +110,20 @@
 	return g.broken
 }
 
+// Chilled notes until when the target said that it is cold.
+func (g *Gauge) Chilled(until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cold = later(g.cold, until)
+}
+
+// ColdUntil returns until when the target said that it is cold.
+func (g *Gauge) ColdUntil() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cold
+}
+
 // Report notes the load that the target stated in an answer.
 func (g *Gauge) Report(running, waiting int, now time.Time) {
 	g.mu.Lock()
