internal/steer/spend: use shares of the slack that are less than one repeat

Cause: the sum over all entries where a share is below one.

Change: the share is added to what an entry's own requests have earned. TestSmallSharesOfTheSlackAreUsed failed before; TestSharesStayWithinTheTermsTogether now plays 300 entries too.

--- a/internal/steer/spend/budget.go
+++ b/internal/steer/spend/budget.go
@@ -55,13 +55,12 @@
 		b.slack = min(full/2, b.slack+full/2*d.Seconds()/b.terms.Window.Seconds())
 		b.at = now
 	}
-	switch {
-	case b.earned >= 1:
-		b.earned--
-	case b.slack >= 1:
-		b.slack--
-	default:
+	// Among many entries the share of the slack is less than one repeat: it is added to what was earned.
+	if b.earned+b.slack < 1 {
 		return false
 	}
+	earned := min(b.earned, 1)
+	b.earned -= earned
+	b.slack -= 1 - earned
 	return true
 }
--- a/internal/steer/spend/budget_test.go
+++ b/internal/steer/spend/budget_test.go
@@ -12,7 +12,7 @@
 // window, whatever the load: steady, in bursts, or from no requests at all.
 func TestSharesStayWithinTheTermsTogether(t *testing.T) {
 	terms := spend.Terms{Ratio: 0.2, Slack: 64, Window: 10 * time.Second}
-	for _, entries := range []int{1, 12, 82} {
+	for _, entries := range []int{1, 12, 82, 300} {
 		for seed := range uint64(2) {
 			check(t, terms, entries, seed)
 		}
@@ -113,3 +113,22 @@
 		t.Errorf("%d repeats in the first window, the slack is 64", taken)
 	}
 }
+
+// Guards against a slack that nobody may use because each entry's share of it is less than one repeat.
+func TestSmallSharesOfTheSlackAreUsed(t *testing.T) {
+	now := time.Unix(0, 0)
+	terms := spend.Terms{Ratio: 0.2, Slack: 200, Window: 10 * time.Second}
+	const entries = 300
+	b := spend.New(terms, now)
+	now = now.Add(30 * time.Second)
+	// 0.8 of a repeat is earned; the share of the slack is 0.27 over a window.
+	for range 5 {
+		b.Request()
+	}
+	if !b.Take(entries, now) {
+		t.Error("0.8 of a repeat and a share of the slack do not make one")
+	}
+	if b.Take(entries, now) {
+		t.Error("a second repeat is allowed")
+	}
+}
