--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -25,8 +25,10 @@
 	checkBusy = 200 * time.Millisecond
 	// checkIdle is the same for a target that gets fewer.
 	checkIdle = 600 * time.Millisecond
-	// checkTick is how often targets are looked through for checks that are due.
+	// checkTick is how often targets are looked through for checks that are due
+	// while the store is silent, calmTick how often that is looked at.
 	checkTick = 100 * time.Millisecond
+	calmTick  = 500 * time.Millisecond
 	// checkLimit bounds a check, which waits in the target's queue as a request does.
 	checkLimit = time.Second
 	// chillSlack is the difference between two words on how long a target is
@@ -78,7 +80,7 @@
 func (e *Edge) checkTargets(ctx context.Context) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	t := time.NewTicker(checkTick)
+	t := time.NewTimer(calmTick)
 	defer t.Stop()
 	var until time.Time
 	for {
@@ -89,11 +91,13 @@
 			if e.follower.Age() >= checkAfter {
 				until = now.Add(checkBeyond)
 			}
-			if now.Before(until) {
-				e.checkPaced(ctx, now, &running)
-			} else {
+			if now.After(until) {
 				e.checks.forget()
+				t.Reset(calmTick)
+				continue
 			}
+			e.checkPaced(ctx, now, &running)
+			t.Reset(checkTick)
 		}
 	}
 }
