internal/site/mirror: call a silent store seldom

Each of 82 entries called for changes twice a second, as each had left its reader, and renewed 3 times a second.

Change: while no call of an entry is answered, the wait between its calls for changes doubles up to 2 s. Renewals, at a tenth of the price, tell of the store's return and end the wait; they are 0.45 instead of 0.3 s apart. TestFollowerCallsASilentStoreSeldom failed before.

An entry whose renewals fail need not call for changes at all while a peer hears the store; not built.

--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -161,6 +161,16 @@
 	}()
 }
 
+// cutOff has the store answer the calls of one host with the fault.
+func (f *fleet) cutOff(host string, fault platformtest.Fault) {
+	f.store.SetFault(func(caller, _ string) platformtest.Fault {
+		if caller == host {
+			return fault
+		}
+		return platformtest.None
+	})
+}
+
 // stop gives the signal to stop and waits for the end.
 func (f *fleet) stop(name string) {
 	r := f.entries[name]
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -24,7 +24,7 @@
 	hedgeAfter = 350 * time.Millisecond
 	// retryEvery is the time between renewals while they fail; they cost a tenth
 	// of a read and tell when the store is back.
-	retryEvery = 300 * time.Millisecond
+	retryEvery = 450 * time.Millisecond
 )
 
 // register keeps the entry registered until ctx ends, as leaving once stop has ended.
--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -67,12 +67,7 @@
 			f.target("t2", "s2", "a1", nil)
 			f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
 			settle()
-			f.store.SetFault(func(caller, _ string) platformtest.Fault {
-				if caller == "10.2.0.1" {
-					return fault
-				}
-				return platformtest.None
-			})
+			f.cutOff("10.2.0.1", fault)
 			time.Sleep(3 * time.Second)
 			f.configure(2, rule("read", "/r/", "safe", `,"service":"s2"`))
 			settle()
@@ -171,12 +166,7 @@
 		if f.log.has("name=reader-left") {
 			t.Error("a sound reader was left")
 		}
-		f.store.SetFault(func(caller, _ string) platformtest.Fault {
-			if caller == "10.2.0.1" {
-				return platformtest.Silent
-			}
-			return platformtest.None
-		})
+		f.cutOff("10.2.0.1", platformtest.Silent)
 		f.configure(2, rule("read", "/r/", "safe", `,"service":"s2"`))
 		time.Sleep(1900 * time.Millisecond)
 		for _, e := range []string{"e1", "e2"} {
@@ -261,12 +251,7 @@
 		f.configure(2, rule("read", "/r/", "safe", `,"service":"s2"`))
 		time.Sleep(500 * time.Millisecond)
 		check("0.5 s after a version", "t2")
-		f.store.SetFault(func(caller, _ string) platformtest.Fault {
-			if caller == "10.2.0.1" {
-				return platformtest.Silent
-			}
-			return platformtest.None
-		})
+		f.cutOff("10.2.0.1", platformtest.Silent)
 		f.configure(3, rule("read", "/r/", "safe", `,"service":"s1"`))
 		time.Sleep(2500 * time.Millisecond)
 		check("2.5 s after a version, the reader cut off", "t1")
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -40,6 +40,7 @@
 	longRead   = 20 * time.Second        // longRead is the most that it grows to.
 	spacing    = 250 * time.Millisecond  // spacing is the least time between two calls, as each is counted.
 	retry      = 500 * time.Millisecond  // retry is the wait after a failed call, before jitter.
+	longRetry  = 2 * time.Second         // longRetry is the same while renewals fail too, which tell when the store is back.
 	peerEvery  = 400 * time.Millisecond  // peerEvery is how often a peer is asked while the store is silent.
 	startEvery = 150 * time.Millisecond  // startEvery is the same for an entry that knows nothing yet.
 	peerWait   = 600 * time.Millisecond  // peerWait bounds one question to a peer.
@@ -140,7 +141,7 @@
 		if err != nil {
 			f.failures++
 			f.failed(ctx, err)
-			f.rest(ctx, retry/2+rand.N(retry))
+			f.rest(ctx, f.backOff())
 			continue
 		}
 		f.failures = 0
@@ -215,6 +216,16 @@
 // errReturned ends a call because the store was heard again after a silence.
 var errReturned = errors.New("mirror: the store is back")
 
+// backOff returns the wait after a failed call: it doubles while the store is
+// heard by no other call either.
+func (f *Follower) backOff() time.Duration {
+	d := retry
+	if f.Age() >= Stale {
+		d = min(retry<<min(f.failures, 8), longRetry)
+	}
+	return d/2 + rand.N(d)
+}
+
 // rest waits before the next call, at most until the store is heard again.
 func (f *Follower) rest(ctx context.Context, d time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, d)
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -220,3 +220,31 @@
 		}
 	})
 }
+
+// Guards against many priced calls to a store that refuses them all, and
+// against an entry that is late to hear of its return, which renewals tell.
+func TestFollowerCallsASilentStoreSeldom(t *testing.T) {
+	store := &well{revision: 1}
+	synctest.Test(t, func(t *testing.T) {
+		m := mirror.New()
+		fo := mirror.NewFollower(m, store, ring{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); fo.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		store.set(func(w *well) { w.fails = true })
+		before := store.count()
+		time.Sleep(20 * time.Second)
+		if n := store.count() - before; n > 16 {
+			t.Errorf("%d calls in 20 s to a store that refuses them", n)
+		}
+		store.set(func(w *well) { w.fails, w.revision = false, 2 })
+		fo.Heard()
+		time.Sleep(100 * time.Millisecond)
+		if m.Revision() != 2 {
+			t.Errorf("revision %d 0.1 s after a renewal, want 2", m.Revision())
+		}
+		cancel()
+		<-done
+	})
+}
