internal/entry/edge: log what a repeat is paid with and how long its connection took

The line of a repeat named neither its service nor the state of the budget, so that repeats saved long ago, a slack divided among too few entries and repeats that arrive late could not be told apart. 4007 now holds what was earned, the slack and the number of entries, for repeats that were not allowed too; 4006, 4013 and 3115 hold the time that the connection took. TestLinesSayWhatARepeatWasPaidWith failed before (no line has the fields).

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"tamarackspool/internal/record/event"
@@ -48,13 +49,9 @@
 		if s == nil {
 			return giveUp("no target has room")
 		}
-		if sent > 0 && !e.budget(q.service).Take(e.peersKnown(), time.Now()) {
+		if !e.repeat(q, s, sent, unsent) {
 			return giveUp("repeats are used up")
 		}
-		if len(q.tried) > 0 {
-			e.events.Log(event.RequestRepeated, "id", q.id, "target", s.target.ID(), "sent", sent, "unsent", unsent, "after", time.Since(q.Arrived))
-			e.meters.service(q.service).repeats.Inc(1)
-		}
 		q.tried = append(q.tried, s)
 		a, f := e.send(ctx, q, s, sent)
 		switch {
@@ -90,6 +87,23 @@
 	}
 }
 
+// repeat reports whether the request may go to the target after the earlier ones that were
+// sent it, or that refused a connection, and counts it.
+func (e *Edge) repeat(q *query, s *seat, sent, unsent int) bool {
+	if sent+unsent == 0 {
+		return true
+	}
+	b := e.budget(q.service)
+	earned, slack := b.Balance()
+	allowed := sent == 0 || b.Take(e.peersKnown(), time.Now())
+	e.events.Log(event.RequestRepeated, "id", q.id, "target", s.target.ID(), "service", q.service, "allowed", allowed, "sent", sent, "unsent", unsent,
+		"earned", strconv.FormatFloat(earned, 'f', 2, 64), "slack", strconv.FormatFloat(slack, 'f', 2, 64), "entries", e.peersKnown(), "after", time.Since(q.Arrived))
+	if allowed {
+		e.meters.service(q.service).repeats.Inc(1)
+	}
+	return allowed
+}
+
 // worthAnother reports whether another target may do better than an answer:
 // a read that failed at its target, with enough time left for one more run.
 func (e *Edge) worthAnother(q *query, a *upstream.Answer) bool {
@@ -120,7 +134,7 @@
 	until := s.gauge.Failed(now)
 	s.gauge.Broke(now)
 	e.pool.Forget(s.target.Address())
-	e.events.Log(event.TargetResting, "id", q.id, "target", s.target.ID(), "kind", f.Kind(), "sent", f.Sent(), "error", f.Unwrap(), "for", until.Sub(now))
+	e.events.Log(event.TargetResting, "id", q.id, "target", s.target.ID(), "kind", f.Kind(), "sent", f.Sent(), "opened", f.Opened(), "error", f.Unwrap(), "for", until.Sub(now))
 }
 
 // shed notes what an answer says that proves the request not run.
@@ -128,7 +142,7 @@
 	now := time.Now()
 	running, waiting, _, _ := e.d.Headers.Load(a.Header)
 	e.events.Log(event.RequestShed, "id", q.id, "target", s.target.ID(), "status", a.Status, "running", running, "waiting", waiting,
-		"slots", s.target.Slots(), "after", time.Since(q.Arrived))
+		"slots", s.target.Slots(), "opened", a.Opened, "after", time.Since(q.Arrived))
 	if a.Status == http.StatusMisdirectedRequest {
 		// Another target has the address: this one has ended.
 		s.gauge.Failed(now)
@@ -220,7 +234,7 @@
 	}
 	running, waiting, _, _ := e.d.Headers.Load(a.Header)
 	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived),
-		"running", running, "waiting", waiting, "slots", s.target.Slots())
+		"running", running, "waiting", waiting, "slots", s.target.Slots(), "opened", a.Opened)
 	e.meters.ended(q, outcomeAnswered)
 	return &inbound.Answer{
 		Status: a.Status, Header: a.Header, Body: a.Body, Rest: a.Rest, Length: a.Length,
--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -331,3 +331,23 @@
 		}
 	})
 }
+
+// Guards against lines that do not say what a repeat was paid with, or why one was not allowed.
+func TestLinesSayWhatARepeatWasPaidWith(t *testing.T) {
+	play(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		f.target("t1", "s1", "a1", nil).Behave(platformtest.Full)
+		f.target("t2", "s1", "a1", nil).Behave(platformtest.Full)
+		settle()
+		for i := range 100 {
+			f.call("e0", "GET", "/r/", object(fmt.Sprint(i)))
+		}
+		for _, line := range []string{
+			" service=s1 allowed=true sent=1 unsent=0 earned=", " service=s1 allowed=false sent=1 unsent=0 earned=", " opened=",
+		} {
+			if !f.log.has(line) {
+				t.Errorf("no line has %q", line)
+			}
+		}
+	})
+}
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -40,6 +40,7 @@
 	Header http.Header
 	Body   []byte
 	Rest   io.ReadCloser // Rest follows Body for a large answer; nil when Body is whole.
+	Opened time.Duration // Opened is the time from the call to its first byte, spent on a connection.
 	Length int64         // Length is that of the whole body; negative when unknown.
 }
 
@@ -58,14 +59,16 @@
 // Do sends the call and returns the answer; the error is a *Failure. The
 // context bounds the whole call, the reading of Rest included.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, error) {
+	began := time.Now()
 	c, err := p.take(ctx, call.Address, call.Once)
 	if err != nil {
 		kind := Refused
 		if ctx.Err() != nil {
 			kind = Cancelled
 		}
-		return nil, &Failure{kind: kind, err: err}
+		return nil, &Failure{kind: kind, opened: time.Since(began), err: err}
 	}
+	opened := time.Since(began)
 	c.sent.Store(false)
 	_ = c.raw.SetDeadline(time.Time{})
 	stop := context.AfterFunc(ctx, c.interrupt)
@@ -74,8 +77,9 @@
 	if err != nil {
 		stop()
 		c.close()
-		return nil, failure(ctx, c, err)
+		return nil, failure(ctx, c, opened, err)
 	}
+	a.Opened = opened
 	if a.Rest != nil {
 		a.Rest = &rest{ReadCloser: a.Rest, c: c, stop: stop}
 		return a, nil
@@ -99,8 +103,8 @@
 	}
 }
 
-func failure(ctx context.Context, c *conn, err error) *Failure {
-	f := &Failure{kind: Broken, sent: c.sent.Load(), err: err}
+func failure(ctx context.Context, c *conn, opened time.Duration, err error) *Failure {
+	f := &Failure{kind: Broken, sent: c.sent.Load(), opened: opened, err: err}
 	var g *garbled
 	switch {
 	case ctx.Err() != nil:
--- a/internal/request/upstream/failure.go
+++ b/internal/request/upstream/failure.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Kind tells the ways apart in which a call can fail.
 type Kind uint8
@@ -29,9 +32,10 @@
 
 // Failure is a call without an answer.
 type Failure struct {
-	kind Kind
-	sent bool
-	err  error
+	kind   Kind
+	sent   bool
+	opened time.Duration
+	err    error
 }
 
 // Kind returns the way in which the call failed.
@@ -40,6 +44,9 @@
 // Sent reports whether the target may have received the request.
 func (f *Failure) Sent() bool { return f.sent }
 
+// Opened returns the time from the call to its first byte, or to the failure where there was none.
+func (f *Failure) Opened() time.Duration { return f.opened }
+
 // Error returns the kind and the cause.
 func (f *Failure) Error() string { return fmt.Sprintf("upstream: %s: %v", f.kind, f.err) }
 
--- a/internal/steer/spend/budget.go
+++ b/internal/steer/spend/budget.go
@@ -64,3 +64,10 @@
 	b.slack -= 1 - earned
 	return true
 }
+
+// Balance returns what is left of repeats that requests have earned and of the slack, as of the last call of Take.
+func (b *Budget) Balance() (earned, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.earned, b.slack
+}
