--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -351,3 +351,35 @@
 		}
 	})
 }
+
+// Guards against repeats that twelve entries saved up in a quiet time and spend at once when a service's targets shed.
+func TestRepeatsSavedByAllEntriesStayWithinTheBudget(t *testing.T) {
+	zones := []string{"a1", "a2", "b1", "a1", "a2", "b1", "a1", "a2", "b1", "a1", "a2", "b1"}
+	play(t, zones, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		quick := func(x *platformtest.Target) { x.Work = time.Millisecond }
+		targets := []*platformtest.Target{f.target("t1", "s1", "a1", quick), f.target("t2", "s1", "a1", quick)}
+		settle()
+		ask := func(n int) {
+			for i := range n * len(zones) {
+				f.call(fmt.Sprint("e", i%len(zones)), "GET", "/r/", object(fmt.Sprint(i)))
+			}
+		}
+		ask(80)
+		time.Sleep(25 * time.Second)
+		for _, x := range targets {
+			x.Behave(platformtest.Full)
+		}
+		before := targets[0].Seen() + targets[1].Seen()
+		const each = 12
+		began := time.Now()
+		ask(each)
+		if took := time.Since(began); took > 10*time.Second {
+			t.Fatalf("the requests took %v, longer than the window", took)
+		}
+		n := each * len(zones)
+		if repeats := targets[0].Seen() + targets[1].Seen() - before - n; repeats > n/5+64 {
+			t.Errorf("%d repeats of %d requests within %v; %d are allowed", repeats, n, time.Since(began), n/5+64)
+		}
+	})
+}
