internal/request/upstream: give up heads and unused connections whose bytes do not end

The head of a target's answer was read without a limit, so that an entry held all that arrived until the request's time was over: at 1,000 Mbit/s more than its memory within 3 s. An answer to another request whose body does not end had the same effect, as what follows its first 256 KB was read as a head.

A head, interim answers included, now ends the connection after 64 KB; the request goes on as after any answer that is none. Framing errors within a body are named garbled, as those of a head are. An unused connection on which bytes arrive is closed within a second, not when it would have been used again or had grown old.

The stand-in of a target can send without end now, for reads and orders of a simulated fleet and in the soak, whose schedules change with the new disturbance. The product's own pool has a limit for heads already.

--- a/internal/entry/edge/edge_test.go
+++ b/internal/entry/edge/edge_test.go
@@ -80,6 +80,7 @@
 		{platformtest.Full, 503, 0},
 		{platformtest.Vague, 502, 1},
 		{platformtest.Bare, 502, 1},
+		{platformtest.Endless, 502, 1},
 	} {
 		play(t, []string{"a1"}, func(f *fleet) {
 			f.configure(1, rule("order", "/o/", "unsafe", `,"service":"s1","timeoutS":2`))
@@ -109,6 +110,7 @@
 	}{
 		{"read, answer lost", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Mute) }},
 		{"read, answer cut", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Cut) }},
+		{"read, answer without end", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Endless) }},
 		{"read, failure", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Hollow) }},
 		{"read, full", "GET", "/r/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Full) }},
 		{"order, full", "POST", "/o/", func(_ *fleet, x *platformtest.Target) { x.Behave(platformtest.Full) }},
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -55,6 +55,8 @@
 	inlineBody = 16 << 10
 	// maxForeign is the most answers to other requests that are skipped.
 	maxForeign = 3
+	// maxHead is the most bytes of an answer's head, with interim answers, before which it is given up.
+	maxHead = 64 << 10
 	// maxInterim is the most interim answers that are skipped.
 	maxInterim = 8
 )
@@ -180,6 +182,7 @@
 func (c *conn) receive(call Call) (*Answer, bool, error) {
 	asked := &http.Request{Method: call.Method}
 	foreign, interim := 0, 0
+	c.left = maxHead
 	for {
 		resp, err := http.ReadResponse(c.br, asked)
 		if err != nil {
@@ -193,15 +196,21 @@
 		}
 		switch call.Claim(resp.StatusCode, resp.Header) {
 		case Foreign:
+			c.left = -1
 			if foreign++; foreign > maxForeign || skip(resp) != nil {
 				return nil, false, &garbled{"answer to another request"}
 			}
+			c.left = maxHead
 			continue
 		case Spoiled:
 			return nil, false, &garbled{"answer that is not the target's"}
 		}
+		c.left = -1
 		a, err := read(resp)
-		return a, !resp.Close && foreign == 0, err
+		if err != nil {
+			return nil, false, classify(err)
+		}
+		return a, !resp.Close && foreign == 0, nil
 	}
 }
 
@@ -237,6 +246,9 @@
 	return a, nil
 }
 
+// errLongHead ends the reading of a head that is longer than any answer's.
+var errLongHead = errors.New("the head of the answer does not end")
+
 func classify(err error) error {
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || isNetwork(err) {
 		return err
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -21,10 +21,31 @@
 	until   time.Time // until is when the connection must no longer be used.
 	reused  bool
 	sent    atomic.Bool // sent says that bytes of the request in progress may have left.
+	left    int         // left is how many more bytes may be read; negative for any number.
 }
 
 func newConn(address string, raw net.Conn) *conn {
-	return &conn{address: address, raw: raw, br: bufio.NewReaderSize(raw, 4<<10)}
+	c := &conn{address: address, raw: raw, left: -1}
+	c.br = bufio.NewReaderSize(headReader{c}, 4<<10)
+	return c
+}
+
+// headReader reads from a connection up to the limit that is set while a head is awaited.
+type headReader struct{ c *conn }
+
+// Read reads from the connection, or fails when the limit is reached.
+func (r headReader) Read(b []byte) (int, error) {
+	if r.c.left == 0 {
+		return 0, errLongHead
+	}
+	if r.c.left > 0 && len(b) > r.c.left {
+		b = b[:r.c.left]
+	}
+	n, err := r.c.raw.Read(b)
+	if r.c.left > 0 {
+		r.c.left -= n
+	}
+	return n, err
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
@@ -61,19 +82,30 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
+	_, ok, err := c.peek()
+	return !ok || errors.Is(err, syscall.EAGAIN)
+}
+
+// babbles reports whether an unused connection holds bytes.
+func (c *conn) babbles() bool {
+	n, _, _ := c.peek()
+	return n > 0 || c.br.Buffered() > 0
+}
+
+// peek looks for one byte without waiting for it; it is not ok where the connection has no descriptor.
+func (c *conn) peek() (n int, ok bool, err error) {
 	s, ok := c.raw.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, false, nil
 	}
 	control, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0, true, err
 	}
-	quiet := false
+	var received error
 	err = control.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, received = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return max(n, 0), true, errors.Join(err, received)
 }
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -76,14 +76,15 @@
 	}
 }
 
-// Expire closes the connections that were unused for too long.
+// Expire closes the connections that were unused for too long, and those on
+// which a target sends although nothing was asked.
 func (p *Pool) Expire(now time.Time) {
 	p.mu.Lock()
 	var old []*conn
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.After(c.until) {
+			if now.After(c.until) || c.babbles() {
 				old = append(old, c)
 			} else {
 				kept = append(kept, c)
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -162,7 +162,7 @@
 	storeFails := func(name string, f platformtest.Fault) {
 		begin("store "+name, func() { w.store.Fail(f) }, func() { w.store.Fail(platformtest.None) })
 	}
-	switch w.random.IntN(18) {
+	switch w.random.IntN(19) {
 	case 0:
 		begin("kill "+e.name, func() {}, func() { w.restart(ctx, e, os.Kill, 0) })
 	case 1:
@@ -203,6 +203,8 @@
 			t.proxy.Reset()
 			t.Register(w.store, "ready", d)
 		}, func() { w.warm(t) })
+	case 18:
+		behave("answers without end", platformtest.Endless)
 	case 16:
 		begin("target "+t.ID+" slow", func() { t.proxy.Delay(150 * time.Millisecond) }, func() { t.proxy.Delay(0) })
 	}
