internal/entry/edge: only entries that stand in the store pace cold targets

What all entries together send to a cold target is bounded by giving it to one of them, chosen among the entries that each knows; an entry counted itself whether or not it was registered. Entries whose registrations had lapsed or been taken away by the platform, and which the store turned away afterwards, each took themselves for the one among few: twelve entries sent up to 48 requests in a second to a target that bears 3.6, where 10 are allowed (one entry answered by the store after an outage), and up to 12 with four registrations taken away.

An entry now paces only while its own registration stands in the store as far as it knows, chosen among registered entries alone, and only 1 s after it saw it: those that stood before are known by then, and those that paced before it know of it. Where nobody may pace for that second the target gets nothing.

TestOneEntryPacesAColdTargetWhateverItKnowsOfOthers failed before in two of its three cases (48 and 12 requests in a second). What remains: an entry that can reach neither the store nor a peer goes on pacing what it paced, beside the one that replaces it, which together stay within the bound (8 of 10).

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -308,7 +308,7 @@
 		return nil
 	}
 	for _, s := range seats {
-		if e.allowed(v, q, s) && v.paces(e.s.Name, s) && s.pacer.Take(service.ColdRate, now) {
+		if e.allowed(v, q, s) && v.paces(e.s.Name, s, now) && s.pacer.Take(service.ColdRate, now) {
 			return s
 		}
 	}
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -30,6 +30,8 @@
 	dirty   map[string]bool // dirty holds the services whose bench must be made anew.
 	closed  map[string]bool
 	entries map[string]census.Entry
+	// enrolled is when this entry's own registration was seen to stand; the zero time while it does not.
+	enrolled time.Time
 }
 
 func newBelief(keys Keys, events *event.Log, self census.Entry, regions int) *belief {
@@ -75,7 +77,7 @@
 		return b.register(id, it, now)
 	}
 	if name, ok := b.keys.Entry(it.Key); ok {
-		return b.enrol(name, it)
+		return b.enrol(name, it, now)
 	}
 	return nil
 }
@@ -176,9 +178,12 @@
 	return &c
 }
 
-func (b *belief) enrol(name string, it mirror.Item) error {
+func (b *belief) enrol(name string, it mirror.Item, now time.Time) error {
 	old, known := b.entries[name]
 	if it.Removed {
+		if name == b.self.Name {
+			b.enrolled = time.Time{}
+		}
 		if known {
 			delete(b.entries, name)
 			b.events.Log(event.EntryGone, "entry", name, "revision", it.Revision)
@@ -190,6 +195,9 @@
 		return err
 	}
 	b.entries[name] = e
+	if name == b.self.Name && !known {
+		b.enrolled = now
+	}
 	switch {
 	case e.Leaving && !old.Leaving:
 		b.events.Log(event.EntryGone, "entry", name, "revision", it.Revision, "leaving", true)
@@ -223,17 +231,18 @@
 	v := &view{book: b.book, seats: make(map[string]*bench), closed: maps.Clone(b.closed), revision: revision}
 	b.rebuild()
 	maps.Copy(v.seats, b.benches)
-	v.stored = slices.Sorted(maps.Keys(b.entries))
-	entries := maps.Clone(b.entries)
-	entries[b.self.Name] = b.self
-	for _, name := range slices.Sorted(maps.Keys(entries)) {
-		e := entries[name]
-		v.entries = append(v.entries, e)
-		if !e.Leaving {
+	v.stored, v.enrolled = slices.Sorted(maps.Keys(b.entries)), b.enrolled
+	for _, name := range v.stored {
+		if !b.entries[name].Leaving {
 			v.marks = append(v.marks, placement.Mark(name))
 			v.names = append(v.names, name)
 		}
 	}
+	entries := maps.Clone(b.entries)
+	entries[b.self.Name] = b.self
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		v.entries = append(v.entries, entries[name])
+	}
 	v.reader, v.led = census.ReaderOf(v.entries, b.self)
 	return v
 }
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, s := range b.seats {
-			if s.target.Leaving() || !v.paces(e.s.Name, s) || !e.checks.begin(s.target.ID(), now) {
+			if s.target.Leaving() || !v.paces(e.s.Name, s, now) || !e.checks.begin(s.target.ID(), now) {
 				continue
 			}
 			running.Go(func() {
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -173,6 +173,20 @@
 	})
 }
 
+// serveOnly has the store answer the first n entries and turn all others away.
+func (f *fleet) serveOnly(n int) {
+	served := make(map[string]bool)
+	for i := range n {
+		served[fmt.Sprintf("10.2.0.%d", i+1)] = true
+	}
+	f.store.SetFault(func(caller, _ string) platformtest.Fault {
+		if served[caller] {
+			return platformtest.None
+		}
+		return platformtest.Busy
+	})
+}
+
 // stop gives the signal to stop and waits for the end.
 func (f *fleet) stop(name string) {
 	r := f.entries[name]
--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -303,3 +303,74 @@
 		}
 	})
 }
+
+// Guards against a cold target that several entries pace at once, because their registrations lapsed during an
+// outage after which the store answers only some of them, or because it took away those of some.
+func TestOneEntryPacesAColdTargetWhateverItKnowsOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lapse  bool // lapse has the store fail until all registrations have ended.
+		served int  // served is the number of entries that the store answers afterwards.
+	}{{"lapsed, all answered", true, 12}, {"lapsed, one answered", true, 1}, {"four taken away", false, 8}} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, slices.Repeat([]string{"a1", "a2", "b1"}, 4), func(f *fleet) {
+				f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+				quick := func(x *platformtest.Target) { x.Slots, x.Work = 1000, time.Millisecond }
+				var targets []*platformtest.Target
+				for i := range 8 {
+					targets = append(targets, f.target(fmt.Sprint("t", i), "s1", "a1", quick))
+				}
+				time.Sleep(10 * time.Second)
+				if c.lapse {
+					f.store.Fail(platformtest.Silent)
+					time.Sleep(6 * time.Second)
+				}
+				f.serveOnly(c.served)
+				for i := c.served; i < len(f.entries); i++ {
+					f.store.Remove(fmt.Sprint("entries/e", i))
+				}
+				time.Sleep(2 * time.Second)
+				for _, x := range targets {
+					x.Chill(20 * time.Second)
+					x.Register(f.store, "ready", 20*time.Second)
+				}
+				time.Sleep(2 * time.Second)
+				began := time.Now()
+				for time.Since(began) < 5*time.Second {
+					for e := range f.entries {
+						for i := range 4 {
+							go f.callAs(fmt.Sprint(e, "-", i, time.Since(began)), e, "GET", "/r/", object(fmt.Sprint(i)))
+						}
+					}
+					time.Sleep(40 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				served := 0
+				for _, x := range targets {
+					runs := x.Runs()
+					served += len(runs)
+					// 3.6 a second with half as many more, and 5.
+					if n := mostInASecond(runs); n > 10 {
+						t.Errorf("%s: %d requests in a second", x.ID, n)
+					}
+				}
+				if served < 5*8*3 {
+					t.Errorf("%d requests in 5 s at 8 targets that bear 3.6 a second each", served)
+				}
+			})
+		})
+	}
+}
+
+// mostInASecond returns the most runs, in the order of their beginning, within one second.
+func mostInASecond(runs []platformtest.Run) int {
+	most := 0
+	for i := range runs {
+		n := 0
+		for i+n < len(runs) && runs[i+n].At.Sub(runs[i].At) < time.Second {
+			n++
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -61,16 +61,26 @@
 	seats    map[string]*bench // seats is by service.
 	closed   map[string]bool   // closed holds the availability zones that are being emptied.
 	entries  []census.Entry
-	stored   []string // stored holds the names of the entries that stand in the store, this one included.
-	marks    []uint64 // marks are those of the entries that are not leaving, by their order.
+	stored   []string  // stored holds the names of the entries that stand in the store, this one included.
+	enrolled time.Time // enrolled is since when this entry is among them; the zero time while it is not.
+	marks    []uint64  // marks are those of the stored entries that are not leaving, in the order of names.
 	names    []string
 	revision uint64
 	reader   census.Reader // reader is the entry that reads the store for this one.
 	led      bool          // led says that there is one.
 }
 
+// paceAfter is how long an entry's own registration must have been seen to stand before the entry
+// paces targets: those that registered before it are known then, and those that paced before it know of it.
+const paceAfter = time.Second
+
 // paces reports whether this entry is the one that may send to a cold target.
-func (v *view) paces(self string, s *seat) bool {
+// It goes by registrations alone: an entry that does not stand in the store is
+// none to the others, so that several such would pace one target together.
+func (v *view) paces(self string, s *seat, now time.Time) bool {
+	if v.enrolled.IsZero() || now.Sub(v.enrolled) < paceAfter {
+		return false
+	}
 	i := placement.Best(placement.Key(s.mark), len(v.marks), func(i int) uint64 { return v.marks[i] }, func(int) float64 { return 1 })
-	return i < 0 || v.names[i] == self
+	return i >= 0 && v.names[i] == self
 }
