internal/request/upstream: reset the connection of a call that is given up

A call that was given up closed its connection in order, so that a repeat of seconds ago could arrive in a window whose requests never paid for it. It is reset now, which discards what is on its way.

TestCallsThatAreGivenUpDiscardTheirBytes failed before (the target saw the end of the stream, not a reset). Comments of some new tests are cut to a line.

--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -304,8 +304,7 @@
 	})
 }
 
-// Guards against a cold target that several entries pace at once, because their registrations lapsed during an
-// outage after which the store answers only some of them, or because it took away those of some.
+// Guards against a cold target that several entries pace at once because their registrations lapsed or were taken away.
 func TestOneEntryPacesAColdTargetWhateverItKnowsOfOthers(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -88,7 +88,7 @@
 	a, keep, err := c.receive(call)
 	if err != nil {
 		stop()
-		c.close()
+		c.abort()
 		return nil, failure(ctx, c, opened, err)
 	}
 	a.Opened = opened
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -50,6 +50,15 @@
 
 func (c *conn) close() { _ = c.raw.Close() }
 
+// abort closes the connection and discards what has not arrived, so that no
+// part of a request that is given up reaches its target later.
+func (c *conn) abort() {
+	if t, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = t.SetLinger(0) // A connection that has ended already has nothing to discard.
+	}
+	c.close()
+}
+
 // interrupt ends reads and writes in progress.
 func (c *conn) interrupt() { _ = c.raw.SetDeadline(time.Unix(1, 0)) }
 
--- a/internal/request/upstream/endless_test.go
+++ b/internal/request/upstream/endless_test.go
@@ -33,8 +33,7 @@
 
 const flood = 8 << 20
 
-// Guards against a target whose bytes never end, be it in the head of an answer, in what frames its body or
-// behind it, and which are held in memory until the request's time is over.
+// Guards against bytes of a target that never end and are held in memory until the request's time is over.
 func TestBytesWithoutEndEndTheirConnection(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
 	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -79,8 +78,7 @@
 	}
 }
 
-// Guards against a body without a length and without an end that is held in
-// memory, or that goes on after the request's time or its caller's leaving.
+// Guards against a body without an end that is held in memory, or goes on after its request's time or caller has gone.
 func TestBodiesWithoutEndStopWithTheirRequest(t *testing.T) {
 	for _, framing := range []struct{ name, head, again string }{
 		{"no length", "\r\n", strings.Repeat("x", 1024)},
--- a/internal/request/upstream/pool_test.go
+++ b/internal/request/upstream/pool_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -356,3 +357,39 @@
 		t.Errorf("requests %s and %s over %d connections, want 2 and 4 over one", a, b, r.dials)
 	}
 }
+
+// Guards against a request that is given up while it is held up on its way, and reaches its target later.
+func TestCallsThatAreGivenUpDiscardTheirBytes(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	taken, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			close(taken)
+			ended <- err
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		take(br)
+		close(taken)
+		_, err = br.ReadByte()
+		ended <- err
+	}()
+	p := upstream.New(new(net.Dialer).DialContext, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-taken
+		cancel()
+	}()
+	if _, err := p.Do(ctx, upstream.Call{Address: l.Addr().String(), Method: http.MethodGet, Target: "/", Host: "a"}); err == nil {
+		t.Error("a cancelled call has an answer")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the target saw %v, want a reset, which discards what is on its way", err)
+	}
+}
--- a/internal/steer/spend/worst_test.go
+++ b/internal/steer/spend/worst_test.go
@@ -155,8 +155,7 @@
 	}
 }
 
-// Guards against loads that come and go at the edges of the windows that count: all but the last burst
-// reach their entry, are repeated and arrive as late as they can.
+// Guards against loads that come and go at the edges of the windows that count, and ways of the longest time.
 func TestLoadAtTheEdgesOfWindowsStaysWithinTheTerms(t *testing.T) {
 	const burst = 400
 	for _, entries := range []int{1, 12, 80} {
@@ -208,8 +207,7 @@
 	})
 }
 
-// Guards against entries that stand still for seconds and then read what callers sent long ago: what
-// they may repeat beyond the ratio must stay within the slack, at the load of a site of 12 entries.
+// Guards against entries that stand still for seconds and then repeat more than the slack for what callers sent long ago.
 func TestEntriesThatStoodStillStayWithinTheSlack(t *testing.T) {
 	const entries, stalled, load, stall = 12, 5, 16, 5
 	p := newPlay(entries)
