internal/soak/ledger: check the repeats of all entries together

Targets now note each request that reaches them, run or not, callers which services may get it, and the ledger counts the arrivals beyond the first of each request in any 10 s against 0.2 of the requests and 64, as the users' rule does, with its three windows.

--break repeats starts entries that repeat half of their requests at targets that turn all away; the check finds it, and TestRepeatsAreCountedByWindows holds it at both sides of the bound.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -19,10 +19,13 @@
 	Stop     Promise = "stop"     // Stop: a planned stop cuts no request that a target runs.
 	Version  Promise = "version"  // Version: a configuration is in force everywhere within seconds.
 	Recovery Promise = "recovery" // Recovery: callers are served again soon after the last disturbance.
+	Repeats  Promise = "repeats"  // Repeats: all entries together send few requests to a second target.
 )
 
 // Promises returns all promises.
-func Promises() []Promise { return []Promise{Whole, Once, NotRun, Drain, Stop, Version, Recovery} }
+func Promises() []Promise {
+	return []Promise{Whole, Once, NotRun, Drain, Stop, Version, Recovery, Repeats}
+}
 
 // Attempt is one request as its caller saw it.
 type Attempt struct {
@@ -35,7 +38,15 @@
 	Success  bool
 	Whole    bool
 	NotRun   bool
-	Deserted bool // Deserted says that the caller left on its own.
+	Deserted bool     // Deserted says that the caller left on its own.
+	Services []string // Services are those that may get the request.
+}
+
+// Arrival is one request that reached a target of a service, run or not.
+type Arrival struct {
+	ID      string
+	Service string
+	At      time.Time
 }
 
 // Run is one request that a target ran.
@@ -133,8 +144,8 @@
 	})
 }
 
-// Check returns the promises that were broken, given all that the targets ran.
-func (l *Ledger) Check(runs []Run) []Break {
+// Check returns the promises that were broken, given all that the targets ran and all that reached them.
+func (l *Ledger) Check(runs []Run, arrivals []Arrival) []Break {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	byID := make(map[string][]Run)
@@ -148,6 +159,7 @@
 	for _, r := range runs {
 		found = append(found, l.run(r)...)
 	}
+	found = append(found, l.repeats(arrivals)...)
 	return append(found, l.recovery()...)
 }
 
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -1,6 +1,8 @@
 package ledger_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,7 +74,7 @@
 		l := ledger.New()
 		l.Attempt(ledger.Attempt{ID: "o", Order: true, Sent: at(100), Status: 200, Success: true, Whole: true})
 		l.Attempt(ledger.Attempt{ID: "r", Sent: at(100), Status: 200, Success: true, Whole: true})
-		breaks := l.Check(c.fill(l))
+		breaks := l.Check(c.fill(l), nil)
 		found := ledger.Promise("")
 		for _, b := range breaks {
 			// The attempts of some cases count as not served too.
@@ -85,3 +87,36 @@
 		}
 	}
 }
+
+// Guards against a sum of repeats that the check does not find, or finds where the requests allow it.
+func TestRepeatsAreCountedByWindows(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name            string
+		requests, again int
+		over            time.Duration // over is the time in which the repeats arrive.
+		broken          bool
+	}{
+		{"few requests, the slack", 10, 66, time.Second, false},
+		{"few requests, more than the slack", 10, 67, time.Second, true},
+		{"many requests", 1000, 264, time.Second, false},
+		{"many requests, more than a fifth and the slack", 1000, 265, time.Second, true},
+		{"two windows", 10, 130, 20 * time.Second, false},
+	} {
+		l := ledger.New()
+		var arrivals []ledger.Arrival
+		for i := range c.requests {
+			id := fmt.Sprint(i)
+			l.Attempt(ledger.Attempt{ID: id, Sent: start, Services: []string{"s1"}})
+			arrivals = append(arrivals, ledger.Arrival{ID: id, Service: "s1", At: start})
+		}
+		for i := range c.again {
+			at := start.Add(time.Duration(i) * c.over / time.Duration(c.again))
+			arrivals = append(arrivals, ledger.Arrival{ID: "0", Service: "s1", At: at})
+		}
+		found := slices.ContainsFunc(l.Check(nil, arrivals), func(b ledger.Break) bool { return b.Promise == ledger.Repeats })
+		if found != c.broken {
+			t.Errorf("%s: found %v, want %v", c.name, found, c.broken)
+		}
+	}
+}
--- a/internal/soak/world/caller.go
+++ b/internal/soak/world/caller.go
@@ -160,5 +160,20 @@
 	c.w.ledger.Attempt(ledger.Attempt{
 		ID: a.ID, Order: a.Method == http.MethodPost, Entry: c.entry, Sent: sent, Done: time.Now(),
 		Status: r.Status, Success: r.Success(), Whole: r.Whole(a), NotRun: r.NotRun(), Deserted: deserted,
+		Services: services(a.Path),
 	})
 }
+
+// services returns the services that run the requests of a path.
+func services(path string) []string {
+	switch {
+	case strings.HasPrefix(path, movePrefix):
+		return []string{"s1", "s2"}
+	case strings.HasPrefix(path, "/o/"):
+		return []string{"s2"}
+	case strings.HasPrefix(path, "/u/"):
+		return []string{"s3"}
+	default:
+		return []string{"s1"}
+	}
+}
--- a/internal/soak/world/entry.go
+++ b/internal/soak/world/entry.go
@@ -24,6 +24,7 @@
 	store      *proxy.Proxy // store is the way to the store, which can be spoiled for this entry alone.
 	program    string
 	seeds      func() []string
+	flags      []string // flags are given beside those that every entry gets.
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -42,10 +43,12 @@
 
 // start starts the process.
 func (e *entry) start() error {
-	cmd := exec.Command(e.program,
+	flags := append([]string{
 		"--name", e.name, "--zone", e.zone, "--region", zones[e.zone], "--zones", zoneList(),
 		"--call", "127.0.0.1:0", "--ready", "127.0.0.1:0", "--directory", "127.0.0.1:0", "--peer", "127.0.0.1:0", "--metrics", "127.0.0.1:0",
-		"--store", e.store.Address(), "--grace", fmt.Sprint(grace.Seconds()), "--seeds", strings.Join(e.seeds(), ","))
+		"--store", e.store.Address(), "--grace", fmt.Sprint(grace.Seconds()), "--seeds", strings.Join(e.seeds(), ","),
+	}, e.flags...)
+	cmd := exec.Command(e.program, flags...)
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=1")
 	// The process ends with this one, also when this one is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -52,13 +52,14 @@
 func (w *World) spoil() {
 	manner := map[string]platformtest.Manner{
 		string(ledger.Whole): platformtest.Swap, string(ledger.Once): platformtest.Twin, string(ledger.NotRun): platformtest.Liar,
+		string(ledger.Repeats): platformtest.Full,
 	}[w.s.Break]
 	if manner == platformtest.Sound {
 		return
 	}
 	for _, t := range w.targets {
 		t.SetManner(func(r *http.Request) platformtest.Manner {
-			if strings.HasSuffix(r.URL.Path, "7") || strings.HasSuffix(r.URL.RawQuery, "7") {
+			if manner == platformtest.Full || strings.HasSuffix(r.URL.Path, "7") || strings.HasSuffix(r.URL.RawQuery, "7") {
 				return manner
 			}
 			return platformtest.Sound
--- a/internal/soak/world/target.go
+++ b/internal/soak/world/target.go
@@ -64,6 +64,15 @@
 	return runs
 }
 
+// arrivals returns what reached the target, as the ledger takes it.
+func (t *target) arrivals() []ledger.Arrival {
+	var list []ledger.Arrival
+	for _, a := range t.Arrivals() {
+		list = append(list, ledger.Arrival{ID: a.ID, Service: t.Service, At: a.At})
+	}
+	return list
+}
+
 func (t *target) close(ctx context.Context) {
 	t.proxy.Close()
 	_ = t.server.Shutdown(ctx)
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -77,9 +77,11 @@
 		if err != nil {
 			return nil, err
 		}
-		w.entries = append(w.entries, &entry{
-			name: fmt.Sprint("e", i), zone: zoneNames[i%len(zoneNames)], store: p, program: s.Program, seeds: w.seeds,
-		})
+		e := &entry{name: fmt.Sprint("e", i), zone: zoneNames[i%len(zoneNames)], store: p, program: s.Program, seeds: w.seeds}
+		if s.Break == string(ledger.Repeats) {
+			e.flags = []string{"--repeat-ratio", "1"}
+		}
+		w.entries = append(w.entries, e)
 	}
 	for i := range 3 * len(zoneNames) {
 		if err := w.add([]string{"s1", "s2", "s3"}[i%3], zoneNames[i%len(zoneNames)]); err != nil {
@@ -205,10 +207,12 @@
 
 func (w *World) report() Report {
 	var runs []ledger.Run
+	var arrivals []ledger.Arrival
 	for _, t := range w.targets {
 		runs = append(runs, t.runs()...)
+		arrivals = append(arrivals, t.arrivals()...)
 	}
-	r := Report{Runs: len(runs), Steps: w.steps, Broken: w.ledger.Check(runs)}
+	r := Report{Runs: len(runs), Steps: w.steps, Broken: w.ledger.Check(runs, arrivals)}
 	r.Asked, r.Served = w.ledger.Attempts()
 	for _, b := range r.Broken[:min(len(r.Broken), maxShown)] {
 		if b.ID == "" {
--- a/internal/soak/world/world_test.go
+++ b/internal/soak/world/world_test.go
@@ -64,7 +64,7 @@
 // Guards against a soak that finds nothing when a promise is broken.
 func TestBrokenPromisesAreFound(t *testing.T) {
 	t.Parallel()
-	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery} {
+	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery, ledger.Repeats} {
 		t.Run(string(p), func(t *testing.T) {
 			t.Parallel()
 			r := soak(t, t.Context(), world.Settings{Seed: 3, Break: string(p)})
