internal/entry/edge: check busy targets every 0.2 s whatever their queue

While the store is silent, a target that turned cold got the requests of a warm one until its health check was answered: the next check began 0.2 s behind the answer of the one before, so that a check which waits 0.7 s in the target's queue was followed by the next after 0.9 s.

Checks of a busy target, or of one whose check is not answered, now begin every 0.2 s, so that their answers follow each other as closely however long the queue is; one that says that the target is not busy is followed after 0.6 s as before.

What remains is that a target with a queue answers no check for 0.6 to 0.8 s once it is cold.

--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -19,11 +19,10 @@
 	// checkBeyond is how long checks go on after the store's return: the targets
 	// have registered again by then.
 	checkBeyond = 2 * time.Second
-	// checkBusy is the time between an answer and the next check of a target with
-	// half of its slots in use: one that gets about as many requests within it
-	// as a cold one bears in a second. Behind more, its check would wait in its queue.
+	// checkBusy is the time between the beginnings of two checks of a target with half of its slots in
+	// use, or whose check is not answered: the answers follow each other as closely however long its queue is.
 	checkBusy = 200 * time.Millisecond
-	// checkIdle is the same for a target that gets fewer.
+	// checkIdle is the time between an answer and the next check of a target that gets fewer requests.
 	checkIdle = 600 * time.Millisecond
 	// checkTick is how often targets are looked through for checks that are due
 	// while the store is silent, calmTick how often that is looked at.
@@ -39,39 +38,35 @@
 // checks are the times of health checks by the target's id.
 type checks struct {
 	mu  sync.Mutex
-	due map[string]time.Time // due is when the next check may begin; the zero time while one is pending.
+	due map[string]time.Time // due is when the next check may begin.
 }
 
-// begin reports whether a check of the target is due, and notes that it is pending.
+// begin reports whether a check of the target is due. While it is not answered, the next is due as for a busy target.
 func (c *checks) begin(id string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if due, ok := c.due[id]; ok && (due.IsZero() || now.Before(due)) {
+	if now.Before(c.due[id]) {
 		return false
 	}
 	if c.due == nil {
 		c.due = make(map[string]time.Time)
 	}
-	c.due[id] = time.Time{}
+	c.due[id] = now.Add(checkBusy)
 	return true
 }
 
-// end notes when the next check is due.
-func (c *checks) end(id string, due time.Time) {
+// rest notes that the target need not be asked before the time.
+func (c *checks) rest(id string, until time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.due[id] = due
+	c.due[id] = later(c.due[id], until)
 }
 
 // forget drops the times, which are of use only while checks go on.
 func (c *checks) forget() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, due := range c.due {
-		if !due.IsZero() {
-			delete(c.due, id)
-		}
-	}
+	clear(c.due)
 }
 
 // checkTargets asks the targets that this entry paces for their health while
@@ -118,17 +113,18 @@
 				continue
 			}
 			running.Go(func() {
-				next := e.check(ctx, s, service.HealthPath)
-				e.checks.end(s.target.ID(), time.Now().Add(next))
+				if !e.check(ctx, s, service.HealthPath) {
+					e.checks.rest(s.target.ID(), time.Now().Add(checkIdle))
+				}
 			})
 		}
 	}
 }
 
-// check asks one target for its health and returns when to ask again. A check
-// without an answer says nothing: requests to the target show themselves
-// whether it runs.
-func (e *Edge) check(ctx context.Context, s *seat, path string) time.Duration {
+// check asks one target for its health and reports whether the target is
+// busy. A check without an answer says nothing: requests to the target show
+// themselves whether it runs.
+func (e *Edge) check(ctx context.Context, s *seat, path string) (busy bool) {
 	bounded, cancel := context.WithTimeout(ctx, checkLimit)
 	defer cancel()
 	h := make(http.Header)
@@ -143,7 +139,7 @@
 		},
 	})
 	if err != nil || e.d.Headers.Instance(a.Header) != s.target.ID() {
-		return checkIdle
+		return false
 	}
 	if a.Rest != nil {
 		_ = a.Rest.Close()
@@ -152,16 +148,13 @@
 		if e.chill(s, left, "its health answer says so") {
 			e.tell(ctx, coldTarget{ID: s.target.ID(), Born: s.target.Born(), Left: left.Milliseconds()})
 		}
-		return checkIdle
+		return false
 	}
 	running, waiting, slots, ok := e.d.Headers.Load(a.Header)
 	if ok {
 		s.gauge.Report(running, waiting, time.Now())
 	}
-	if ok && 2*(running+waiting) < slots {
-		return checkIdle
-	}
-	return checkBusy
+	return !ok || 2*(running+waiting) >= slots
 }
 
 // chill notes that a target is cold for the time that is left, and reports whether that is news.
--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -373,3 +373,32 @@
 	}
 	return most
 }
+
+// Guards against a target that cools down during an outage and gets the requests of a warm one until its queue has answered two checks.
+func TestChecksOfABusyTargetFollowEachOtherWhateverItsQueue(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		cools := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.Work, x.Queue, x.Slots = 300*time.Millisecond, 700*time.Millisecond, 8 })
+		f.target("t2", "s1", "a1", func(x *platformtest.Target) { x.Work, x.Slots = 300*time.Millisecond, 8 })
+		time.Sleep(10 * time.Second)
+		f.store.Fail(platformtest.Silent)
+		time.Sleep(3 * time.Second)
+		ask := func(d time.Duration) {
+			for began := time.Now(); time.Since(began) < d; time.Sleep(30 * time.Millisecond) {
+				go f.callAs(fmt.Sprint("c", time.Now().UnixNano()), "e0", "GET", "/r/", object(fmt.Sprint(time.Now().UnixMilli()/30%20)))
+			}
+		}
+		for phase := range 9 {
+			ask(2*time.Second + time.Duration(phase)*100*time.Millisecond)
+			cools.Chill(2 * time.Second)
+			before := cools.Seen()
+			ask(time.Second)
+			if n := cools.Seen() - before; n > 10 {
+				t.Errorf("phase %d: %d requests in the second from the cooling down", phase, n)
+			}
+			ask(2 * time.Second)
+		}
+		f.store.Fail(platformtest.None)
+		time.Sleep(5 * time.Second)
+	})
+}
