internal/entry/edge: a check that waited in a queue says that its target is busy

Traced: a check that had waited 0.7 s was answered at a moment at which fewer than half of the slots were in use, the target was taken for idle, and with the wait of the next check nothing was heard for 1.3 s.

A check that took 0.2 s or more now counts as one of a busy target, and an answer that says so brings the next check forward that an earlier, idle answer had put off.

--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -20,7 +20,7 @@
 	// have registered again by then.
 	checkBeyond = 2 * time.Second
 	// checkBusy is the time between the beginnings of two checks of a target with half of its slots in
-	// use, or whose check is not answered: the answers follow each other as closely however long its queue is.
+	// use, or whose check is not answered by then: answers follow each other as closely however long its queue is.
 	checkBusy = 200 * time.Millisecond
 	// checkIdle is the time between an answer and the next check of a target that gets fewer requests.
 	checkIdle = 600 * time.Millisecond
@@ -55,11 +55,17 @@
 	return true
 }
 
-// rest notes that the target need not be asked before the time.
-func (c *checks) rest(id string, until time.Time) {
+// end notes what a check has shown. A busy target is asked again soon, also
+// when an earlier answer said that it had little to do.
+func (c *checks) end(id string, busy bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.due[id] = later(c.due[id], until)
+	switch soon := now.Add(checkBusy); {
+	case !busy:
+		c.due[id] = now.Add(checkIdle)
+	case c.due[id].After(soon):
+		c.due[id] = soon
+	}
 }
 
 // forget drops the times, which are of use only while checks go on.
@@ -113,9 +119,8 @@
 				continue
 			}
 			running.Go(func() {
-				if !e.check(ctx, s, service.HealthPath) {
-					e.checks.rest(s.target.ID(), time.Now().Add(checkIdle))
-				}
+				busy := e.check(ctx, s, service.HealthPath)
+				e.checks.end(s.target.ID(), busy, time.Now())
 			})
 		}
 	}
@@ -129,6 +134,7 @@
 	defer cancel()
 	h := make(http.Header)
 	e.d.Headers.SetTarget(h, s.target.ID())
+	began := time.Now()
 	a, err := e.pool.Do(bounded, upstream.Call{
 		Address: s.target.Address(), Method: http.MethodGet, Target: path, Host: s.target.Address(), Header: h,
 		Claim: func(_ int, h http.Header) upstream.Claim {
@@ -154,7 +160,7 @@
 	if ok {
 		s.gauge.Report(running, waiting, time.Now())
 	}
-	return !ok || 2*(running+waiting) >= slots
+	return !ok || 2*(running+waiting) >= slots || time.Since(began) >= checkBusy
 }
 
 // chill notes that a target is cold for the time that is left, and reports whether that is news.
