internal/request/inbound: give the room of a body back before its answer leaves

Traced: the goroutine of a request handed the answer over first and gave the body's room back afterwards, so that the next body could be counted on top of it. The room is given back first now.

--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -284,8 +284,10 @@
 	c.pending.Add(1)
 	c.queue <- e
 	go func() {
-		defer c.release(r)
-		e.answer <- c.s.handler.Serve(c.ctx, r)
+		a := c.s.handler.Serve(c.ctx, r)
+		// The caller may send the next body as soon as it has the answer.
+		c.release(r)
+		e.answer <- a
 	}()
 	return true
 }
