internal/demo: play the demo's tests and scenarios in simulated time

Cause: the demo's tests ran 12 entries, 42 targets and all callers in one process on real time, so that the promises, which are given in seconds, were measured by how much processor the machine gave to the run.

Change: a deployment takes the loopback that carries its connections, TCP or one in memory (internal/standin/network), and the tests run it in memory under testing/synctest. Nothing that is asserted changed. The scenarios run the same way; as they take no real time any more, the seven long ones, which only ran with TAMARACK_SCENARIOS=all, always run, and the variable is gone.

The race detector crashes (failed check in ThreadSanitizer, SIGSEGV in runtime.(*timer)) when timers of one bubble fire on two threads, 1 of 8 runs of the demo; a program of 16 goroutines with timers of 0 s crashes 3 of 3 times on eight threads and 0 of 3 on one. These two packages run on one.

--- a/internal/demo/deployment/deployment_test.go
+++ b/internal/demo/deployment/deployment_test.go
@@ -1,31 +1,41 @@
 package deployment_test
 
 import (
+	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
 
 	"tamarackspool/internal/demo/deployment"
 	"tamarackspool/internal/demo/promise"
+	"tamarackspool/internal/standin/network"
 )
 
 // Guards against a part of the demo that goes on after its end.
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	// The race detector crashes when timers of simulated time fire on two threads at once.
+	runtime.GOMAXPROCS(1)
+	goleak.VerifyTestMain(m)
+}
 
-// run runs the demo for a few seconds with a fraction of its traffic, so that
-// the race detector leaves the entries enough time for their ticks.
-func run(t *testing.T, name string, faults ...deployment.Fault) deployment.Summary {
+// run runs the demo in simulated time with a fraction of its traffic.
+func run(t *testing.T, name string, faults ...deployment.Fault) (s deployment.Summary) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("runs a whole deployment for some seconds")
 	}
-	s, err := deployment.Run(t.Context(), deployment.Settings{
-		Deployment: name, Duration: 6 * time.Second, Seed: 1, Load: 0.3, Faults: faults, Progress: t.Output(),
+	synctest.Test(t, func(t *testing.T) {
+		var err error
+		s, err = deployment.Run(t.Context(), deployment.Settings{
+			Deployment: name, Duration: 6 * time.Second, Seed: 1, Load: 0.3, Faults: faults,
+			Progress: t.Output(), Loopback: network.NewMemory(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	return s
 }
 
--- a/internal/demo/deployment/live.go
+++ b/internal/demo/deployment/live.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	Rate       int64 // Rate is the limit of each link in bytes per second.
 	Seed       uint64
 	Log        io.Writer // Log receives the events of all entries; nil discards them.
+	Loopback   Loopback  // Loopback carries all connections; nil means TCP.
 }
 
 // The work and the delays of a small deployment.
@@ -89,7 +91,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Live{
-		w:   newWorld(Settings{Deployment: s.Deployment, Seed: s.Seed, Log: s.Log}, p),
+		w:   newWorld(Settings{Deployment: s.Deployment, Seed: s.Seed, Log: s.Log, Loopback: s.Loopback}, p),
 		ctx: ctx, cancel: cancel, reverted: make(chan []string, 1), homes: make(map[string]string),
 		records: make(map[string]caller.Record),
 		leaving: make(map[string]time.Time), stopped: make(map[string]span),
@@ -117,6 +119,9 @@
 // Context ends when the deployment is closed.
 func (l *Live) Context() context.Context { return l.ctx }
 
+// Client returns the HTTP client of the operators.
+func (l *Live) Client() *http.Client { return l.w.client }
+
 // Store returns the stand-in of the key-value service.
 func (l *Live) Store() *store.Server { return l.w.values }
 
--- a/internal/demo/deployment/live_fault.go
+++ b/internal/demo/deployment/live_fault.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -154,8 +153,7 @@
 	if !ok {
 		return fmt.Errorf("deployment: no target %q", target)
 	}
-	var config net.ListenConfig
-	listen, err := config.Listen(l.ctx, "tcp", "127.0.0.1:0")
+	listen, err := l.w.listen(l.ctx)
 	if err != nil {
 		return fmt.Errorf("deployment: %s: %w", target, err)
 	}
--- a/internal/demo/deployment/settings.go
+++ b/internal/demo/deployment/settings.go
@@ -1,8 +1,11 @@
 package deployment
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -43,6 +46,13 @@
 	Load       float64   // Load is the fraction of the deployment's traffic that callers send; 0 means all of it.
 	Progress   io.Writer // Progress receives one line per step; nil discards them.
 	Log        io.Writer // Log receives the events of all entries; nil discards them.
+	Loopback   Loopback  // Loopback carries all connections; nil means TCP.
+}
+
+// Loopback connects all parts of a run.
+type Loopback interface {
+	Listen(ctx context.Context, network, address string) (net.Listener, error)
+	Dial(ctx context.Context, from netip.Addr, network, address string) (net.Conn, error)
 }
 
 // Check returns an error that names the flag at fault and what it accepts.
--- a/internal/demo/deployment/targetvm.go
+++ b/internal/demo/deployment/targetvm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -42,17 +41,13 @@
 	stays   []promise.Run
 }
 
-func newTargetVM(s spot, region string, seed uint64) (*targetVM, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("deployment: %s: %w", s.name, err)
-	}
+func newTargetVM(s spot, region string, seed uint64, l net.Listener) *targetVM {
 	m := &targetVM{spot: s, region: region, address: l.Addr().String(), listen: l, target: target.New(target.Settings{
 		Name: s.name, Slots: s.service.slots, Seed: seed, Mean: s.service.work, Spread: spread,
 		Cold: coldRequests, ColdFactor: coldFactor, Open: connectCost,
 	})}
 	m.server = &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
-	return m, nil
+	return m
 }
 
 // serve answers until ctx ends.
--- a/internal/demo/deployment/world.go
+++ b/internal/demo/deployment/world.go
@@ -56,6 +56,9 @@
 			}
 		}
 	}
+	if s.Loopback == nil {
+		s.Loopback = network.TCP{}
+	}
 	out := s.Log
 	if out == nil {
 		out = io.Discard
@@ -64,10 +67,13 @@
 		settings: s, plan: p,
 		network: network.New(network.Settings{
 			Zones: p.zones, Regions: p.between, Clients: p.clients, Jitter: 0.3, Loss: 0.002, Rates: rates, Seed: s.Seed,
+			Dial: s.Loopback.Dial,
 		}),
-		values:    newValues(),
-		list:      roster.New(listLag, nil),
-		client:    &http.Client{Transport: &http.Transport{}},
+		values: newValues(),
+		list:   roster.New(listLag, nil),
+		client: &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return s.Loopback.Dial(ctx, netip.Addr{}, network, address)
+		}}},
 		targetVMs: make(map[string]*targetVM),
 		sites:     make(map[string]*site),
 		logger:    log.With(log.NewLogfmtLogger(log.NewSyncWriter(out)), "at", log.DefaultTimestampUTC),
@@ -111,6 +117,11 @@
 	return nil
 }
 
+// listen opens a listener on any port.
+func (w *world) listen(ctx context.Context) (net.Listener, error) {
+	return w.settings.Loopback.Listen(ctx, "tcp", "127.0.0.1:0")
+}
+
 // newValues returns an empty key-value service.
 func newValues() *store.Server {
 	return store.New(store.Settings{Key: storeKey, Reads: storeReads, Writes: storeWrites})
@@ -118,10 +129,11 @@
 
 // startStore serves a key-value service and returns its base address.
 func (w *world) startStore(ctx context.Context, values *store.Server) (string, error) {
-	runner, err := store.Listen(ctx, "127.0.0.1:0", values)
+	l, err := w.listen(ctx)
 	if err != nil {
 		return "", fmt.Errorf("deployment: %w", err)
 	}
+	runner := store.NewRunner(l, values)
 	url := runner.URL()
 	w.own(func() error { return runner.Run(ctx) })
 	w.network.Bind(url[len("http://"):], network.Place{Name: "store", Zone: zoneNames(w.plan.store)[0], Region: w.plan.store})
@@ -146,7 +158,7 @@
 	if w.storeURL, err = w.startStore(ctx, w.values); err != nil {
 		return err
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := w.listen(ctx)
 	if err != nil {
 		return fmt.Errorf("deployment: %w", err)
 	}
@@ -168,10 +180,11 @@
 	addresses := make(map[string]netip.AddrPort)
 	for i, s := range w.plan.spots() {
 		region := w.plan.regionOf(s.zone)
-		m, err := newTargetVM(s, region, w.settings.Seed+uint64(i))
+		l, err := w.listen(ctx)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("deployment: %s: %w", s.name, err)
 		}
+		m := newTargetVM(s, region, w.settings.Seed+uint64(i), l)
 		w.targetVMs[s.name] = m
 		address := m.listen.Addr().(*net.TCPAddr).AddrPort()
 		addresses[s.name] = address
--- a/internal/demo/scenario/check.go
+++ b/internal/demo/scenario/check.go
@@ -80,7 +80,7 @@
 		return "", err
 	}
 	req.Header.Set("Authorization", "Bearer "+s.live.Token())
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := s.live.Client().Do(req)
 	if err != nil {
 		return "", err
 	}
--- a/internal/demo/scenario/operate.go
+++ b/internal/demo/scenario/operate.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"sync"
 
@@ -27,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &console.Console{Client: console.NewClient([]string{base}, s.live.Token(), http.DefaultClient), Out: out}, nil
+	return &console.Console{Client: console.NewClient([]string{base}, s.live.Token(), s.live.Client()), Out: out}, nil
 }
 
 // patch submits a JSON patch through an entry as the command does.
--- a/internal/demo/scenario/params.go
+++ b/internal/demo/scenario/params.go
@@ -10,36 +10,18 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// together is how many scripts run at once: each has up to six entries, which
-// need their ticks in time under the race detector.
-const together = 4
-
-// LongVariable is the environment variable with which long scenarios run, too.
-const LongVariable = "TAMARACK_SCENARIOS"
-
 type stageKey struct{}
 
 // Params returns the parameters of a run of the scripts in a directory.
 func Params(dir string) testscript.Params {
-	slots := make(chan struct{}, together)
 	return testscript.Params{
 		Dir: dir,
 		Setup: func(e *testscript.Env) error {
-			slots <- struct{}{}
 			s := newStage()
 			e.Values[stageKey{}] = s
-			e.Defer(func() {
-				s.close()
-				<-slots
-			})
+			e.Defer(s.close)
 			return nil
 		},
-		Condition: func(name string) (bool, error) {
-			if name != "long" {
-				return false, fmt.Errorf("scenario: unknown condition %q", name)
-			}
-			return os.Getenv(LongVariable) == "all", nil
-		},
 		Cmds: commands(),
 	}
 }
--- a/internal/demo/scenario/scenario_test.go
+++ b/internal/demo/scenario/scenario_test.go
@@ -1,7 +1,9 @@
 package scenario_test
 
 import (
+	"runtime"
 	"testing"
+	"testing/synctest"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"go.uber.org/goleak"
@@ -10,12 +12,33 @@
 )
 
 // Guards against parts of a deployment that outlive their script.
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	// The race detector crashes when timers of simulated time fire on two threads at once.
+	runtime.GOMAXPROCS(1)
+	goleak.VerifyTestMain(m)
+}
+
+// simulated runs each script as a test of its own in simulated time.
+type simulated struct{ *testing.T }
+
+// Parallel does nothing: a test in simulated time cannot wait for others.
+func (simulated) Parallel() {}
+
+// Verbose reports whether all output is wanted.
+func (simulated) Verbose() bool { return testing.Verbose() }
+
+// Run runs a script.
+func (s simulated) Run(name string, f func(testscript.T)) {
+	s.T.Run(name, func(t *testing.T) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) { f(simulated{t}) })
+	})
+}
 
 // Guards against the failures that each script names in its comment.
 func TestScripts(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs whole deployments for some seconds")
 	}
-	testscript.Run(t, scenario.Params("testdata/script"))
+	testscript.RunT(simulated{t}, scenario.Params("testdata/script"))
 }
--- a/internal/demo/scenario/start.go
+++ b/internal/demo/scenario/start.go
@@ -9,6 +9,7 @@
 
 	"tamarackspool/internal/demo/deployment"
 	"tamarackspool/internal/standin/caller"
+	"tamarackspool/internal/standin/network"
 )
 
 // start starts a deployment and waits until every entry serves and every
@@ -17,7 +18,7 @@
 	if s.live != nil {
 		return errors.New("scenario: the deployment is already there")
 	}
-	size := deployment.Size{Log: s.log}
+	size := deployment.Size{Log: s.log, Loopback: network.NewMemory()}
 	f := flags("start")
 	f.StringVar(&size.Deployment, "deployment", "letters", "")
 	f.IntVar(&size.Regions, "regions", 2, "")
--- a/internal/entry/node/listener.go
+++ b/internal/entry/node/listener.go
@@ -20,8 +20,7 @@
 // listeners are the four ports of an entry.
 type listeners struct{ call, peer, pass, admin listener }
 
-func (l *listeners) open(ctx context.Context, s setting.Settings) error {
-	var config net.ListenConfig
+func (l *listeners) open(ctx context.Context, s setting.Settings, listen Listen) error {
 	for _, p := range []struct {
 		flag string
 		at   netip.AddrPort
@@ -29,7 +28,7 @@
 	}{
 		{"call", s.Call(), &l.call}, {"peer", s.Peer(), &l.peer}, {"pass", s.Pass(), &l.pass}, {"admin", s.Admin(), &l.admin},
 	} {
-		opened, err := config.Listen(ctx, "tcp", p.at.String())
+		opened, err := listen(ctx, "tcp", p.at.String())
 		if err != nil {
 			l.close()
 			return fmt.Errorf("node: --%s: %w", p.flag, err)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -36,9 +36,13 @@
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Listen opens a listener on an address with a port, or with port 0 for any.
+type Listen func(ctx context.Context, network, address string) (net.Listener, error)
+
 // Dependencies are what a node needs from outside; zero values stand for the defaults.
 type Dependencies struct {
-	Dial   Dial // Dial opens all connections of the node; nil means a plain dialer.
+	Dial   Dial   // Dial opens all connections of the node; nil means a plain dialer.
+	Listen Listen // Listen opens the ports of the node; nil means those of the system.
 	Events *event.Log
 	// Hold is called before each tick and may block, as a pause of the process does; nil means that nothing holds ticks.
 	Hold func(ctx context.Context)
@@ -99,6 +103,9 @@
 	if d.Dial == nil {
 		d.Dial = (&net.Dialer{Timeout: dialTime}).DialContext
 	}
+	if d.Listen == nil {
+		d.Listen = new(net.ListenConfig).Listen
+	}
 	if d.Hold == nil {
 		d.Hold = func(context.Context) {}
 	}
@@ -110,7 +117,7 @@
 	if _, err := rand.Read(n.incarnation[:]); err != nil {
 		return nil, fmt.Errorf("node: no random bytes: %w", err)
 	}
-	if err := n.listeners.open(ctx, s); err != nil {
+	if err := n.listeners.open(ctx, s, d.Listen); err != nil {
 		return nil, err
 	}
 	n.transport = &http.Transport{DialContext: d.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -33,6 +33,9 @@
 
 // New returns a network without places.
 func New(s Settings) *Network {
+	if s.Dial == nil {
+		s.Dial = TCP{}.Dial
+	}
 	return &Network{
 		s:      s,
 		random: rand.New(rand.NewPCG(s.Seed, 0x6e6574)),
@@ -86,11 +89,7 @@
 	if err := sleep(ctx, 2*n.jittered(from, to)); err != nil {
 		return nil, err
 	}
-	var d net.Dialer
-	if from.Address.IsValid() {
-		d.LocalAddr = &net.TCPAddr{IP: from.Address.AsSlice()}
-	}
-	c, err := d.DialContext(ctx, network, address)
+	c, err := n.s.Dial(ctx, from.Address, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/network/place.go
+++ b/internal/standin/network/place.go
@@ -1,6 +1,8 @@
 package network
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"time"
 )
@@ -26,8 +28,12 @@
 	Loss    float64          // Loss is the probability from 0 to 1 that a chunk is lost and sent again.
 	Rates   map[Pair]float64 // Rates are the limits in bytes per second of directed pairs of regions.
 	Seed    uint64           // Seed makes jitter and loss repeatable.
+	Dial    Dial             // Dial opens the connections below; nil means those of TCP.
 }
 
+// Dial opens a connection that starts at an address, or at any where that is the zero value.
+type Dial func(ctx context.Context, from netip.Addr, network, address string) (net.Conn, error)
+
 // Pair is a directed pair of regions.
 type Pair struct{ From, To string }
 
--- a/internal/standin/store/runner.go
+++ b/internal/standin/store/runner.go
@@ -22,7 +22,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("standin store: %w", err)
 	}
-	return &Runner{l, &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}}, nil
+	return NewRunner(l, s), nil
+}
+
+// NewRunner returns a runner on an open listener.
+func NewRunner(l net.Listener, s *Server) *Runner {
+	return &Runner{l, &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}}
 }
 
 // URL returns the base URL for clients.
