--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -153,6 +153,7 @@
 	g.Go(func() error { e.follower.Run(work); return nil })
 	g.Go(func() error { e.register(work, ctx); return nil })
 	g.Go(func() error { e.expire(work); return nil })
+	g.Go(func() error { e.beats(work); return nil })
 	g.Go(func() error { e.checkTargets(work); return nil })
 	<-ctx.Done()
 	e.stop(ctx)
@@ -249,7 +250,7 @@
 	return left
 }
 
-// expireEvery is how often the process beats, unused connections are looked through and dropped log lines are reported.
+// expireEvery is how often unused connections are looked through and dropped log lines are reported.
 const expireEvery = time.Second
 
 func (e *Edge) expire(ctx context.Context) {
@@ -261,7 +262,6 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			e.beat()
 			e.pool.Expire(now)
 			if n := e.d.Dropped(); n > dropped {
 				e.events.Log(event.LinesDropped, "lines", n-dropped, "since-start", n)
--- a/internal/entry/edge/repeat_test.go
+++ b/internal/entry/edge/repeat_test.go
@@ -111,6 +111,12 @@
 
 // Guards against requests from before a suspension of the machine, or read just behind it, that pay for repeats.
 func TestSuspendedEntriesRepeatNothingOfBefore(t *testing.T) {
+	for _, still := range []time.Duration{time.Second, 3 * time.Second} {
+		t.Run(still.String(), func(t *testing.T) { suspend(t, still) })
+	}
+}
+
+func suspend(t *testing.T, still time.Duration) {
 	play(t, []string{"a1"}, func(f *fleet) {
 		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
 		quick := func(x *platformtest.Target) { x.Work = time.Millisecond }
@@ -129,12 +135,12 @@
 			return targets[0].Seen() + targets[1].Seen() - before - n
 		}
 		f.earn("e0", 100, "/r/")
-		f.asleep.Add(int64(3 * time.Second))
+		f.asleep.Add(int64(still))
 		behave(platformtest.Full)
 		if n := repeats(5); n > 0 {
 			t.Errorf("%d repeats right behind the suspension", n)
 		}
-		time.Sleep(time.Second)
+		time.Sleep(300 * time.Millisecond)
 		if n := repeats(5); n > 0 || !f.log.has("name=stalled for=") {
 			t.Errorf("%d repeats after the next beat", n)
 		}
