internal/request/inbound: a request arrives with its first byte, not when it is read

Seen: requests that callers send behind an order on the same connection are left unread until the order may begin, up to its caller's whole time. Their arrival was noted when their header was complete, so that targets were handed the caller's whole time again: 2.98 s where 1 s was left, and a request whose time was over was sent to a target, which ran it for a caller that had gone. For the same reason such a request paid for repeats as if it were new; the bound on the repeats of all entries did not cover it.

Cause: time was taken at the end of parsing, not where the bytes come in.

Change: the reader notes when bytes last came in, also while it waits for earlier answers, and a request takes the time of its first byte. One whose time has passed is refused at once: it has not run.

--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -84,6 +84,9 @@
 		return inbound.Refusal(http.StatusNotFound)
 	}
 	e.prepare(q, rule)
+	if !time.Now().Before(q.deadline) {
+		return e.refuse(q, "its time passed unread", 0)
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	a := e.attempts(ctx, q)
 	if a != nil && a.Rest != nil {
--- /dev/null
+++ b/internal/entry/edge/waiting_test.go
@@ -0,0 +1,55 @@
+package edge_test
+
+import (
+	"bufio"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"tamarackspool/platform/platformtest"
+)
+
+// Guards against targets that work longer than a caller waits whose request was left unread behind an order.
+func TestTimeLeftUnreadBehindAnOrderCounts(t *testing.T) {
+	const work = 2 * time.Second
+	for _, c := range []struct{ wait, left time.Duration }{{1500 * time.Millisecond, 0}, {3 * time.Second, time.Second}} {
+		t.Run(c.wait.String(), func(t *testing.T) {
+			play(t, []string{"a1"}, func(f *fleet) {
+				f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`), rule("order", "/o/", "unsafe", `,"service":"s1"`))
+				target := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.Work = work })
+				settle()
+				asks := []platformtest.Ask{
+					{Host: "h", Method: http.MethodGet, Path: "/r/1", ID: "first", Wait: 10 * time.Second},
+					{Host: "h", Method: http.MethodPost, Path: "/o/1", ID: "order", Body: "x", Wait: 10 * time.Second},
+					{Host: "h", Method: http.MethodGet, Path: "/r/2", ID: "last", Wait: c.wait},
+				}
+				raw, err := f.connect("e0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer raw.Close()
+				go func() {
+					for _, a := range asks {
+						_, _ = raw.Write(a.Bytes())
+					}
+				}()
+				br := bufio.NewReader(raw)
+				var last platformtest.Reply
+				for _, a := range asks {
+					if last, err = platformtest.ReadReply(br, a.Method); err != nil {
+						t.Fatalf("%s: %v", a.ID, err)
+					}
+				}
+				runs := target.Runs()
+				at := slices.IndexFunc(runs, func(r platformtest.Run) bool { return r.ID == "last" })
+				switch {
+				case c.left == 0 && (at >= 0 || !last.NotRun()):
+					t.Errorf("runs %+v, the last reply is %d; want no run and a refusal", runs, last.Status)
+				case c.left > 0 && (at < 0 || runs[at].Left > c.left):
+					t.Errorf("runs %+v, want one with at most %v", runs, c.left)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -35,6 +35,7 @@
 	bw       *bufio.Writer
 	ctx      context.Context
 	cancel   context.CancelFunc
+	heard    time.Time // heard is when bytes were last read; it belongs to the reader.
 	queue    chan *exchange
 	pending  atomic.Int32 // pending counts the exchanges that are not answered.
 	idle     sync.Cond    // idle is signalled when pending falls.
@@ -56,7 +57,7 @@
 func (c *conn) run() {
 	defer c.raw.Close() //nolint:errcheck // the connection has ended
 	defer c.cancel()
-	c.br = bufio.NewReaderSize(c.raw, c.s.handler.Limits().Header+1)
+	c.br = bufio.NewReaderSize(hearing{c}, c.s.handler.Limits().Header+1)
 	c.bw = bufio.NewWriterSize(c.raw, 4<<10)
 	c.used.Store(time.Now().UnixNano())
 	written := make(chan struct{})
@@ -69,6 +70,18 @@
 	<-written
 }
 
+// hearing reads from a connection and notes when.
+type hearing struct{ c *conn }
+
+// Read reads from the connection.
+func (h hearing) Read(b []byte) (int, error) {
+	n, err := h.c.raw.Read(b)
+	if n > 0 {
+		h.c.heard = time.Now()
+	}
+	return n, err
+}
+
 // wake has a reader that waits for a request look at the server's phase. A
 // request that has begun to arrive is not disturbed.
 func (c *conn) wake() {
@@ -210,7 +223,7 @@
 }
 
 func (c *conn) next() (*Request, error) {
-	limits := c.s.handler.Limits()
+	limits, arrived := c.s.handler.Limits(), c.heard
 	_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	head, err := readHead(c.br, min(limits.Header, c.br.Size()))
 	if err != nil {
@@ -224,7 +237,7 @@
 		return nil, err
 	}
 	r := &Request{
-		Method: hr.Method, Target: hr.RequestURI, Host: hr.Host, Header: hr.Header, Arrived: time.Now(),
+		Method: hr.Method, Target: hr.RequestURI, Host: hr.Host, Header: hr.Header, Arrived: arrived,
 		close: hr.Close, old: hr.ProtoMinor == 0,
 	}
 	r.Path, _, _ = strings.Cut(r.Target, "?")
--- a/internal/request/inbound/message.go
+++ b/internal/request/inbound/message.go
@@ -15,7 +15,7 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
-	Arrived time.Time // Arrived is when the header was complete.
+	Arrived time.Time // Arrived is when the first byte was there, although it may have been left unread behind an order.
 
 	held  int64 // held is how many bytes of the body count as held.
 	close bool  // close says that the caller takes no further answer on the connection.
--- a/internal/request/inbound/server_test.go
+++ b/internal/request/inbound/server_test.go
@@ -22,10 +22,11 @@
 	mu     sync.Mutex
 	served []string
 	left   []string
+	waited map[string]time.Duration // waited is from a request's arrival to the beginning of its work, by its target.
 }
 
 func newDesk() *desk {
-	return &desk{limits: inbound.Limits{Header: 1024, Body: 4096, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second, Held: 6000}}
+	return &desk{waited: make(map[string]time.Duration), limits: inbound.Limits{Header: 1024, Body: 4096, HeaderTimeout: time.Second, IdleTimeout: 10 * time.Second, Held: 6000}}
 }
 
 func (d *desk) Limits() inbound.Limits             { return d.limits }
@@ -38,6 +39,9 @@
 
 func (d *desk) Serve(ctx context.Context, r *inbound.Request) *inbound.Answer {
 	d.note(&d.served, r)
+	d.mu.Lock()
+	d.waited[r.Target] = time.Since(r.Arrived)
+	d.mu.Unlock()
 	wait, _ := time.ParseDuration(strings.Trim(r.Path, "/"))
 	select {
 	case <-time.After(wait):
@@ -150,6 +154,38 @@
 	}
 }
 
+// Guards against a time of arrival that leaves out how long a request waited to be read.
+func TestRequestsArriveWithTheirFirstByte(t *testing.T) {
+	const order = "POST /1s/ HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy"
+	for name, c := range map[string]struct {
+		parts []string
+		pause time.Duration
+		want  time.Duration
+	}{
+		"in one piece with an order": {[]string{get("/3s/") + order + get("/last/")}, 0, 3 * time.Second},
+		"behind an order":            {[]string{get("/3s/") + order, get("/last/")}, time.Second, 2 * time.Second},
+		"cut in an order's piece":    {[]string{get("/3s/") + order + "GET", " /last/ HTTP/1.1\r\nHost: a\r\n\r\n"}, time.Second, 3 * time.Second},
+		"with a slow head":           {[]string{"GET", " /last/ HTTP/1.1\r\nHost: a\r\n\r\n"}, 600 * time.Millisecond, 600 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk()
+			play(t, d, func(_ *inbound.Server, l *line) {
+				raw := l.dial()
+				go func() { _, _ = io.Copy(io.Discard, raw) }()
+				for _, p := range c.parts {
+					send(raw, p)
+					time.Sleep(c.pause)
+				}
+				time.Sleep(5 * time.Second)
+				_ = raw.Close()
+			})
+			if d.waited["/last/"] != c.want {
+				t.Errorf("the request waited %v, want %v", d.waited["/last/"], c.want)
+			}
+		})
+	}
+}
+
 // Guards against work that goes on for a caller that has left, also while later requests are buffered.
 func TestCallerThatLeavesEndsItsRequests(t *testing.T) {
 	d := newDesk()
