--- /dev/null
+++ b/internal/fleet/gossip/main_test.go
@@ -0,0 +1,13 @@
+package gossip_test
+
+import (
+	"os"
+	"runtime"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	// The race detector crashes when timers of simulated time fire on two threads at once.
+	runtime.GOMAXPROCS(1)
+	os.Exit(m.Run())
+}
