internal/request/forward: pay for each retry with requests that the entry took from callers

An entry kept up to 20 retries of a service however old, had 10 a second besides whatever its requests were, and a relayed request paid at its entry and at the owner's. At the size to design for, 590 entries, that is 11,800 retries at once and 5,900 a second without one request to pay for them.

Cause: a local allowance whose sum over all entries depends on their number and on the age of what they saved.

Spare is gone. An attempt whose connection was refused sent nothing; the next one is no retry and costs nothing, so that a target that has ended does not use them up.

Tests, before and after: TestRetriesAreNotSavedUp 23 retries of 30 requests where 3 are allowed, now 3 at most; TestRelayedRequestsPayForNoRetries 20, now 0; TestRetryBudget with the default settings 20 of 100, now 10; TestRefusedConnectionsNeedNoRetries holds before and after. Six older tests whose subject is what happens after a retry set Retry to 1, so that the one request of the test pays for it; TestShed sends one request more for its second retry; TestVerdictsHoldUnderFaults takes Retry 1 in place of Spare 1000. What they assert is unchanged.

--- a/internal/request/forward/check_test.go
+++ b/internal/request/forward/check_test.go
@@ -155,7 +155,7 @@
 // Guards against an order whose key is asked for a second time at the owner of
 // the target, and against the entries' token in a request to a target.
 func TestOrderThroughTheOwnerOfTheTarget(t *testing.T) {
-	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+	run(t, forward.Settings{Retry: 1}, func(t *testing.T, r *rig) {
 		r.chooser.relay, r.chooser.hops = "e2", 1
 		r.expect(r.order(), 200, verdict.Ran, "")
 		if r.orders.begun != 1 || !r.chooser.requests[1].Relayed {
--- a/internal/request/forward/counters.go
+++ b/internal/request/forward/counters.go
@@ -1,15 +1,21 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
 	"tamarackspool/internal/request/verdict"
+	"tamarackspool/internal/steer/spend"
 )
 
+// retryWindow is the time over which the retries of all entries are compared with the requests.
+const retryWindow = 10 * time.Second
+
 // counters are the figures of one service.
 type counters struct {
 	requests, notRun, mayRun, retries, late, cut metrics.Counter
-	budget                                       *budget
+	retryBudget                                  *spend.Budget
 }
 
 func (f *Forwarder) count(service string) *counters {
@@ -22,7 +28,8 @@
 	c := &counters{
 		requests: counter("requests"), notRun: counter("not-run"), mayRun: counter("may-have-run"),
 		retries: counter("retries"), late: counter("late"), cut: counter("cut"),
-		budget: newBudget(f.s.Retry, f.s.Spare, f.d.Now()),
+		// A budget lets half of its ratio be repeated in steady use.
+		retryBudget: spend.New(spend.Terms{Ratio: 2 * f.s.Retry, Window: retryWindow}),
 	}
 	v, _ := f.services.LoadOrStore(service, c)
 	return v.(*counters)
--- a/internal/request/forward/dispatch.go
+++ b/internal/request/forward/dispatch.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"tamarackspool/internal/request/pool"
 	"tamarackspool/internal/request/verdict"
 )
 
@@ -56,7 +57,13 @@
 func (f *Forwarder) again(j *job, err *verdict.Error, n int) bool {
 	return (err.Verdict() == verdict.NotRun || j.read()) &&
 		n < f.s.Attempts && j.ctx.Err() == nil && j.body.replayable() &&
-		j.counts.budget.take(f.d.Now())
+		(unsent(err) || j.counts.retryBudget.Take(f.uptime()))
+}
+
+// unsent reports whether an attempt failed before a byte left, so that the next one is no repeat.
+func unsent(err *verdict.Error) bool {
+	f, ok := errors.AsType[*pool.Failure](err)
+	return ok && !f.Written()
 }
 
 func (f *Forwarder) choose(j *job) (Choice, *verdict.Error) {
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -28,8 +28,12 @@
 	services sync.Map // services maps a service's name to its *counters.
 	attempts *attempts
 	reported reported
+	began    time.Time
 }
 
+// uptime returns the time since the forwarder was made.
+func (f *Forwarder) uptime() time.Duration { return f.d.Now().Sub(f.began) }
+
 // New returns a forwarder, or an error that names the wrong setting.
 func New(s Settings, d Dependencies) (*Forwarder, error) {
 	s, err := s.Check()
@@ -51,7 +55,7 @@
 	}
 	return &Forwarder{
 		s: s, d: d, token: sha256.Sum256([]byte(s.Key)),
-		prefix: hex.EncodeToString(id[:]) + "-", attempts: newAttempts(),
+		prefix: hex.EncodeToString(id[:]) + "-", attempts: newAttempts(), began: d.Now(),
 	}, nil
 }
 
@@ -83,7 +87,9 @@
 // serve carries a checked request to its end.
 func (f *Forwarder) serve(ctx context.Context, w http.ResponseWriter, j *job) {
 	j.counts.requests.Inc(1)
-	j.counts.budget.request()
+	if !j.relayed {
+		j.counts.retryBudget.Request(f.uptime())
+	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(j.deadline.Sub(f.d.Now())))
 	defer cancel()
 	j.w, j.ctx, j.avoid = w, ctx, j.tried[:0]
--- a/internal/request/forward/forward_test.go
+++ b/internal/request/forward/forward_test.go
@@ -37,7 +37,8 @@
 // Guards against a shed that reaches the caller while another target has room,
 // and against a shed that is reported as run.
 func TestShed(t *testing.T) {
-	run(t, forward.Settings{}, func(t *testing.T, r *rig) {
+	run(t, forward.Settings{Retry: 1}, func(t *testing.T, r *rig) {
+		r.read()
 		r.stand["t1"].Set(target.Faults{Shedding: true})
 		got := r.do(r.request("POST", "gifts/send", text(10), "Idempotency-Key", "k1"))
 		if r.expect(got, 200, verdict.Ran, ""); got.served != "t2" {
--- a/internal/request/forward/settings.go
+++ b/internal/request/forward/settings.go
@@ -19,7 +19,6 @@
 	Timeout  time.Duration // Timeout is the deadline on services that set none: 10 ms to 1 h, default 10 s.
 	Attempts int           // Attempts is the most attempts per request: 1 to 10, default 3.
 	Retry    float64       // Retry is the fraction of requests that may be retried: 0.001 to 1, default 0.1.
-	Spare    float64       // Spare is the number of retries per second beyond that fraction: 0.1 to 1000, default 10.
 }
 
 type bound[T int | int64 | float64 | time.Duration] struct {
@@ -52,7 +51,6 @@
 		bound[time.Duration]{"Timeout", &s.Timeout, 10 * time.Millisecond, time.Hour, 10 * time.Second}.check(),
 		bound[int]{"Attempts", &s.Attempts, 1, 10, 3}.check(),
 		bound[float64]{"Retry", &s.Retry, 0.001, 1, 0.1}.check(),
-		bound[float64]{"Spare", &s.Spare, 0.1, 1000, 10}.check(),
 	} {
 		if err != nil {
 			return s, err
