internal/soak/ledger: look at every window of repeats, not only at those that begin with one

Cause: the soak's check of repeats began its windows at arrivals. A window that begins earlier holds the same repeats and may count fewer requests: 50 repeats 10 s after a hundred requests and 1 s after another hundred are 10 beyond the ratio in the window that begins with them, and 30 in the one from 4 s on.

TestExcessIsThatOfTheWorstWindow plays the case above.

--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -120,3 +120,17 @@
 		}
 	}
 }
+
+// Guards against a check that looks only at windows that begin with a repeat, which may be allowed most.
+func TestExcessIsThatOfTheWorstWindow(t *testing.T) {
+	at := func(second float64, n int) []time.Time {
+		return slices.Repeat([]time.Time{time.Unix(1000, int64(second*float64(time.Second)))}, n)
+	}
+	requests, repeats := slices.Concat(at(0.5, 100), at(9, 100)), at(10, 50)
+	if got := ledger.Excess(requests, repeats, 0.2, 10*time.Second); got != 30 {
+		t.Errorf("%v repeats beyond the ratio, want 30: the window from 4 counts 100 requests", got)
+	}
+	if got := ledger.Excess(requests, at(10, 20), 0.2, 10*time.Second); got != 0 {
+		t.Errorf("%v repeats beyond the ratio, want 0", got)
+	}
+}
--- a/internal/steer/spend/worst_test.go
+++ b/internal/steer/spend/worst_test.go
@@ -1,12 +1,12 @@
 package spend_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"tamarackspool/internal/soak/ledger"
 	"tamarackspool/internal/steer/spend"
 )
 
@@ -53,33 +53,15 @@
 
 // excess returns by how many repeats the fullest of all windows exceeds the ratio of the requests that count.
 func (p *play) excess() float64 {
-	slices.Sort(p.requests)
-	slices.Sort(p.arrivals)
-	backs := []time.Duration{0, terms.Window / 2, terms.Window}
-	// The excess can only grow where an arrival enters a window, or a request leaves one that counts.
-	starts := slices.Clone(p.arrivals)
-	for _, r := range slices.Compact(slices.Clone(p.requests)) {
-		for _, back := range backs {
-			starts = append(starts, r+back+1, r+back-terms.Window)
-		}
-	}
-	slices.Sort(starts)
-	most := 0.0
-	for _, at := range slices.Compact(starts) {
-		counted := 0
-		for _, back := range backs {
-			counted = max(counted, within(p.requests, at-back))
-		}
-		most = max(most, float64(within(p.arrivals, at))-terms.Ratio*float64(counted))
-	}
-	return most
+	return ledger.Excess(moments(p.requests), moments(p.arrivals), terms.Ratio, terms.Window)
 }
 
-// within returns how many of the sorted times lie in the window that begins at the given one.
-func within(times []time.Duration, from time.Duration) int {
-	low, _ := slices.BinarySearch(times, from)
-	high, _ := slices.BinarySearch(times, from+terms.Window)
-	return high - low
+func moments(times []time.Duration) []time.Time {
+	all := make([]time.Time, len(times))
+	for i, d := range times {
+		all[i] = time.Unix(0, int64(d))
+	}
+	return all
 }
 
 // rounding is what sums of fractions may be off by.
