internal/entry/edge: play random histories of real entries against the rule's own windows

Eight entries in simulated time, eight seeds: quiet and busy phases, targets that shed, close, cut, hang or send without an end, entries that end and start anew, a store that turns some of them away, suspensions up to 3 s. In each window of the rule the repeats that arrived are compared with the requests that callers sent, without the slack.

--- /dev/null
+++ b/internal/entry/edge/history_test.go
@@ -0,0 +1,120 @@
+package edge_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/soak/ledger"
+	"tamarackspool/platform/platformtest"
+)
+
+// history is a random course of loads, failures, starts, ends and partitions, with what callers and targets saw.
+type history struct {
+	f       *fleet
+	r       *rand.Rand
+	zones   []string
+	targets []*platformtest.Target
+	calls   sync.WaitGroup
+
+	mu    sync.Mutex
+	asked []time.Time // asked holds when callers sent their requests.
+}
+
+// manners are what all targets of the service do for a while.
+var manners = []platformtest.Manner{
+	platformtest.Sound, platformtest.Sound, platformtest.Full, platformtest.Mute, platformtest.Cut, platformtest.Frozen, platformtest.Endless,
+}
+
+// ask sends n requests through each entry that runs, all of them at once.
+func (h *history) ask(n int) {
+	for i := range h.zones {
+		for k := range n {
+			name := fmt.Sprint("e", i)
+			id := fmt.Sprint("id-", h.r.Uint64())
+			object := object(fmt.Sprint(h.r.IntN(20), k))
+			h.mu.Lock()
+			h.asked = append(h.asked, time.Now())
+			h.mu.Unlock()
+			h.calls.Go(func() { h.f.callAs(id, name, "GET", "/r/", object) })
+		}
+	}
+}
+
+// disturb changes something for some time.
+func (h *history) disturb() {
+	switch h.r.IntN(6) {
+	case 0, 1:
+		m := manners[h.r.IntN(len(manners))]
+		for _, x := range h.targets {
+			x.Behave(m)
+		}
+	case 2:
+		i := h.r.IntN(len(h.zones))
+		name := fmt.Sprint("e", i)
+		h.calls.Wait()
+		h.f.stop(name)
+		h.f.start(name, h.zones[i])
+	case 3:
+		h.f.serveOnly(h.r.IntN(len(h.zones)))
+	case 4:
+		h.f.serveOnly(len(h.zones))
+	default:
+		h.f.asleep.Add(int64(time.Duration(h.r.IntN(3000)) * time.Millisecond))
+	}
+}
+
+// repeats returns when requests arrived at a target beyond the first of their kind.
+func (h *history) repeats() []time.Time {
+	first := make(map[string]time.Time)
+	var all []time.Time
+	for _, x := range h.targets {
+		for _, a := range x.Arrivals() {
+			at, known := first[a.ID]
+			switch {
+			case !known:
+				first[a.ID] = a.At
+			case a.At.Before(at):
+				first[a.ID] = a.At
+				all = append(all, at)
+			default:
+				all = append(all, a.At)
+			}
+		}
+	}
+	return all
+}
+
+// Guards against histories in which all entries together repeat more than the ratio allows in some window.
+func TestAnyHistoryOfEntriesStaysWithinTheBudget(t *testing.T) {
+	zones := []string{"a1", "a2", "b1", "a1", "a2", "b1", "a1", "a2"}
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, zones, func(f *fleet) {
+				h := &history{f: f, r: rand.New(rand.NewPCG(seed, 16)), zones: zones}
+				f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+				for i := range 4 {
+					h.targets = append(h.targets, f.target(fmt.Sprint("t", i), "s1", []string{"a1", "b1"}[i%2], func(x *platformtest.Target) { x.Work = 10 * time.Millisecond }))
+				}
+				settle()
+				for range 14 {
+					most := []int{0, 1, 2, 12}[h.r.IntN(4)]
+					for range 8 {
+						h.ask(h.r.IntN(most + 1))
+						if h.r.IntN(3) == 0 {
+							h.disturb()
+						}
+						time.Sleep(time.Duration(h.r.IntN(2000)) * time.Millisecond)
+					}
+				}
+				h.calls.Wait()
+				repeats := h.repeats()
+				if over := ledger.Excess(h.asked, repeats, 0.2, 10*time.Second); over > 0 {
+					t.Errorf("%.1f repeats in a window beyond the ratio; %d of %d requests in all", over, len(repeats), len(h.asked))
+				}
+			})
+		})
+	}
+}
