internal/entry/edge: keep targets in use whose registrations lapsed in an outage

In a test with targets that are back after 1.7 s, 81 requests of 1.7 s, all of them, fail.

Cause: the end of a registration was taken for the end of its target also where the store was down, so that targets could not renew theirs.

Change: where the store was silent for 2 s or more, or until less than 2 s ago, a target whose registration ends stays in use for 1.8 s, with what is known of it (event 3120). It is removed if it is not back by then; one that had announced its end goes at once, and so does any while the store is heard.

Tests: TestTargetsThatLapseInAnOutageStayInUse (81 failures before, 0 after; nothing reaches the target that is not back, or the one that was leaving), TestTargetsThatAreRemovedAreLeftAtOnce.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -322,7 +322,7 @@
 
 // eligible reports whether requests like this one may go to the target.
 func (e *Edge) eligible(v *view, q *query, s *seat) bool {
-	if s.target.Leaving() || v.closed[s.target.Zone()] {
+	if s.target.Leaving() || v.closed[s.target.Zone()] || !s.lapsed.IsZero() && time.Now().After(s.lapsed) {
 		return false
 	}
 	homes := q.rule.Homes()
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -16,13 +16,15 @@
 	"tamarackspool/internal/steer/placement"
 )
 
-// belief turns changes of the store into views. One goroutine calls apply.
+// belief turns changes of the store into views. Its caller lets one goroutine at a time call it.
 type belief struct {
 	keys   Keys
 	events *event.Log
 	self   census.Entry
 	// regions is the number of regions of the deployment.
 	regions int
+	// disturbed reports whether registrations may have ended because the store was down.
+	disturbed func() bool
 
 	book    *book.Book
 	seats   map[string]*seat // seats is by the target's id.
@@ -34,9 +36,9 @@
 	enrolled time.Time
 }
 
-func newBelief(keys Keys, events *event.Log, self census.Entry, regions int) *belief {
+func newBelief(keys Keys, events *event.Log, self census.Entry, regions int, disturbed func() bool) *belief {
 	return &belief{
-		keys: keys, events: events, self: self, regions: regions,
+		keys: keys, events: events, self: self, regions: regions, disturbed: disturbed,
 		seats: make(map[string]*seat), benches: make(map[string]*bench), dirty: make(map[string]bool),
 		closed: make(map[string]bool), entries: make(map[string]census.Entry),
 	}
@@ -133,11 +135,7 @@
 func (b *belief) register(id string, it mirror.Item, now time.Time) error {
 	old := b.seats[id]
 	if it.Removed {
-		if old != nil {
-			delete(b.seats, id)
-			b.dirty[old.target.Service()] = true
-			b.events.Log(event.TargetGone, "target", id, "service", old.target.Service(), "revision", it.Revision)
-		}
+		b.unregister(id, it, now)
 		return nil
 	}
 	t, err := b.keys.DecodeTarget(id, it.Value, now)
@@ -152,6 +150,48 @@
 	return nil
 }
 
+const (
+	// lapseHold is how long a target whose registration ended in an outage stays in use. It is below the 2 s
+	// for which a target that has left may still get requests.
+	lapseHold = 1800 * time.Millisecond
+	// lapseTime is how long after the store's return registrations may still turn out to have lapsed, and be back.
+	lapseTime = 2 * time.Second
+)
+
+// unregister takes note that a target's registration has ended. In an outage it
+// may have lapsed, as targets cannot renew theirs: the target is kept for a
+// while then, with what is known of it.
+func (b *belief) unregister(id string, it mirror.Item, now time.Time) {
+	old := b.seats[id]
+	switch {
+	case old == nil:
+	case b.disturbed() && !old.target.Leaving() && old.lapsed.IsZero():
+		b.seats[id] = old.with(func(s *seat) { s.lapsed = now.Add(lapseHold) })
+		b.dirty[old.target.Service()] = true
+		b.events.Log(event.TargetLapsed, "target", id, "service", old.target.Service(), "revision", it.Revision, "for", lapseHold)
+	case old.lapsed.IsZero():
+		b.remove(id, it.Revision)
+	}
+}
+
+func (b *belief) remove(id string, revision uint64) {
+	service := b.seats[id].target.Service()
+	delete(b.seats, id)
+	b.dirty[service] = true
+	b.events.Log(event.TargetGone, "target", id, "service", service, "revision", revision)
+}
+
+// sweep removes the targets that are not back in time and reports whether there were any.
+func (b *belief) sweep(now time.Time) (changed bool) {
+	for id, s := range b.seats {
+		if !s.lapsed.IsZero() && !now.Before(s.lapsed) {
+			b.remove(id, s.revision)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // seat returns the seat of a registration. What was seen of an earlier start under the same id is forgotten.
 func (b *belief) seat(old *seat, t target.Target, it mirror.Item, now time.Time) *seat {
 	if old == nil || old.target.Born() != t.Born() {
@@ -167,7 +207,7 @@
 	}
 	return old.with(func(s *seat) {
 		s.coldUntil = later(s.coldUntil, t.ColdUntil())
-		s.target, s.confirmed, s.revision = t, now, it.Revision
+		s.target, s.confirmed, s.revision, s.lapsed = t, now, it.Revision, time.Time{}
 	})
 }
 
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -32,7 +32,7 @@
 
 	mirror   *mirror.Mirror
 	follower *mirror.Follower
-	belief   *belief
+	belief   *belief // belief is guarded by believing.
 	view     atomic.Pointer[view]
 	pool     *upstream.Pool
 	server   *inbound.Server
@@ -42,6 +42,8 @@
 	configured chan struct{}
 	refusing   atomic.Bool // refusing is set when requests that arrive are no longer begun.
 
+	believing sync.Mutex
+
 	mu      sync.Mutex
 	budgets map[string]*spend.Budget // budgets is by service.
 	draws   atomic.Uint64
@@ -79,7 +81,7 @@
 	}
 	e.beaten.Store(int64(d.Uptime()))
 	e.dialPeer = e.peerTraffic.Dial(d.Dial)
-	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions)
+	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions, func() bool { return e.follower.Disturbed(lapseTime) })
 	e.view.Store(e.belief.view(0))
 	e.pool = upstream.New(d.Dial, e.lost)
 	e.server = inbound.New(e, func(err error) { e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.Open()) })
@@ -130,6 +132,8 @@
 
 // changed publishes what the changed items make of the view.
 func (e *Edge) changed(items []mirror.Item) {
+	e.believing.Lock()
+	defer e.believing.Unlock()
 	e.belief.apply(items, time.Now())
 	v := e.belief.view(e.mirror.Revision())
 	first := v.book != nil && e.view.Load().book == nil
@@ -140,6 +144,15 @@
 	}
 }
 
+// sweep publishes a view without the targets that are not back after an outage.
+func (e *Edge) sweep(now time.Time) {
+	e.believing.Lock()
+	defer e.believing.Unlock()
+	if e.belief.sweep(now) {
+		e.view.Store(e.belief.view(e.mirror.Revision()))
+	}
+}
+
 // Run serves until ctx ends and then stops without cutting a request.
 func (e *Edge) Run(ctx context.Context) error {
 	e.events.Log(event.Started, "entry", e.s.Name, "zone", e.s.Zone, "region", e.s.Region, "strength", e.s.Strength,
@@ -263,6 +276,7 @@
 			return
 		case now := <-t.C:
 			e.pool.Expire(now)
+			e.sweep(now)
 			if n := e.d.Dropped(); n > dropped {
 				e.events.Log(event.LinesDropped, "lines", n-dropped, "since-start", n)
 				dropped = n
--- /dev/null
+++ b/internal/entry/edge/lapse_test.go
@@ -0,0 +1,72 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"tamarackspool/platform/platformtest"
+)
+
+// ask sends requests for changing objects through the entries for the time and returns how many failed.
+func ask(f *fleet, entries int, d time.Duration) (failed int) {
+	for begin, i := time.Now(), 0; time.Since(begin) < d; i++ {
+		if got := f.call(fmt.Sprint("e", i%entries), "GET", "/r/", object(fmt.Sprint(i))); got.status != http.StatusOK {
+			failed++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return failed
+}
+
+// Guards against targets that are left, all at once, because their registrations lapsed while the store was down.
+func TestTargetsThatLapseInAnOutageStayInUse(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		quick := func(x *platformtest.Target) { x.Work = time.Millisecond }
+		back, gone, left := f.target("t1", "s1", "a1", quick), f.target("t2", "s1", "a1", quick), f.target("t3", "s1", "a1", quick)
+		settle()
+		left.Register(f.store, "draining", 0)
+		settle()
+		f.store.Fail(platformtest.Silent)
+		time.Sleep(4 * time.Second)
+		for _, id := range []string{"t1", "t2", "t3"} {
+			f.store.Remove("servers/" + id)
+		}
+		f.store.Fail(platformtest.None)
+		before := left.Seen()
+		if failed := ask(f, 3, 1700*time.Millisecond); failed > 0 {
+			t.Errorf("%d requests failed behind the outage", failed)
+		}
+		back.Register(f.store, "ready", 0)
+		ask(f, 3, time.Second)
+		seen := gone.Seen()
+		if failed := ask(f, 3, 2*time.Second); failed > 0 {
+			t.Errorf("%d requests failed although a target is back", failed)
+		}
+		if n := gone.Seen() - seen; n > 0 {
+			t.Errorf("%d requests to a target that is not back", n)
+		}
+		if n := left.Seen() - before; n > 0 {
+			t.Errorf("%d requests to a target that was leaving", n)
+		}
+	})
+}
+
+// Guards against targets that stay in use although the store was heard all the while they were removed.
+func TestTargetsThatAreRemovedAreLeftAtOnce(t *testing.T) {
+	play(t, []string{"a1", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		f.target("t1", "s1", "a1", nil)
+		gone := f.target("t2", "s1", "a1", nil)
+		settle()
+		f.store.Remove("servers/t2")
+		time.Sleep(time.Second)
+		seen := gone.Seen()
+		ask(f, 2, 2*time.Second)
+		if n := gone.Seen() - seen; n > 0 {
+			t.Errorf("%d requests to a target that was removed", n)
+		}
+	})
+}
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -22,6 +22,8 @@
 	coldUntil time.Time
 	confirmed time.Time // confirmed is when a heartbeat of this start was last read.
 	revision  uint64
+	// lapsed is until when the target may be used without a registration; the zero time while it has one.
+	lapsed time.Time
 }
 
 // bench holds the targets of a service and their weights for the objects of
--- a/internal/record/event/steering.go
+++ b/internal/record/event/steering.go
@@ -21,6 +21,7 @@
 	EntryJoined    Number = 3117
 	EntryGone      Number = 3118
 	TargetSlow     Number = 3119
+	TargetLapsed   Number = 3120
 )
 
 var steering = []Entry{
@@ -43,4 +44,5 @@
 	{EntryJoined, "entry-joined", "another entry has registered", "none"},
 	{EntryGone, "entry-gone", "another entry's registration has ended or it is leaving", "replace the VM if the platform has not done so"},
 	{TargetSlow, "target-slow", "requests to a target pass their time in a row; its objects go where there is room", "check the target VM if it repeats"},
+	{TargetLapsed, "target-lapsed", "a target's registration ended while the store was down; the target stays in use for a moment, as it may be back", "none"},
 }
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -54,6 +54,10 @@
 // second; a reader out of touch is left before a version is late.
 const Stale = 1250 * time.Millisecond
 
+// Outage is the silence of the store from which registrations may have lapsed. It is above the
+// time between two renewals of the entry's lease, and above what the loss of a reader takes.
+const Outage = 2 * time.Second
+
 // startStale is the same for a store that has not been heard since the start:
 // more than the round trips of a first call.
 const startStale = 250 * time.Millisecond
@@ -69,6 +73,8 @@
 
 	mu    sync.Mutex   // mu is held while a batch is taken over.
 	heard atomic.Int64 // heard is when the store last answered, in nanoseconds since start.
+	// returned is when the store was last heard again after an outage, in nanoseconds since start; 0 for never.
+	returned atomic.Int64
 	start time.Time
 	lost  bool
 	// failures counts the calls to the store that failed in a row.
@@ -92,7 +98,20 @@
 		default:
 		}
 	}
-	f.heard.Store(int64(time.Since(f.start)))
+	f.hear(int64(time.Since(f.start)))
+}
+
+// hear notes when the store answered.
+func (f *Follower) hear(at int64) {
+	if last := f.heard.Swap(at); last > 0 && time.Duration(at-last) >= Outage {
+		f.returned.Store(int64(time.Since(f.start)))
+	}
+}
+
+// Disturbed reports whether the store has been silent for the time of an outage, or was so until less than d ago.
+func (f *Follower) Disturbed(d time.Duration) bool {
+	returned := time.Duration(f.returned.Load())
+	return f.Age() >= Outage || returned > 0 && time.Since(f.start)-returned < d
 }
 
 // Age returns how long ago the store last answered.
@@ -177,7 +196,7 @@
 // listened notes that the store was heard from, directly or through a reader.
 func (f *Follower) listened(b Batch) {
 	if at := int64(time.Since(f.start) - b.Age); at > f.heard.Load() {
-		f.heard.Store(at)
+		f.hear(at)
 	}
 	if f.lost {
 		f.lost = false
