internal/entry/edge: tell entries of cold targets whose registration was taken away

Cause: the word went to the entries that stand in the store. One whose registration was taken away runs on, and cannot register while the store is down.

Change: entries are remembered for 30 s after their registration ended, and are told too.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -32,6 +32,7 @@
 	dirty   map[string]bool // dirty holds the services whose bench must be made anew.
 	closed  map[string]bool
 	entries map[string]census.Entry
+	former  map[string]former // former holds entries whose registration ended lately; they may run on.
 	// enrolled is when this entry's own registration was seen to stand; the zero time while it does not.
 	enrolled time.Time
 }
@@ -40,7 +41,7 @@
 	return &belief{
 		keys: keys, events: events, self: self, regions: regions, disturbed: disturbed,
 		seats: make(map[string]*seat), benches: make(map[string]*bench), dirty: make(map[string]bool),
-		closed: make(map[string]bool), entries: make(map[string]census.Entry),
+		closed: make(map[string]bool), entries: make(map[string]census.Entry), former: make(map[string]former),
 	}
 }
 
@@ -226,6 +227,7 @@
 		}
 		if known {
 			delete(b.entries, name)
+			b.former[name] = former{old, now}
 			b.events.Log(event.EntryGone, "entry", name, "revision", it.Revision)
 		}
 		return nil
@@ -235,6 +237,7 @@
 		return err
 	}
 	b.entries[name] = e
+	delete(b.former, name)
 	if name == b.self.Name && !known {
 		b.enrolled = now
 	}
@@ -247,6 +250,16 @@
 	return nil
 }
 
+// former is an entry whose registration has ended.
+type former struct {
+	entry census.Entry
+	at    time.Time // at is when the end was heard.
+}
+
+// formerFor is how long an entry without a registration is told what others must know: longer than
+// an outage of the store during which it runs on, and long enough for a new registration.
+const formerFor = 30 * time.Second
+
 // rebuild makes the benches of the services anew whose targets have changed.
 func (b *belief) rebuild() {
 	seats := make(map[string][]*seat, len(b.dirty))
@@ -267,7 +280,7 @@
 }
 
 // view returns what is believed now.
-func (b *belief) view(revision uint64) *view {
+func (b *belief) view(revision uint64, now time.Time) *view {
 	v := &view{book: b.book, seats: make(map[string]*bench), closed: maps.Clone(b.closed), revision: revision}
 	b.rebuild()
 	maps.Copy(v.seats, b.benches)
@@ -283,6 +296,13 @@
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		v.entries = append(v.entries, entries[name])
 	}
+	for name, f := range b.former {
+		if now.Sub(f.at) >= formerFor {
+			delete(b.former, name)
+		} else if name != b.self.Name {
+			v.former = append(v.former, f.entry)
+		}
+	}
 	v.reader, v.led = census.ReaderOf(v.entries, b.self)
 	return v
 }
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,12 +183,13 @@
 	Left int64  `json:"left"` // Left is in milliseconds.
 }
 
-// tell passes the word on a cold target to all entries that are known, once;
-// one that misses it hears of the target from the store later.
+// tell passes the word on a cold target to all entries that are known, once, and to those whose
+// registration lapsed meanwhile; one that misses it hears of the target from the store later.
 func (e *Edge) tell(ctx context.Context, c coldTarget) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	for _, o := range e.view.Load().entries {
+	v := e.view.Load()
+	for _, o := range slices.Concat(v.entries, v.former) {
 		if o.Name == e.s.Name {
 			continue
 		}
--- a/internal/entry/edge/cold_test.go
+++ b/internal/entry/edge/cold_test.go
@@ -55,6 +55,32 @@
 	})
 }
 
+// Guards against an entry that hears of no cold target because the store took its registration away before it fell silent.
+func TestEntriesWithoutARegistrationHearOfColdTargets(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		quick := func(x *platformtest.Target) { x.Work = 5 * time.Millisecond }
+		cools := f.target("t1", "s1", "a1", quick)
+		f.target("t2", "s1", "a1", quick)
+		time.Sleep(10 * time.Second)
+		f.serveOnly(2)
+		f.store.Remove("entries/e2")
+		settle()
+		f.store.Fail(platformtest.Silent)
+		time.Sleep(3 * time.Second)
+		cools.Chill(3 * time.Second)
+		time.Sleep(500 * time.Millisecond)
+		before := cools.Seen()
+		for i := range 99 {
+			f.call("e2", "GET", "/r/", object(fmt.Sprint(i%20)))
+			time.Sleep(5 * time.Millisecond)
+		}
+		if n := cools.Seen() - before; n > 0 {
+			t.Errorf("%d requests to a cold target that another entry paces", n)
+		}
+	})
+}
+
 // Guards against a cold target that several entries pace at once because their registrations lapsed or were taken away.
 func TestOneEntryPacesAColdTargetWhateverItKnowsOfOthers(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -82,7 +82,7 @@
 	e.beaten.Store(int64(d.Uptime()))
 	e.dialPeer = e.peerTraffic.Dial(d.Dial)
 	e.belief = newBelief(d.Keys, d.Events, e.self, s.Regions, func() bool { return e.follower.Disturbed(lapseTime) })
-	e.view.Store(e.belief.view(0))
+	e.view.Store(e.belief.view(0, e.started))
 	e.pool = upstream.New(d.Dial, e.lost)
 	e.server = inbound.New(e, func(err error) { e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.Open()) })
 	e.follower = mirror.NewFollower(e.mirror, e.d.Store, (*peers)(e), d.Events, e.changed)
@@ -134,8 +134,9 @@
 func (e *Edge) changed(items []mirror.Item) {
 	e.believing.Lock()
 	defer e.believing.Unlock()
-	e.belief.apply(items, time.Now())
-	v := e.belief.view(e.mirror.Revision())
+	now := time.Now()
+	e.belief.apply(items, now)
+	v := e.belief.view(e.mirror.Revision(), now)
 	first := v.book != nil && e.view.Load().book == nil
 	e.view.Store(v)
 	if first {
@@ -149,7 +150,7 @@
 	e.believing.Lock()
 	defer e.believing.Unlock()
 	if e.belief.sweep(now) {
-		e.view.Store(e.belief.view(e.mirror.Revision()))
+		e.view.Store(e.belief.view(e.mirror.Revision(), now))
 	}
 }
 
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -63,6 +63,7 @@
 	seats    map[string]*bench // seats is by service.
 	closed   map[string]bool   // closed holds the availability zones that are being emptied.
 	entries  []census.Entry
+	former   []census.Entry // former are entries that may run on without a registration.
 	stored   []string  // stored holds the names of the entries that stand in the store, this one included.
 	enrolled time.Time // enrolled is since when this entry is among them; the zero time while it is not.
 	marks    []uint64  // marks are those of the stored entries that are not leaving, in the order of names.
