internal/entry/edge: check the health of all targets every 0.1 s while the store is silent

A target with less than half of its slots in use was checked every 0.6 s, a busy one every 0.2 s, so that most checks came too late to find a free slot.

Change: one check each 0.1 s whatever the target's load, five that are not answered at most. The distinction of busy targets goes.

Test: TestChecksOfAnIdleTargetAreFrequentAndBounded, 3 checks in 2 s before, 18 to 21 wanted and found.

--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -20,14 +20,14 @@
 	// checkBeyond is how long checks go on after the store's return: the targets
 	// have registered again by then.
 	checkBeyond = 2 * time.Second
-	// checkBusy is the time between the beginnings of two checks of a target with half of its slots in
-	// use, or whose check is not answered by then: answers follow each other as closely however long its queue is.
-	checkBusy = 200 * time.Millisecond
-	// checkIdle is the time between an answer and the next check of a target that gets fewer requests.
-	checkIdle = 600 * time.Millisecond
+	// checkEvery is the time between the beginnings of two checks of a target: one that turns cold answers
+	// a check at once until its slots have filled, which takes a few of these.
+	checkEvery = 100 * time.Millisecond
+	// mostChecks is the most checks of a target that are not answered; they take up its queue.
+	mostChecks = 5
 	// checkTick is how often targets are looked through for checks that are due
 	// while the store is silent, calmTick how often that is looked at.
-	checkTick = 100 * time.Millisecond
+	checkTick = 50 * time.Millisecond
 	calmTick  = 500 * time.Millisecond
 	// checkLimit bounds a check, which waits in the target's queue as a request does.
 	checkLimit = time.Second
@@ -36,36 +36,34 @@
 	chillSlack = 500 * time.Millisecond
 )
 
-// checks are the times of health checks by the target's id.
+// checks are the health checks by the target's id.
 type checks struct {
-	mu  sync.Mutex
-	due map[string]time.Time // due is when the next check may begin.
+	mu      sync.Mutex
+	due     map[string]time.Time // due is when the next check may begin.
+	running map[string]int       // running counts the checks that are not answered.
 }
 
-// begin reports whether a check of the target is due. While it is not answered, the next is due as for a busy target.
+// begin reports whether a check of the target is due, which must then be ended.
 func (c *checks) begin(id string, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.due[id]) {
+	if now.Before(c.due[id]) || c.running[id] >= mostChecks {
 		return false
 	}
 	if c.due == nil {
-		c.due = make(map[string]time.Time)
+		c.due, c.running = make(map[string]time.Time), make(map[string]int)
 	}
-	c.due[id] = now.Add(checkBusy)
+	c.due[id] = now.Add(checkEvery)
+	c.running[id]++
 	return true
 }
 
-// end notes what a check has shown. A busy target is asked again soon, also
-// when an earlier answer said that it had little to do.
-func (c *checks) end(id string, busy bool, now time.Time) {
+// end notes that a check has ended.
+func (c *checks) end(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch soon := now.Add(checkBusy); {
-	case !busy:
-		c.due[id] = now.Add(checkIdle)
-	case c.due[id].After(soon):
-		c.due[id] = soon
+	if c.running[id]--; c.running[id] <= 0 {
+		delete(c.running, id)
 	}
 }
 
@@ -120,22 +118,20 @@
 				continue
 			}
 			running.Go(func() {
-				busy := e.check(ctx, s, service.HealthPath)
-				e.checks.end(s.target.ID(), busy, time.Now())
+				defer e.checks.end(s.target.ID())
+				e.check(ctx, s, service.HealthPath)
 			})
 		}
 	}
 }
 
-// check asks one target for its health and reports whether the target is
-// busy. A check without an answer says nothing: requests to the target show
-// themselves whether it runs.
-func (e *Edge) check(ctx context.Context, s *seat, path string) (busy bool) {
+// check asks one target for its health. A check without an answer says
+// nothing: requests to the target show themselves whether it runs.
+func (e *Edge) check(ctx context.Context, s *seat, path string) {
 	bounded, cancel := context.WithTimeout(ctx, checkLimit)
 	defer cancel()
 	h := make(http.Header)
 	e.d.Headers.SetTarget(h, s.target.ID())
-	began := time.Now()
 	a, err := e.pool.Do(bounded, upstream.Call{
 		Address: s.target.Address(), Method: http.MethodGet, Target: path, Host: s.target.Address(), Header: h,
 		Claim: func(_ int, h http.Header) upstream.Claim {
@@ -146,7 +142,7 @@
 		},
 	})
 	if err != nil || e.d.Headers.Instance(a.Header) != s.target.ID() {
-		return false
+		return
 	}
 	if a.Rest != nil {
 		_ = a.Rest.Close()
@@ -155,13 +151,11 @@
 		if e.chill(s, left, "its health answer says so") {
 			e.tell(ctx, coldTarget{ID: s.target.ID(), Born: s.target.Born(), Left: left.Milliseconds()})
 		}
-		return false
+		return
 	}
-	running, waiting, slots, ok := e.d.Headers.Load(a.Header)
-	if ok {
+	if running, waiting, _, ok := e.d.Headers.Load(a.Header); ok {
 		s.gauge.Report(running, waiting, time.Now())
 	}
-	return !ok || 2*(running+waiting) >= slots || time.Since(began) >= checkBusy
 }
 
 // chill notes that a target is cold for the time that is left, and reports whether that is news.
--- a/internal/entry/edge/cold_test.go
+++ b/internal/entry/edge/cold_test.go
@@ -151,6 +151,29 @@
 	return most
 }
 
+// Guards against an idle target that cools down during an outage between two checks, and against checks that fill a queue.
+func TestChecksOfAnIdleTargetAreFrequentAndBounded(t *testing.T) {
+	for _, c := range []struct {
+		queue       time.Duration // queue is how long a check waits.
+		least, most int
+	}{{0, 18, 21}, {time.Second, 0, 12}} {
+		t.Run(c.queue.String(), func(t *testing.T) {
+			play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+				f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+				target := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.Queue = c.queue })
+				settle()
+				f.store.Fail(platformtest.Silent)
+				time.Sleep(4 * time.Second)
+				before := target.Checks()
+				time.Sleep(2 * time.Second)
+				if n := target.Checks() - before; n < c.least || n > c.most {
+					t.Errorf("%d checks in 2 s, want %d to %d", n, c.least, c.most)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a target that cools down during an outage and gets the requests of a warm one until its queue has answered two checks.
 func TestChecksOfABusyTargetFollowEachOtherWhateverItsQueue(t *testing.T) {
 	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -64,9 +64,9 @@
 	closed   map[string]bool   // closed holds the availability zones that are being emptied.
 	entries  []census.Entry
 	former   []census.Entry // former are entries that may run on without a registration.
-	stored   []string  // stored holds the names of the entries that stand in the store, this one included.
-	enrolled time.Time // enrolled is since when this entry is among them; the zero time while it is not.
-	marks    []uint64  // marks are those of the stored entries that are not leaving, in the order of names.
+	stored   []string       // stored holds the names of the entries that stand in the store, this one included.
+	enrolled time.Time      // enrolled is since when this entry is among them; the zero time while it is not.
+	marks    []uint64       // marks are those of the stored entries that are not leaving, in the order of names.
 	names    []string
 	revision uint64
 	reader   census.Reader // reader is the entry that reads the store for this one.
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -75,8 +75,8 @@
 	heard atomic.Int64 // heard is when the store last answered, in nanoseconds since start.
 	// returned is when the store was last heard again after an outage, in nanoseconds since start; 0 for never.
 	returned atomic.Int64
-	start time.Time
-	lost  bool
+	start    time.Time
+	lost     bool
 	// failures counts the calls to the store that failed in a row.
 	failures int
 }
