internal/entry/edge: take a zone's targets for cold once a third of them turned cold together

Cause: each target was judged by its own word only, which a target with a queue cannot give in time. To take each late check for a cold target was tried before and cost worth, as a check is late for many reasons.

Once a third of the zone's targets, two at least, did so within a second, the others are paced as well, for as long as a start takes to warm up. Each entry concludes it from what it is told anyway.

--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -167,6 +167,7 @@
 	}
 	s.gauge.Chilled(until)
 	e.events.Log(event.TargetCold, "target", s.target.ID(), "reason", reason, "for", left, "store-age", e.follower.Age())
+	e.cooled(s, now)
 	return true
 }
 
--- a/internal/entry/edge/cold_test.go
+++ b/internal/entry/edge/cold_test.go
@@ -55,6 +55,45 @@
 	})
 }
 
+// Guards against a target that cools down with its zone during an outage and cannot say so, as its check waits in its queue.
+func TestTargetsThatCoolWithTheirZoneArePaced(t *testing.T) {
+	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`), rule("other", "/o/", "safe", `,"service":"s2"`))
+		quick := func(x *platformtest.Target) { x.Work = 5 * time.Millisecond }
+		stuck := f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Work, x.Queue = 5*time.Millisecond, 5*time.Second })
+		cool := []*platformtest.Target{f.target("t1", "s2", "a1", quick), f.target("t2", "s2", "a1", quick)}
+		f.target("t3", "s1", "b1", quick)
+		f.target("t4", "s2", "b1", quick)
+		time.Sleep(10 * time.Second)
+		f.store.Fail(platformtest.Silent)
+		time.Sleep(3 * time.Second)
+		ask := func() int {
+			before := stuck.Seen()
+			for i := range 99 {
+				f.call(fmt.Sprint("e", i%3), "GET", "/r/", object(fmt.Sprint(i%20)))
+				time.Sleep(5 * time.Millisecond)
+			}
+			return stuck.Seen() - before
+		}
+		if n := ask(); n < 20 {
+			t.Errorf("%d of 99 requests to a target whose checks get no answer", n)
+		}
+		for _, x := range cool {
+			x.Chill(3 * time.Second)
+		}
+		time.Sleep(300 * time.Millisecond)
+		if n := ask(); n > 10 {
+			t.Errorf("%d requests to a target whose zone turned cold", n)
+		}
+		time.Sleep(3 * time.Second)
+		if n := ask(); n < 20 {
+			t.Errorf("%d of 99 requests after the zone has warmed up", n)
+		}
+		f.store.Fail(platformtest.None)
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // Guards against an entry that hears of no cold target because the store took its registration away before it fell silent.
 func TestEntriesWithoutARegistrationHearOfColdTargets(t *testing.T) {
 	play(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -44,14 +44,15 @@
 
 	believing sync.Mutex
 
-	mu      sync.Mutex
-	budgets map[string]*spend.Budget // budgets is by service.
-	draws   atomic.Uint64
-	beaten  atomic.Int64 // beaten is the uptime of the last beat, in nanoseconds.
-	memory  *placement.Memory
-	meters  *meters
-	packs   packs
-	checks  checks
+	mu       sync.Mutex
+	budgets  map[string]*spend.Budget // budgets is by service.
+	draws    atomic.Uint64
+	beaten   atomic.Int64 // beaten is the uptime of the last beat, in nanoseconds.
+	memory   *placement.Memory
+	meters   *meters
+	packs    packs
+	checks   checks
+	coolings coolings
 	// peerTraffic counts the bytes between this entry and others, dialPeer opens connections that it counts.
 	peerTraffic traffic.Meter
 	dialPeer    traffic.Dial
