--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -70,18 +70,6 @@
 	<-written
 }
 
-// hearing reads from a connection and notes when.
-type hearing struct{ c *conn }
-
-// Read reads from the connection.
-func (h hearing) Read(b []byte) (int, error) {
-	n, err := h.c.raw.Read(b)
-	if n > 0 {
-		h.c.heard = time.Now()
-	}
-	return n, err
-}
-
 // wake has a reader that waits for a request look at the server's phase. A
 // request that has begun to arrive is not disturbed.
 func (c *conn) wake() {
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -248,3 +248,32 @@
 		<-done
 	})
 }
+
+// Guards against pauses between renewals that pass for an outage, and an outage that is over for a while before it counts as over.
+func TestOutagesLastUntilAWhileBehindTheReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := mirror.NewFollower(mirror.New(), &well{}, ring{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		const while = 2 * time.Second
+		for i, c := range []struct {
+			pause time.Duration // pause is the time without a word of the store.
+			heard bool
+			want  bool
+		}{
+			{time.Second, true, false},
+			{1900 * time.Millisecond, false, false},
+			{0, true, false},
+			{mirror.Outage, false, true},
+			{time.Second, true, true},
+			{time.Second, true, true},
+			{time.Second, true, false},
+		} {
+			time.Sleep(c.pause)
+			if c.heard {
+				f.Heard()
+			}
+			if got := f.Disturbed(while); got != c.want {
+				t.Errorf("step %d: disturbed %v, want %v", i, got, c.want)
+			}
+		}
+	})
+}
--- a/internal/steer/health/cooling.go
+++ b/internal/steer/health/cooling.go
@@ -23,9 +23,9 @@
 		c.at = make(map[string]time.Time)
 	}
 	c.at[id] = now
-	for id, at := range c.at {
+	for other, at := range c.at {
 		if now.Sub(at) > together {
-			delete(c.at, id)
+			delete(c.at, other)
 		}
 	}
 	return len(c.at) >= max(leastTogether, (targets+oneIn-1)/oneIn)
