internal/measure/forward: measure at least one call and report a missing sample

Cause: a level is measured for a fixed length, and the first paced call started up to a whole period after its beginning. With fewer than about 40 requests/s the period exceeds the 50 ms of the test, no call was made, and the report said 0 µs.

Change: the first paced call starts within the length, a closed loop makes at least one call, and a level without a latency is ErrNoSample. Work and Longest are settings, so that both cases can be tested without load.

--- a/internal/measure/forward/forward_test.go
+++ b/internal/measure/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -24,6 +25,29 @@
 	}
 }
 
+// Guards against a level without a measured latency that is reported as 0 µs: when requests are slower
+// than the phase, the first paced call used to fall behind its end.
+func TestSlowRequestsAreMeasured(t *testing.T) {
+	const work = 200 * time.Millisecond
+	r, err := forward.Run(t.Context(), forward.Settings{Callers: []int{2}, Length: 50 * time.Millisecond, Work: work})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := r.Levels[0]; l.Through.P50 < work || l.Direct.P50 < work {
+		t.Errorf("latencies %v and %v of requests that take %v", l.Through, l.Direct, work)
+	}
+}
+
+// Guards against a report of 0 µs when no latency is within the recorded range.
+func TestLevelWithoutSampleIsAnError(t *testing.T) {
+	_, err := forward.Run(t.Context(), forward.Settings{
+		Callers: []int{1}, Length: 50 * time.Millisecond, Work: 50 * time.Millisecond, Longest: time.Millisecond,
+	})
+	if !errors.Is(err, forward.ErrNoSample) {
+		t.Errorf("error %v, want %v", err, forward.ErrNoSample)
+	}
+}
+
 // BenchmarkRequestPath logs the whole report; run it with -benchtime 1x.
 func BenchmarkRequestPath(b *testing.B) {
 	for b.Loop() {
--- a/internal/measure/forward/rig.go
+++ b/internal/measure/forward/rig.go
@@ -36,11 +36,12 @@
 	servers      []*http.Server
 	wait         sync.WaitGroup
 	responseBody []byte
+	work         time.Duration
 	uploadsEnded chan struct{} // uploadsEnded is closed to end the stalled uploads.
 }
 
 func newTestbed(s Settings) (*testbed, error) {
-	r := &testbed{responseBody: make([]byte, s.Size), uploadsEnded: make(chan struct{})}
+	r := &testbed{responseBody: make([]byte, s.Size), work: s.Work, uploadsEnded: make(chan struct{})}
 	for i := range targetCount {
 		address, err := r.listenAndServe(&http.Server{Handler: http.HandlerFunc(r.serveTarget), ReadHeaderTimeout: time.Minute})
 		if err != nil {
@@ -99,13 +100,14 @@
 	return errors.Join(errs...)
 }
 
-// serveTarget responds immediately, except to an upload, of which it reads one byte and then stalls.
+// serveTarget responds after its work, except to an upload, of which it reads one byte and then stalls.
 func (r *testbed) serveTarget(w http.ResponseWriter, q *http.Request) {
 	if q.ContentLength > 0 {
 		_, _ = io.ReadFull(q.Body, make([]byte, 1))
 		<-r.uploadsEnded
 		panic(http.ErrAbortHandler)
 	}
+	time.Sleep(r.work)
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(r.responseBody))}
 	_, _ = w.Write(r.responseBody)
 }
--- a/internal/measure/forward/run.go
+++ b/internal/measure/forward/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,12 +12,16 @@
 )
 
 const (
-	// maxLatency is the highest value that the histograms can record, in nanoseconds.
-	maxLatency      = int64(10 * time.Second)
+	// defaultLongest is the default of Settings.Longest.
+	defaultLongest  = 10 * time.Second
 	histogramDigits = 3
 )
 
-// Run measures the request path and returns the report. It returns an error if ctx ends early.
+// ErrNoSample means that no latency was measured for a number of callers.
+var ErrNoSample = errors.New("forward: no latency was measured")
+
+// Run measures the request path and returns the report. It returns an error if ctx ends early,
+// and ErrNoSample if a number of callers yields no latency.
 func Run(ctx context.Context, s Settings) (Report, error) {
 	s, err := s.check()
 	if err != nil {
@@ -51,6 +56,10 @@
 	return report, err
 }
 
+func (s Settings) newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, s.Longest.Nanoseconds(), histogramDigits)
+}
+
 // pair is a caller with one connection to a target (direct) and one to the entry (through).
 type pair struct {
 	direct, through           *caller
@@ -74,7 +83,7 @@
 		}
 		all[i] = &pair{
 			direct: d, through: t, random: rand.New(rand.NewPCG(s.Seed, uint64(i))),
-			directTimes: hdrhistogram.New(1, maxLatency, histogramDigits), throughTimes: hdrhistogram.New(1, maxLatency, histogramDigits),
+			directTimes: s.newHistogram(), throughTimes: s.newHistogram(),
 		}
 	}
 	return all, nil
@@ -105,16 +114,18 @@
 	return float64(calls) / took, errors.Join(errs...)
 }
 
-// closedLoop returns a load loop that sends the next call as soon as the previous one is answered.
+// closedLoop returns a load loop that sends the next call as soon as the previous one is answered, and at least one.
 func closedLoop(c func(p *pair) *caller) func(p *pair, end time.Time) error {
 	return func(p *pair, end time.Time) error {
-		for time.Now().Before(end) {
+		for {
 			if _, err := c(p).call(); err != nil {
 				return err
 			}
 			p.calls++
+			if !time.Now().Before(end) {
+				return nil
+			}
 		}
-		return nil
 	}
 }
 
@@ -139,27 +150,30 @@
 	// Per period, a pair makes a direct call and one through the entry. At full
 	// speed the two take half of the period.
 	period := time.Duration(2 * float64(n) * (1/full + 1/fullDirect) * float64(time.Second))
-	rate, err := runPairs(all, s.Length, pacedLoop(ctx, period))
+	rate, err := runPairs(all, s.Length, pacedLoop(ctx, period, s.Length))
 	if err != nil {
 		return Level{}, 0, err
 	}
-	d, t := hdrhistogram.New(1, maxLatency, histogramDigits), hdrhistogram.New(1, maxLatency, histogramDigits)
+	d, t := s.newHistogram(), s.newHistogram()
 	errs := int64(0)
 	for _, p := range all {
 		d.Merge(p.directTimes)
 		t.Merge(p.throughTimes)
 		errs += p.errors
 	}
+	if d.TotalCount() == 0 || t.TotalCount() == 0 {
+		return Level{}, errs, fmt.Errorf("%w: %d callers, %v", ErrNoSample, n, s.Length)
+	}
 	l := Level{Callers: n, Full: full, Rate: rate / 2, Direct: quantiles(d), Through: quantiles(t)}
 	l.Added = l.Through.minus(l.Direct)
 	return l, errs, nil
 }
 
 // pacedLoop returns a load loop with exponentially distributed intervals of the given mean between calls, so that callers do
-// not synchronize.
-func pacedLoop(ctx context.Context, period time.Duration) func(p *pair, end time.Time) error {
+// not synchronize. The first call starts within the length, so that a slow machine measures at least one.
+func pacedLoop(ctx context.Context, period, length time.Duration) func(p *pair, end time.Time) error {
 	return func(p *pair, end time.Time) error {
-		next := time.Now().Add(time.Duration(p.random.Float64() * float64(period)))
+		next := end.Add(-length).Add(time.Duration(p.random.Float64() * float64(min(period, length))))
 		for ctx.Err() == nil && next.Before(end) {
 			time.Sleep(time.Until(next))
 			for _, k := range []struct {
--- a/internal/measure/forward/settings.go
+++ b/internal/measure/forward/settings.go
@@ -12,6 +12,8 @@
 	Length  time.Duration // Length is the duration of a phase: 50 ms to 1 min, default 2 s.
 	Size    int           // Size is the length of a response in bytes: 0 to 32 KiB, default 256.
 	Idle    int           // Idle is the number of idle callers, up to 20,000; 0 measures none.
+	Work    time.Duration // Work is how long a target works on a request: 0 to 1 s, default 0.
+	Longest time.Duration // Longest is the longest latency that is recorded, longer ones count as errors: 1 ms to 1 min, default 10 s.
 	Uploads int           // Uploads is the number of uploads in progress, up to 1,000; 0 measures none.
 }
 
@@ -25,7 +27,14 @@
 	if s.Size == 0 {
 		s.Size = 256
 	}
+	if s.Longest == 0 {
+		s.Longest = defaultLongest
+	}
 	switch {
+	case s.Work < 0 || s.Work > time.Second:
+		return s, fmt.Errorf("forward: Work is %v, accepted is 0s to 1s", s.Work)
+	case s.Longest < time.Millisecond || s.Longest > time.Minute:
+		return s, fmt.Errorf("forward: Longest is %v, accepted is 1ms to 1m", s.Longest)
 	case s.Length < 50*time.Millisecond || s.Length > time.Minute:
 		return s, fmt.Errorf("forward: Length is %v, accepted is 50ms to 1m", s.Length)
 	case s.Size < 0 || s.Size > 32<<10:
