--- a/internal/entry/edge/cold_test.go
+++ b/internal/entry/edge/cold_test.go
@@ -1,12 +1,16 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"tamarackspool/platform/platformtest"
 )
 
@@ -215,6 +219,61 @@
 	}
 }
 
+// Guards against a crash when a peer reports a zone of cold targets to an entry that has read their registrations
+// but no configuration yet.
+func TestColdReportsBeforeAConfiguration(t *testing.T) {
+	runFleet(t, []string{"a1"}, func(f *fleet) {
+		targets := make([]*platformtest.Target, 3)
+		for i := range targets {
+			targets[i] = f.target(fmt.Sprint("t", i), "s1", "a1", nil)
+		}
+		settle()
+		for _, x := range targets {
+			f.reportCold("e0", x, time.Second)
+		}
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		settle()
+		if got := f.call("e0", "GET", "/r/x"); got.status != http.StatusOK {
+			t.Errorf("after the configuration: %v", got)
+		}
+	})
+}
+
+// reportCold tells an entry, as a peer does, that a target is cold.
+func (f *fleet) reportCold(entry string, x *platformtest.Target, left time.Duration) {
+	f.t.Helper()
+	raw, err := f.net.Dialer("10.2.0.99:0")(f.t.Context(), "tcp", address(f.entries[entry].index, 83))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ignore := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil })
+	c := jsonrpc2.NewConn(f.t.Context(), jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{}), ignore)
+	defer c.Close()
+	message := map[string]any{"id": x.ID, "born": x.StartedMillis, "left": left.Milliseconds()}
+	if err := c.Call(f.t.Context(), "cold", message, new(struct{})); err != nil {
+		f.t.Errorf("report of a cold target: %v", err)
+	}
+}
+
+// Guards against health checks that outlive their entry: a stopped entry would occupy the queue of a target.
+func TestStoppedEntryEndsItsHealthChecks(t *testing.T) {
+	runFleet(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		target := f.target("t1", "s1", "a1", func(x *platformtest.Target) { x.HealthCheckDelay = time.Second })
+		settle()
+		f.store.SetFault(platformtest.Silent)
+		time.Sleep(4 * time.Second)
+		if target.PendingChecks() == 0 {
+			t.Error("the target is not checked")
+		}
+		f.stop("e0")
+		synctest.Wait()
+		if n := target.PendingChecks(); n != 0 {
+			t.Errorf("%d checks are pending after the entry has stopped", n)
+		}
+	})
+}
+
 // Guards against checks that each wait for the previous one's answer: a target that turns cold during an outage
 // would get a warm target's load until its queue has answered two of them.
 func TestHealthChecksOfABusyTargetDoNotWaitForItsQueue(t *testing.T) {
--- a/internal/entry/edge/cool.go
+++ b/internal/entry/edge/cool.go
@@ -32,6 +32,9 @@
 // its check cannot report that it is cold until its requests have ended.
 func (e *Edge) coolZone(s *targetState, now time.Time) {
 	v := e.view.Load()
+	if v.book == nil {
+		return // How long targets stay cold is unknown before the first configuration; the reports themselves hold.
+	}
 	var others []*targetState
 	for _, b := range v.services {
 		for _, o := range b.targets {
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,7 +79,7 @@
 			fl.start(fmt.Sprint("e", i), zone)
 		}
 		f(fl)
-		for name := range fl.entries {
+		for _, name := range slices.Sorted(maps.Keys(fl.entries)) {
 			fl.stop(name)
 		}
 		fl.store.Close()
