internal/steer/load: try a target that is down every 4 s at the latest

Cause (known red TestScripts/targets_lost): the wait before the next request to a target that is down grew with each failed request, not with each try, up to 30 s. Requests that failed at the same time doubled it at once, so a target that was dead for 10 s got its next request up to 30 s after its return.

--- a/internal/steer/core/fault_test.go
+++ b/internal/steer/core/fault_test.go
@@ -126,3 +126,43 @@
 		t.Error("the borrower never used the loan")
 	}
 }
+
+// Guards against a target that gets no request for up to half a minute after its return: each of the requests that
+// failed at the same time used to double the wait before the next one.
+func TestReturnedTargetsAreTriedSoon(t *testing.T) {
+	const longestWait = 4 * time.Second
+	for _, down := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second, 20 * time.Second, 50 * time.Second} {
+		f := fields(1, 4)
+		f.Entries = f.Entries[:1]
+		c := newCore()
+		in := &table.Input{Document: document.New(f), Members: allAlive(f), Confirmed: true}
+		at := start
+		// request sends 16 requests at once and returns how many of them a target of this entry got.
+		request := func(result decision.Result) int {
+			at = at.Add(100 * time.Millisecond)
+			s := c.Step(at, in)
+			var sent []*decision.Choice
+			for draw := range uint64(16) {
+				if ch, err := s.Choose(decision.Request{Service: "status", Now: at, Relayed: true}, draw); err == nil {
+					sent = append(sent, &ch)
+				}
+			}
+			for _, ch := range sent {
+				ch.Release(result)
+			}
+			return len(sent)
+		}
+		for range 100 {
+			request(decision.Result{Kind: decision.Answered, Latency: time.Millisecond})
+		}
+		for back := at.Add(down); at.Before(back); {
+			request(decision.Result{Kind: decision.Failed, Unopened: true})
+		}
+		back := at
+		for request(decision.Result{Kind: decision.Answered, Latency: time.Millisecond}) == 0 && at.Sub(back) < time.Minute {
+		}
+		if wait := at.Sub(back); wait > longestWait {
+			t.Errorf("down for %v: the first request was sent %v after the return, want %v at most", down, wait, longestWait)
+		}
+	}
+}
--- a/internal/steer/load/load.go
+++ b/internal/steer/load/load.go
@@ -18,7 +18,7 @@
 	shedRecovery      = 1.0                    // slots restored per second after a shed request
 	downAfterFailures = 3                      // failures in a row after which a target is down
 	initialBackoff    = time.Second            // first wait before a target that is down gets another request
-	maxBackoff        = 30 * time.Second       // longest such wait
+	maxBackoff        = 4 * time.Second        // longest such wait: a target that has returned is used again within it
 )
 
 // Update estimates the load of each owned target from this entry's own counts,
@@ -149,12 +149,13 @@
 		if r.FailuresInRow >= downAfterFailures {
 			r.NeedsRamp = true
 		}
-		r.FailuresInRow, r.RetryAt = 0, time.Time{}
+		r.FailuresInRow, r.FailedRetries, r.RetryAt = 0, 0, time.Time{}
 	case lost > 0:
 		r.FailuresInRow += lost
-		if r.FailuresInRow >= downAfterFailures {
-			wait := initialBackoff << min(5, (r.FailuresInRow-downAfterFailures)/downAfterFailures)
-			r.RetryAt = now.Add(min(maxBackoff, wait))
+		if r.FailuresInRow >= downAfterFailures && !now.Before(r.RetryAt) {
+			// Requests that were sent before the target was down and fail during the wait do not extend it.
+			r.RetryAt = now.Add(min(maxBackoff, initialBackoff<<min(8, r.FailedRetries)))
+			r.FailedRetries++
 		}
 	}
 }
--- a/internal/steer/table/rows.go
+++ b/internal/steer/table/rows.go
@@ -42,6 +42,7 @@
 	BestLatency   float64   // BestLatency is the lowest smoothed latency seen, in seconds.
 	ExcessLoad    float64   // ExcessLoad is the smoothed excess of reported over observed slots in use.
 	FailuresInRow int       // FailuresInRow counts the failures since the last answer.
+	FailedRetries int       // FailedRetries counts the waits since the target went down.
 	RetryAt       time.Time // RetryAt is the time at which a target that is down gets its next request.
 	WithheldSlots float64   // WithheldSlots is the number of slots withheld after shed requests.
 	LoadLimit     int       // LoadLimit is the limit that the load estimate allows.
