internal/request/pool: close connections that are opened too late, and do not reuse older ones

Cause: closeSilent looked at open connections only, so one whose opening was in progress was reused after a newer one had been found silent; a connection whose opening ended after Close stayed open and carried its request; a short response without a length was reported as a header that is too large, and the header's limit went on for its body.

Change: the highest silent sequence is kept and checked when a connection is returned; acquire checks for Close after opening; errShortBody.

--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -91,13 +91,13 @@
 		return nil, err
 	}
 	c.headerBytesLeft = p.settings.Head
-	defer func() { c.headerBytesLeft = -1 }()
 	resp, err := http.ReadResponse(c.br, r)
+	c.headerBytesLeft = -1
 	if err != nil {
 		return nil, err
 	}
 	if resp.ContentLength < 0 || resp.ContentLength > maxShortBody || resp.Close {
-		return nil, errHeader
+		return nil, errShortBody
 	}
 	return io.ReadAll(resp.Body)
 }
--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -21,9 +21,10 @@
 const bufferSize = 4 << 10
 
 var (
-	errSealed = errors.New("pool: connection accepts no further writes")
-	errHeader = errors.New("pool: response header is too large")
-	errSilent = errors.New("pool: connection is silent")
+	errSealed    = errors.New("pool: connection accepts no further writes")
+	errHeader    = errors.New("pool: response header is too large")
+	errShortBody = errors.New("pool: response to a probe or query has no length, is too long or closes the connection")
+	errSilent    = errors.New("pool: connection is silent")
 )
 
 // conn is a connection to a remote address; it carries one request at a time.
--- a/internal/request/pool/path.go
+++ b/internal/request/pool/path.go
@@ -16,6 +16,7 @@
 	idle         []*conn // idle is used as a stack, so that a few connections carry most requests and the rest expire.
 	opening      int
 	lastSequence uint64
+	silentUpTo   uint64 // silentUpTo is the highest sequence of the connections that were found silent.
 	waiters      []chan struct{}
 	querySlots   chan struct{} // querySlots holds one value for each open connection of a query.
 }
@@ -96,7 +97,7 @@
 	c.lastUsed = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.silent.Load() || !p.open[c] {
+	if c.silent.Load() || c.sequence <= p.silentUpTo || !p.open[c] {
 		c.close()
 		delete(p.open, c)
 	} else {
@@ -119,6 +120,7 @@
 func (p *addrPool) closeSilent(c *conn) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.silentUpTo = max(p.silentUpTo, c.sequence)
 	closed := 0
 	for o := range p.open {
 		if o.sequence <= c.sequence {
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -109,6 +109,12 @@
 	return true
 }
 
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
 func (p *Pool) connect(ctx context.Context, a *addrPool) (*conn, error) {
 	// The sequence number is assigned before the dial: a connection whose dial was in
 	// progress when another one was found silent counts as older and is not reused.
@@ -135,6 +141,11 @@
 		if k == nil {
 			k, err = p.connect(ctx, a)
 			a.finishOpening(k)
+			if err == nil && p.isClosed() {
+				// Close may have closed the open connections before this one was among them.
+				a.discardConn(k)
+				return nil, errClosed
+			}
 			return k, err
 		}
 		if !c.ProbeIdle || time.Since(k.lastUsed) <= p.settings.Idle || p.probe(ctx, k) {
--- a/internal/request/pool/pool_test.go
+++ b/internal/request/pool/pool_test.go
@@ -21,6 +21,7 @@
 	dials      atomic.Int32
 	received   atomic.Int64 // received counts the requests that arrived.
 	lastSilent atomic.Int32 // lastSilent is the number of the last connection that is silent.
+	firstHeard bool         // firstHeard makes the first connection respond whatever lastSilent is.
 	extraBytes string       // extraBytes is sent after each response.
 	onDial     func()
 }
@@ -48,7 +49,7 @@
 		if strings.HasPrefix(r.URL.Path, "/attempt/") {
 			answer = `{"state":"unknown"}`
 		}
-		if n <= p.lastSilent.Load() {
+		if n <= p.lastSilent.Load() && (n > 1 || !p.firstHeard) {
 			continue
 		}
 		go func() {
@@ -133,6 +134,50 @@
 	})
 }
 
+// Guards against the reuse of a connection that was still being opened when a newer one was found silent.
+func TestConnectionBeingOpenedDuringSilenceIsNotReused(t *testing.T) {
+	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
+		p.onDial = func() {
+			if p.dials.Load() == 1 {
+				time.Sleep(20 * time.Second)
+			}
+		}
+		p.firstHeard = true
+		p.lastSilent.Store(2)
+		slow := make(chan *http.Response)
+		go func() { slow <- open(t, c) }()
+		synctest.Wait()
+		var f *pool.Failure
+		if _, err := do(t.Context(), t, c); !errors.As(err, &f) || f.Kind() != pool.Silent {
+			t.Fatalf("request on a silent connection: %v", err)
+		}
+		finish(t, <-slow)
+		if n := c.OpenCount("a"); n != 0 {
+			t.Errorf("%d connections that were opened before the silent one stay open", n)
+		}
+	})
+}
+
+// Guards against a connection whose opening ends after Close and that stays open.
+func TestConnectionOpenedAfterCloseIsClosed(t *testing.T) {
+	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
+		p.onDial = func() { time.Sleep(time.Second) }
+		ended := make(chan error)
+		go func() {
+			_, err := do(t.Context(), t, c)
+			ended <- err
+		}()
+		synctest.Wait()
+		c.Close()
+		if err := <-ended; err == nil {
+			t.Error("a request is sent after Close")
+		}
+		if n := c.OpenCount("a"); n != 0 {
+			t.Errorf("%d connections stay open after Close", n)
+		}
+	})
+}
+
 // Guards against queries about attempts that open one connection for each waiting request.
 func TestQueriesAreBounded(t *testing.T) {
 	run(t, pool.Settings{}, func(t *testing.T, p *peer, c *pool.Pool) {
