internal/request/forward: drop a caller's Free header

Cause: the header that entries use for their free slots was not among those that are removed from a caller's request, so targets saw a caller's word under the system's name. Entries read it in answers of peers only.

Result: TestHeaderSmuggling fails on the former code (Free:[9] at the target).

--- a/internal/request/forward/check_test.go
+++ b/internal/request/forward/check_test.go
@@ -103,7 +103,7 @@
 			"both lengths":     {"POST" + head + "Content-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 200},
 			"two lengths":      {"POST" + head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc", 400},
 			"two tenants":      {"POST" + head + "Tenant: open\r\nContent-Length: 2\r\n\r\nab", 400},
-			"named hop header": {"POST" + head + "Connection: Secret-Hop, Tenant\r\nSecret-Hop: 1\r\nContent-Length: 2\r\n\r\nab", 200},
+			"named hop header": {"POST" + head + "Connection: Secret-Hop, Tenant\r\nSecret-Hop: 1\r\nFree: 9\r\nContent-Length: 2\r\n\r\nab", 200},
 			"other encoding":   {"POST" + head + "Transfer-Encoding: gzip, chunked\r\n\r\n", 501},
 		} {
 			seen = nil
@@ -122,7 +122,7 @@
 			}
 			for _, q := range seen {
 				h := q.Header
-				if q.Pattern != "ab" || h.Get("Tenant") != "shop" || h.Get("Secret-Hop")+h.Get("Tenant-Key")+h.Get("Peer-Key") != "" {
+				if q.Pattern != "ab" || h.Get("Tenant") != "shop" || h.Get("Secret-Hop")+h.Get("Tenant-Key")+h.Get("Peer-Key")+h.Get("Free") != "" {
 					t.Errorf("%s: target saw body %q and %v", name, q.Pattern, h)
 				}
 			}
--- a/internal/request/forward/header.go
+++ b/internal/request/forward/header.go
@@ -35,7 +35,7 @@
 // ownHeaders of a request are set anew for each attempt and are not copied.
 var ownHeaders = []string{
 	headerTenant, headerTenantKey, headerKey, headerTimeout, headerVerdict, headerReason,
-	headerServedBy, headerVia, headerShed, headerAttempt, headerHop, headerHome, headerPeerKey, headerGranted,
+	headerServedBy, headerVia, headerShed, headerAttempt, headerHop, headerHome, headerPeerKey, headerGranted, headerFree,
 }
 
 // hopByHop are the headers that apply to a single connection, and those of the
