cmd/tamarackspool: let a crash end the process with an error

Cause: the deferred recover, meant for the exit of the command-line parser, swallowed every panic, and the process ended with status 0.

Result: TestCrashIsNotRecovered fails on the former code (status 0).

--- a/cmd/tamarackspool/main.go
+++ b/cmd/tamarackspool/main.go
@@ -40,8 +40,12 @@
 // run parses the arguments, runs the command and returns the exit status.
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) (code int) {
 	defer func() {
-		if p, ok := recover().(exitPanic); ok {
+		switch p := recover().(type) {
+		case nil:
+		case exitPanic:
 			code = int(p)
+		default:
+			panic(p)
 		}
 	}()
 	var c commands
--- a/cmd/tamarackspool/main_test.go
+++ b/cmd/tamarackspool/main_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// panicking is a stream that panics when it is written to.
+type panicking struct{}
+
+func (panicking) Write([]byte) (int, error) { panic("broken stream") }
+
+// Guards against a crash that ends with exit status 0: only the exit of the command-line parser may be recovered.
+func TestCrashIsNotRecovered(t *testing.T) {
+	defer func() {
+		if p := recover(); p != "broken stream" {
+			t.Errorf("recovered %v, want the panic of the command", p)
+		}
+	}()
+	code := run(t.Context(), []string{"--help"}, panicking{}, io.Discard)
+	t.Errorf("a command that panics ends with exit status %d", code)
+}
+
 // Guards against an unreachable entry that is reported as success or as an internal error.
 func TestUnavailable(t *testing.T) {
 	var stdout, stderr bytes.Buffer
