internal/request/upstream, internal/entry/edge: remove fields that nothing reads

conn.reused and Settings.ColdOver were set or declared and never read; the rate of cold targets is the configuration's coldPerS without the slack.

--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -34,8 +34,7 @@
 	LookupTTL   time.Duration // LookupTTL is how long callers cache the answer to a lookup.
 	GracePeriod time.Duration // GracePeriod is the time between the signal to stop and the end of the process.
 	RetryBudget spend.Limits
-	ColdOver    float64 // ColdOver is the part of a cold target's rate that it accepts in one second.
-	MemoryLimit int64   // MemoryLimit is the limit of the process in bytes.
+	MemoryLimit int64 // MemoryLimit is the limit of the process in bytes.
 }
 
 // Store is the client of the platform's key-value store.
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -19,7 +19,6 @@
 	br        *bufio.Reader
 	lastUsed  time.Time
 	expires   time.Time // expires is the time after which the connection must not be used.
-	reused    bool
 	sent      atomic.Bool // sent is set when bytes of the request in progress may have been sent.
 	readLimit int         // readLimit is how many more bytes may be read; negative means no limit.
 }
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -121,7 +121,6 @@
 				p.onTargetClosed(address)
 			}
 		default:
-			c.reused = true
 			return c, nil
 		}
 	}
