internal/request/inbound, internal/entry/edge: answer requests that have arrived when a planned stop closes

Cause: the listener was closed 2.5 s after the signal, whatever the kernel had established and the entry had not accepted, which resets those connections; and an idle connection was closed by a deadline that wins over bytes that wait in its socket, so that requests just sent were cut.

Change: the server accepts the backlog before the listener is closed (StopAccepting), reads an idle connection once more for a request that has arrived, and gives a connection without a request up to 300 ms from its accept. Such requests are served or refused with a true 503.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -40,7 +40,8 @@
 	stopping atomic.Bool
 	// configured is closed when the first configuration has been applied.
 	configured chan struct{}
-	refusing   atomic.Bool // refusing is set when new requests are refused during the graceful shutdown.
+	accepted   chan struct{} // accepted is closed when no further caller's connection is accepted.
+	refusing   atomic.Bool   // refusing is set when new requests are refused during the graceful shutdown.
 
 	builderMu sync.Mutex
 
@@ -68,7 +69,7 @@
 func New(s Settings, d Dependencies) (*Edge, error) {
 	e := &Edge{
 		settings: s, deps: d, events: d.Events, mirror: mirror.New(), retryBudgets: make(map[string]*spend.Budget),
-		affinity: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}),
+		affinity: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}), accepted: make(chan struct{}),
 		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.CallAddress, Peer: s.PeerAddress, Strength: s.Strength},
 	}
 	if err := e.listen(); err != nil {
@@ -165,7 +166,10 @@
 	defer stop()
 	g, _ := errgroup.WithContext(work)
 	closePages := e.servePages(g)
-	g.Go(func() error { return e.server.Serve(e.listeners.call) })
+	g.Go(func() error {
+		defer close(e.accepted)
+		return e.server.Serve(e.listeners.call)
+	})
 	g.Go(func() error { return e.servePeers(work) })
 	g.Go(func() error { e.follower.Run(work); return nil })
 	g.Go(func() error { e.keepRegistered(work, ctx); return nil })
@@ -234,6 +238,8 @@
 	e.server.Drain()
 	time.Sleep(min(stopLeadTime, e.settings.GracePeriod/2))
 	e.refusing.Store(true)
+	e.server.StopAccepting(e.listeners.call)
+	<-e.accepted
 	_ = e.listeners.call.Close()
 	limit, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(e.settings.GracePeriod-exitMargin))
 	defer cancel()
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -14,11 +14,15 @@
 )
 
 const (
-	maxPipelined     = 32                     // maxPipelined is the largest number of requests in progress on a connection.
-	maxInitialBuffer = 256 << 10              // maxInitialBuffer is the largest buffer in bytes that is allocated for a body by its Content-Length alone.
-	bodyReadTimeout  = 10 * time.Second       // bodyReadTimeout is the longest pause within a request's body.
-	writeTimeout     = 10 * time.Second       // writeTimeout is how long a write of an answer may block.
-	lingerTimeout    = 500 * time.Millisecond // lingerTimeout is how long a closing connection is still read: closing with unread bytes sends a reset, which can discard the last answer.
+	maxPipelined     = 32               // maxPipelined is the largest number of requests in progress on a connection.
+	maxInitialBuffer = 256 << 10        // maxInitialBuffer is the largest buffer in bytes that is allocated for a body by its Content-Length alone.
+	bodyReadTimeout  = 10 * time.Second // bodyReadTimeout is the longest pause within a request's body.
+	writeTimeout     = 10 * time.Second // writeTimeout is how long a write of an answer may block.
+	// arrivedTimeout is how long a closing connection is read for a request that has arrived before it is closed.
+	arrivedTimeout = 10 * time.Millisecond
+	// firstRequestTimeout is the same for a connection without a request yet, from when it was accepted.
+	firstRequestTimeout = 300 * time.Millisecond
+	lingerTimeout       = 500 * time.Millisecond // lingerTimeout is how long a closing connection is still read: closing with unread bytes sends a reset, which can discard the last answer.
 )
 
 // exchange is one request and its answer, queued in the order of the requests.
@@ -44,11 +48,13 @@
 	lastWritten       atomic.Int64 // lastWritten is when the last answer was written, in Unix nanoseconds.
 	noMoreRequests    atomic.Bool  // noMoreRequests is set when no further request is read.
 	awaitingAnswers   atomic.Bool  // awaitingAnswers is set while the reader waits for the answers in progress.
+	accepted          time.Time    // accepted is when the connection was accepted.
+	requests          int          // requests counts the requests read; only the reading goroutine uses it.
 	lastAnswerWritten atomic.Bool  // lastAnswerWritten is set when the last answer of the connection has been written.
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined)}
+	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined), accepted: time.Now()}
 	c.pendingFell.L = &c.mu
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -101,6 +107,7 @@
 func (c *conn) readRequests() {
 	for c.awaitRequest() {
 		c.setReceiving(true)
+		c.requests++
 		r, err := c.readRequest()
 		c.setReceiving(false)
 		if err != nil {
@@ -126,8 +133,8 @@
 			c.awaitClose()
 			return false
 		}
-		if c.server.phase.Load() == closing && c.br.Buffered() == 0 && c.pending.Load() == 0 {
-			return false
+		if c.server.phase.Load() == closing && c.pending.Load() == 0 {
+			return c.awaitArrived()
 		}
 		limit := c.server.handler.Limits().IdleTimeout
 		_ = c.raw.SetReadDeadline(time.Now().Add(limit))
@@ -144,9 +151,6 @@
 			return false
 		}
 		if c.server.phase.Load() == closing {
-			if c.pending.Load() == 0 {
-				return false
-			}
 			c.awaitAnswers()
 			continue
 		}
@@ -156,6 +160,30 @@
 	}
 }
 
+// awaitArrived waits, while the server closes, for a request that has already arrived or is on its way, and
+// reports whether there is one: a connection that has just been accepted gets time for its first request.
+func (c *conn) awaitArrived() bool {
+	end := time.Now().Add(arrivedTimeout)
+	if first := c.accepted.Add(firstRequestTimeout); c.requests == 0 && first.After(end) {
+		end = first
+	}
+	for {
+		_ = c.raw.SetReadDeadline(end)
+		_, err := c.br.Peek(1)
+		if err == nil {
+			return true
+		}
+		if !isTimeout(err) {
+			c.cancel()
+			return false
+		}
+		// Close may have interrupted the read.
+		if !time.Now().Before(end) {
+			return false
+		}
+	}
+}
+
 // awaitClose reads and discards bytes after the last request, to detect that the
 // caller disconnects, until the last answer has been written and the caller has closed.
 func (c *conn) awaitClose() {
--- /dev/null
+++ b/internal/request/inbound/stop_test.go
@@ -0,0 +1,98 @@
+package inbound_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tamarackspool/internal/request/inbound"
+)
+
+// Guards against a planned stop that resets connections which the kernel has established and the
+// server has not accepted yet, although their callers have already sent a request.
+func TestStopAcceptsTheKernelsBacklog(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := inbound.New(newTestHandler(), func(err error) { t.Error(err) })
+	var callers []net.Conn
+	for i := range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = fmt.Fprintf(c, "GET /0s/%d HTTP/1.1\r\nHost: h\r\n\r\n", i)
+		callers = append(callers, c)
+	}
+	s.Drain()
+	s.StopAccepting(l)
+	if err := s.Serve(l); err != nil {
+		t.Error(err)
+	}
+	_ = l.Close()
+	for i, c := range callers {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
+			t.Errorf("caller %d: %v %v", i, resp, err)
+		}
+	}
+	s.Close(t.Context())
+}
+
+// Guards against a closing server that cuts a connection whose request has been sent but not read yet: the wake-up of
+// an idle reader used to win over bytes that wait in its socket.
+func TestCloseAnswersRequestsThatHaveArrived(t *testing.T) {
+	for name, c := range map[string]struct {
+		first bool          // first is set when the connection has carried no request before.
+		late  time.Duration // late is how long after the begin of the close the request is sent.
+		want  int
+	}{
+		"first request at once":          {first: true, want: 200},
+		"first request on its way":       {first: true, late: 200 * time.Millisecond, want: 200},
+		"first request that never comes": {first: true, late: time.Second},
+		"idle connection, at once":       {late: 5 * time.Millisecond, want: 200},
+		"idle connection, later":         {late: 100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newPipeListener()
+				s := inbound.New(newTestHandler(), func(err error) { t.Error(err) })
+				go func() { _ = s.Serve(l) }()
+				caller := l.dial()
+				defer caller.Close()
+				br := bufio.NewReader(caller)
+				send := func() int {
+					if _, err := io.WriteString(caller, "GET /0s HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+						return 0
+					}
+					resp, err := http.ReadResponse(br, nil)
+					if err != nil {
+						return 0
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+					return resp.StatusCode
+				}
+				if !c.first && send() != http.StatusOK {
+					t.Fatal("the connection cannot be used")
+				}
+				synctest.Wait()
+				closed := make(chan struct{})
+				go func() { s.Close(context.Background()); close(closed) }()
+				time.Sleep(c.late)
+				if got := send(); got != c.want {
+					t.Errorf("status %d, want %d", got, c.want)
+				}
+				<-closed
+				_ = l.Close()
+			})
+		})
+	}
+}
