internal/request/backlog: close listeners without resetting established connections, on both request paths

Cause: the product's own entries (internal/entry/node) closed their server after the last request in flight, which resets connections that the kernel has established and drops requests that have just been read.

Change: the accepting of the backlog moves from request/inbound to a listener of its own that both paths use; at the end of a planned stop an entry accepts the backlog and lets those requests end, 1 s at most.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -15,6 +15,7 @@
 
 	"tamarackspool/internal/record/event"
 	"tamarackspool/internal/record/traffic"
+	"tamarackspool/internal/request/backlog"
 	"tamarackspool/internal/request/inbound"
 	"tamarackspool/internal/request/upstream"
 	"tamarackspool/internal/site/census"
@@ -39,9 +40,10 @@
 	started  time.Time
 	stopping atomic.Bool
 	// configured is closed when the first configuration has been applied.
-	configured chan struct{}
-	accepted   chan struct{} // accepted is closed when no further caller's connection is accepted.
-	refusing   atomic.Bool   // refusing is set when new requests are refused during the graceful shutdown.
+	configured  chan struct{}
+	callBacklog *backlog.Listener // callBacklog accepts from the listener for callers.
+	accepted    chan struct{}     // accepted is closed when no further caller's connection is accepted.
+	refusing    atomic.Bool       // refusing is set when new requests are refused during the graceful shutdown.
 
 	builderMu sync.Mutex
 
@@ -75,6 +77,7 @@
 	if err := e.listen(); err != nil {
 		return nil, err
 	}
+	e.callBacklog = backlog.New(e.listeners.call)
 	// With port 0 the system chooses the port; the registration must name the chosen one.
 	e.self.Call, e.self.Peer = e.listeners.call.Addr().String(), e.listeners.peer.Addr().String()
 	e.deps.Store = countingStore{
@@ -168,7 +171,7 @@
 	closePages := e.servePages(g)
 	g.Go(func() error {
 		defer close(e.accepted)
-		return e.server.Serve(e.listeners.call)
+		return e.server.Serve(e.callBacklog)
 	})
 	g.Go(func() error { return e.servePeers(work) })
 	g.Go(func() error { e.follower.Run(work); return nil })
@@ -238,7 +241,7 @@
 	e.server.Drain()
 	time.Sleep(min(stopLeadTime, e.settings.GracePeriod/2))
 	e.refusing.Store(true)
-	e.server.StopAccepting(e.listeners.call)
+	e.callBacklog.Stop()
 	<-e.accepted
 	_ = e.listeners.call.Close()
 	limit, cancel := context.WithDeadline(context.WithoutCancel(ctx), began.Add(e.settings.GracePeriod-exitMargin))
--- a/internal/entry/node/listener.go
+++ b/internal/entry/node/listener.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"tamarackspool/internal/entry/setting"
+	"tamarackspool/internal/request/backlog"
 )
 
 // listener is a listening port of the entry.
@@ -18,7 +19,10 @@
 }
 
 // listeners are the four listening ports of an entry.
-type listeners struct{ call, peer, relay, admin listener }
+type listeners struct {
+	call, peer, relay, admin listener
+	callBacklog              *backlog.Listener // callBacklog is the socket of call, under TLS if that is set.
+}
 
 func (l *listeners) open(ctx context.Context, s setting.Settings, listen Listen) error {
 	for _, p := range []struct {
@@ -33,6 +37,10 @@
 			l.close()
 			return fmt.Errorf("node: --%s: %w", p.flag, err)
 		}
+		if p.dst == &l.call {
+			l.callBacklog = backlog.New(opened)
+			opened = l.callBacklog
+		}
 		p.dst.Listener = opened
 		if s.TLS() != nil && (p.dst == &l.call || p.dst == &l.admin) {
 			p.dst.Listener = tls.NewListener(opened, s.TLS())
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -92,6 +92,7 @@
 	bootstrapped atomic.Bool // bootstrapped means that the store or a peer answered the latest bootstrap round, or that no peers are configured.
 	pushSignal   chan struct{}
 	drainDone    chan struct{}
+	drained      atomic.Bool // drained is set when a planned stop has ended without being cut short.
 	tickState    tickState
 }
 
--- a/internal/entry/node/run.go
+++ b/internal/entry/node/run.go
@@ -23,7 +23,7 @@
 	defer cancel()
 	n.deps.Events.Log(event.Started, "entry", n.settings.Name(), "incarnation", n.incarnation)
 	g, ctx := errgroup.WithContext(ctx)
-	n.serve(ctx, g, n.listeners.call, n.gateway())
+	calls, callsAccepted := n.serve(ctx, g, n.listeners.call, n.gateway())
 	n.serve(ctx, g, n.listeners.relay, n.countInFlight(http.HandlerFunc(n.forwarder.ServePeer)))
 	n.serve(ctx, g, n.listeners.admin, n.operator)
 	g.Go(func() error { return n.gossip.Serve(ctx, n.listeners.peer) })
@@ -39,6 +39,7 @@
 	g.Go(func() error {
 		select {
 		case <-n.drainDone:
+			n.finishCalls(ctx, calls, callsAccepted)
 			cancel()
 		case <-ctx.Done():
 		}
@@ -60,17 +61,39 @@
 	return err
 }
 
-// serve runs an HTTP server on the listener until ctx ends.
-func (n *Node) serve(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) {
+// lastCallsTimeout bounds the requests that arrive while the listener for callers closes.
+const lastCallsTimeout = time.Second
+
+// finishCalls serves, at the end of a planned stop, the callers whose connections are
+// established but not accepted or whose requests have just arrived.
+func (n *Node) finishCalls(ctx context.Context, server *http.Server, accepted <-chan struct{}) {
+	if !n.drained.Load() {
+		return
+	}
+	n.listeners.callBacklog.Stop()
+	ctx, cancel := context.WithTimeout(ctx, lastCallsTimeout)
+	defer cancel()
+	select {
+	case <-accepted:
+	case <-ctx.Done():
+	}
+	_ = server.Shutdown(ctx) // The error means that a request takes longer; it is cut as at the stop limit.
+}
+
+// serve runs an HTTP server on the listener until ctx ends. It returns the server and a channel
+// that is closed when the server accepts no further connection.
+func (n *Node) serve(ctx context.Context, g *errgroup.Group, l net.Listener, h http.Handler) (*http.Server, <-chan struct{}) {
 	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute,
 		// The handler refuses headers above the limit with a verdict; the server rejects those above twice the limit.
 		MaxHeaderBytes: 2 * n.settings.MaxHeaderBytes(),
 		BaseContext:    func(net.Listener) context.Context { return ctx },
 	}
+	accepted := make(chan struct{})
 	g.Go(func() error {
+		defer close(accepted)
 		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
+		if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil || n.drained.Load() && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		n.deps.Events.Log(event.ListenerEnded, "address", l.Addr(), "err", err)
@@ -80,6 +103,7 @@
 		<-ctx.Done()
 		return server.Close()
 	})
+	return server, accepted
 }
 
 func (n *Node) gateway() http.Handler {
--- a/internal/entry/node/site_test.go
+++ b/internal/entry/node/site_test.go
@@ -35,6 +35,8 @@
 	peers          []string
 	client         *http.Client
 	adjustSettings func(*setting.Raw) // adjustSettings changes the settings of entries before they start; it may be nil
+	// adjustDependencies changes the dependencies of entries before they start; it may be nil.
+	adjustDependencies func(*node.Dependencies)
 }
 
 // runningEntry is a started entry.
@@ -132,7 +134,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	n, err := node.New(s.t.Context(), checked, node.Dependencies{Events: event.New(log.NewLogfmtLogger(s.t.Output()))})
+	deps := node.Dependencies{Events: event.New(log.NewLogfmtLogger(s.t.Output()))}
+	if s.adjustDependencies != nil {
+		s.adjustDependencies(&deps)
+	}
+	n, err := node.New(s.t.Context(), checked, deps)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/entry/node/stop.go
+++ b/internal/entry/node/stop.go
@@ -40,6 +40,7 @@
 	n.handOverTickets(ctx)
 	pause(ctx, successorGossipTime)
 	n.waitIdle(ctx)
+	n.drained.Store(ctx.Err() == nil)
 }
 
 // waitIdle waits until no request is in flight or ctx ends.
--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -145,8 +145,7 @@
 		if err == nil {
 			return true
 		}
-		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() {
+		if !isTimeout(err) {
 			c.cancel()
 			return false
 		}
@@ -160,6 +159,11 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // awaitArrived waits, while the server closes, for a request that has already arrived or is on its way, and
 // reports whether there is one: a connection that has just been accepted gets time for its first request.
 func (c *conn) awaitArrived() bool {
--- a/internal/request/inbound/server.go
+++ b/internal/request/inbound/server.go
@@ -6,10 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // The phases of a server.
@@ -25,7 +22,6 @@
 	acceptFailed  func(error)
 	phase         atomic.Int32
 	bufferedBytes atomic.Int64 // bufferedBytes is the number of buffered body bytes of all requests.
-	stopAccepting atomic.Bool  // stopAccepting is set when only established connections are still accepted.
 
 	mu    sync.Mutex
 	conns map[*conn]bool
@@ -38,17 +34,13 @@
 	return &Server{handler: h, acceptFailed: failed, conns: make(map[*conn]bool)}
 }
 
-// Serve accepts connections until the listener is closed or StopAccepting is called, and returns nil then.
+// Serve accepts connections until the listener is closed, and returns nil then.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		if s.stopAccepting.Load() && isTimeout(err) {
-			s.acceptEstablished(l)
-			return nil
-		}
 		if err != nil {
 			// The process may be out of file descriptors; connections in use must close first.
 			s.acceptFailed(err)
@@ -67,63 +59,6 @@
 	maxLastAccepts = 256
 )
 
-// StopAccepting makes Serve accept the connections that are already established and return. The
-// listener is left open; one without deadlines accepts until it is closed.
-func (s *Server) StopAccepting(l net.Listener) {
-	s.stopAccepting.Store(true)
-	setAcceptDeadline(l, time.Now())
-}
-
-// acceptEstablished accepts the connections that wait in the listener's backlog.
-func (s *Server) acceptEstablished(l net.Listener) {
-	for accepted := 0; accepted < maxLastAccepts; {
-		setAcceptDeadline(l, time.Now().Add(acceptIdleTime))
-		raw, err := l.Accept()
-		switch {
-		case err == nil:
-			s.startConn(raw)
-			accepted++
-		case isTimeout(err) && hasBacklog(l): // The deadline passed before the process could accept.
-		case isTimeout(err) || errors.Is(err, net.ErrClosed):
-			return
-		default:
-			s.acceptFailed(err)
-			accepted++
-			time.Sleep(acceptRetryDelay)
-		}
-	}
-}
-
-// hasBacklog reports whether a connection waits to be accepted; false for a listener that is no socket.
-func hasBacklog(l net.Listener) bool {
-	s, ok := l.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	control, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waiting := false
-	err = control.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(polled, 0)
-		waiting = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
-	})
-	return err == nil && waiting
-}
-
-func setAcceptDeadline(l net.Listener, at time.Time) {
-	if d, ok := l.(interface{ SetDeadline(at time.Time) error }); ok {
-		_ = d.SetDeadline(at) // A listener that is closed ends Accept anyway.
-	}
-}
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // acceptRetryDelay is the delay after a connection could not be accepted.
 const acceptRetryDelay = 20 * time.Millisecond
 
--- a/internal/request/inbound/stop_test.go
+++ b/internal/request/inbound/stop_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"tamarackspool/internal/request/backlog"
 	"tamarackspool/internal/request/inbound"
 )
 
@@ -21,6 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	closing := backlog.New(l)
 	s := inbound.New(newTestHandler(), func(err error) { t.Error(err) })
 	var callers []net.Conn
 	for i := range 5 {
@@ -33,11 +35,11 @@
 		callers = append(callers, c)
 	}
 	s.Drain()
-	s.StopAccepting(l)
-	if err := s.Serve(l); err != nil {
+	closing.Stop()
+	if err := s.Serve(closing); err != nil {
 		t.Error(err)
 	}
-	_ = l.Close()
+	_ = closing.Close()
 	for i, c := range callers {
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil || resp.StatusCode != http.StatusOK || !resp.Close {
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -18,7 +18,7 @@
 	raw       net.Conn
 	br        *bufio.Reader
 	lastUsed  time.Time
-	expires   time.Time // expires is the time after which the connection must not be used.
+	expires   time.Time   // expires is the time after which the connection must not be used.
 	sent      atomic.Bool // sent is set when bytes of the request in progress may have been sent.
 	readLimit int         // readLimit is how many more bytes may be read; negative means no limit.
 }
