internal/request/upstream: do not reuse a connection after an answer that names no request

Cause: targets refuse with 503 or 421 without the request's id. A late second copy of such an answer on a kept connection passed for the answer to the next request: the caller was told "not run" while its order ran, and could send it again.

Change: such an answer is Unidentified and its connection is closed. A health check's success needs no name, as a request's success must carry its own.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -206,12 +206,15 @@
 
 // classifyAnswer reports whether an answer belongs to the request. A success must carry the request's id
 // and the target's stamp, without a content encoding; any other answer must not carry another request's id.
+// One without an id often says that the request has not run, which a second copy of it would say of the next one.
 func (e *Edge) classifyAnswer(q *requestState, status int, h http.Header) upstream.AnswerClass {
 	id := e.deps.Headers.RequestID(h)
 	success := status < http.StatusMultipleChoices
 	switch {
 	case id != q.id && (id != "" || success):
 		return upstream.OtherRequest
+	case id == "":
+		return upstream.Unidentified
 	case success && (!e.deps.Headers.HasTargetStamp(h) || h.Get("Content-Encoding") != ""):
 		return upstream.Unusable
 	default:
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -134,11 +134,14 @@
 	e.deps.Headers.SetTarget(h, s.target.ID())
 	a, err := e.pool.Do(bounded, upstream.Call{
 		Address: s.target.Address(), Method: http.MethodGet, Target: path, Host: s.target.Address(), Header: h,
-		Classify: func(_ int, h http.Header) upstream.AnswerClass {
-			if e.deps.Headers.RequestID(h) != "" {
+		Classify: func(status int, h http.Header) upstream.AnswerClass {
+			switch {
+			case e.deps.Headers.RequestID(h) != "":
 				return upstream.OtherRequest
+			case status >= http.StatusMultipleChoices:
+				return upstream.Unidentified
 			}
-			return upstream.Matching
+			return upstream.Matching // A second copy names no request, and a request's success must name its own.
 		},
 	})
 	if err != nil || e.deps.Headers.TargetInstance(a.Header) != s.target.ID() {
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -35,6 +35,9 @@
 	Unusable     AnswerClass = iota // Unusable is an answer that must not be passed to a caller.
 	OtherRequest                    // OtherRequest is an answer to another request; it is skipped.
 	Matching                        // Matching is the answer to this request.
+	// Unidentified is the answer to this request, but does not name it. Its connection is not used again,
+	// because a late second copy of it would pass for the answer to the next request.
+	Unidentified
 )
 
 // Answer is a target's final answer.
@@ -195,7 +198,8 @@
 			}
 			continue
 		}
-		switch call.Classify(resp.StatusCode, resp.Header) {
+		class := call.Classify(resp.StatusCode, resp.Header)
+		switch class {
 		case OtherRequest:
 			c.readLimit = -1
 			if otherAnswers++; otherAnswers > maxOtherAnswers || discardBody(resp) != nil {
@@ -211,7 +215,7 @@
 		if err != nil {
 			return nil, false, readError(err)
 		}
-		return a, !resp.Close && otherAnswers == 0, nil
+		return a, !resp.Close && otherAnswers == 0 && class != Unidentified, nil
 	}
 }
 
