internal/site/mirror: stay with the reader while neither it nor this entry hears from the store

Cause: during an outage every entry left its stale reader, called the store itself and, when it returned, read the changes of the recovery from it for 3 s, so the calls of an outage grew with the number of entries.

Change: an entry reads the store itself when its reader is lost, or stale while its own renewals are answered; otherwise it stays, and tries the store every 10 s. A recovery that a renewal detects leads back to the reader.

Result: TestOutageDoesNotMakeEntriesWithAReaderCallTheStore fails on the former code (4 calls, want 2 at most).

--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -47,6 +47,10 @@
 
 	readerGrace      = 400 * time.Millisecond // readerGrace is how long a reader's answer may take beyond Reader.Wait.
 	readerRetryDelay = 3 * time.Second        // readerRetryDelay is how long an entry reads the store itself after its reader failed.
+
+	// outageReadInterval is the least time between calls to the store while neither it nor its reader hears from the
+	// store: renewals, which cost a tenth, detect its recovery. With many entries their calls would add up.
+	outageReadInterval = 10 * time.Second
 )
 
 // StaleAfter is the time since the store's last answer from which an entry polls its peers
@@ -142,19 +146,27 @@
 }
 
 func (f *Follower) followStore(ctx context.Context) {
-	var readerRetryAt time.Time
+	var readerRetryAt, storeRead time.Time
 	for ctx.Err() == nil {
 		began := time.Now()
 		if began.After(readerRetryAt) {
-			if hasReader, ok := f.pollReader(ctx); hasReader {
-				if !ok {
-					readerRetryAt = time.Now().Add(readerRetryDelay)
-				}
+			state := f.pollReader(ctx)
+			if state == readerStale && f.Age() >= OutageAfter && time.Since(storeRead) < outageReadInterval {
+				// Neither the reader nor this entry's renewals reach the store, so calls for changes would not either.
+				sleep(ctx, minCallInterval-time.Since(began))
+				continue
+			}
+			if state == readerStale || state == readerLost {
+				readerRetryAt = time.Now().Add(readerRetryDelay)
+			}
+			if state != noReader {
 				continue
 			}
 		}
+		storeRead = began
 		b, err := f.pollStore(ctx)
 		if errors.Is(err, errStoreRecovered) {
+			readerRetryAt = time.Time{} // The reader recovers at the same time, and every entry would read the store itself.
 			continue
 		}
 		if err != nil {
@@ -170,27 +182,43 @@
 	}
 }
 
-// pollReader reads from the entry that reads the store for this one. It returns
-// whether there is one, and whether its data is as fresh as the store's.
-func (f *Follower) pollReader(ctx context.Context) (hasReader, ok bool) {
+// readerState is the result of a read from the entry that reads the store for this one.
+type readerState int
+
+const (
+	noReader    readerState = iota // noReader means that this entry reads the store itself.
+	readerFresh                    // readerFresh means that the reader's data is as fresh as the store's.
+	readerStale                    // readerStale means that the store does not answer the reader.
+	readerLost                     // readerLost means that the reader does not answer or knows less than this entry.
+)
+
+// pollReader reads from the entry that reads the store for this one.
+func (f *Follower) pollReader(ctx context.Context) readerState {
 	after := f.mirror.Revision()
 	reader := f.peers.Reader()
 	if reader.Source == nil || after == 0 {
-		return false, false
+		return noReader
 	}
 	bounded, cancel := context.WithTimeout(ctx, reader.Wait+readerGrace)
 	defer cancel()
 	b, err := reader.Source.Changes(bounded, after, reader.Wait)
 	if ctx.Err() != nil {
-		return true, true
+		return readerFresh
 	}
-	if err != nil || b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait || b.Revision < after {
+	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait
+	if err != nil || b.Revision < after || stale && f.Age() < OutageAfter {
 		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after)
-		return true, false
+	}
+	switch {
+	case err != nil || b.Revision < after:
+		return readerLost
+	case stale:
+		f.applyBatch(b)
+		return readerStale
 	}
 	f.recordRead(b)
 	f.applyBatch(b)
-	return true, true
+	return readerFresh
 }
 
 // recordRead records that the store answered, directly or through a reader.
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -163,6 +163,49 @@
 	}
 }
 
+// Guards against calls to the store that grow with the number of entries when an outage ends: every entry used to
+// leave its reader, which heard nothing either, and to read the many changes of the recovery from the store itself.
+func TestOutageDoesNotMakeEntriesWithAReaderCallTheStore(t *testing.T) {
+	const down, back, quiet = 5 * time.Second, 13 * time.Second, 20 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		store, reader := &fakeSource{revision: 1}, &fakeSource{revision: 1}
+		m := mirror.New()
+		follower := mirror.NewFollower(m, store, fakePeers{reader: reader}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); follower.Run(ctx) }()
+		before := 0
+		for now := time.Duration(0); now < quiet; now += 50 * time.Millisecond {
+			answers := now < down || now >= back
+			reader.set(func(w *fakeSource) {
+				if w.age = 0; !answers {
+					w.age = now - down
+				}
+			})
+			store.set(func(w *fakeSource) { w.unresponsive = !answers })
+			if now > back && now < back+3*time.Second {
+				reader.set(func(w *fakeSource) { w.revision++ })
+				store.set(func(w *fakeSource) { w.revision++ })
+			}
+			if answers && now%(500*time.Millisecond) == 300*time.Millisecond {
+				follower.RecordStoreAnswer() // The entry's renewal is answered.
+			}
+			if now == down {
+				before = store.callCount()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if n := store.callCount() - before; n > 2 {
+			t.Errorf("%d calls to the store during and after an outage, want 2 at most", n)
+		}
+		if m.Revision() < 60 {
+			t.Errorf("revision %d, want the reader's", m.Revision())
+		}
+		cancel()
+		<-done
+	})
+}
+
 // Guards against an entry that keeps reading from a reader that is frozen, terminated or cut off from the store.
 func TestFollowerReadsTheStoreWhenItsReaderFails(t *testing.T) {
 	for name, breakSource := range map[string]func(*fakeSource){
