internal/entry/edge: end the permission to pace cold targets with a pause or a lost lease

Cause: an entry that was suspended for longer than its lease went on sending to the cold targets that it paced by its old view, while another entry had taken them over. The rule's slack covers two entries, but the permission had run out.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -32,6 +32,9 @@
 // such as refused connections, after which a request is refused.
 const maxUnsentAttempts = 3
 
+// withheld is the reason of a refusal when an attempt was not admitted at the moment of sending.
+const withheld = "the retry budget is exhausted, or the target is cold and no longer paced by this entry"
+
 // retryBudgetExhausted is the reason of a refusal when the retry budget does not allow another attempt.
 const retryBudgetExhausted = "the retry budget is exhausted"
 
@@ -68,7 +71,7 @@
 			e.noteShed(q, s, a)
 			sent++
 		case f.Kind() == upstream.Withheld:
-			return giveUp(retryBudgetExhausted)
+			return giveUp(withheld)
 		case f.Kind() == upstream.Cancelled && failure == nil:
 			return e.finishCancelled(ctx, q, s)
 		case f.Kind() == upstream.Cancelled:
@@ -92,9 +95,12 @@
 	}
 }
 
-// admitAttempt reports whether an attempt may be sent to the target: always when no earlier attempt was sent,
-// otherwise only when the retry budget pays for it.
+// admitAttempt reports whether an attempt may be sent to the target, just before its first byte: a cold one only while
+// this entry still paces it, and a retry only when the retry budget pays for it.
 func (e *Edge) admitAttempt(q *requestState, s *targetState, sent, unsent int) bool {
+	if q.paced && !e.mayPace(e.view.Load(), s, time.Now()) {
+		return false
+	}
 	if sent+unsent == 0 {
 		return true
 	}
@@ -260,6 +266,7 @@
 func (e *Edge) chooseTarget(q *requestState, now time.Time) *targetState {
 	v := e.view.Load()
 	b := v.services[q.service]
+	q.paced = false
 	if b == nil {
 		return nil
 	}
@@ -312,7 +319,8 @@
 		return nil
 	}
 	for _, s := range targets {
-		if e.canAttempt(v, q, s) && v.isPacer(e.settings.Name, s, now) && s.pacer.Take(service.ColdRate, now) {
+		if e.canAttempt(v, q, s) && e.mayPace(v, s, now) && s.pacer.Take(service.ColdRate, now) {
+			q.paced = true
 			return s
 		}
 	}
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, s := range b.targets {
-			if s.target.Leaving() || !v.isPacer(e.settings.Name, s, now) || !e.healthChecks.tryBegin(s.target.ID(), now) {
+			if s.target.Leaving() || !e.mayPace(v, s, now) || !e.healthChecks.tryBegin(s.target.ID(), now) {
 				continue
 			}
 			running.Go(func() {
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -50,6 +50,7 @@
 	mu            sync.Mutex
 	retryBudgets  map[string]*spend.Budget // retryBudgets is keyed by service.
 	splitSequence atomic.Uint64
+	paceFrom      atomic.Int64 // paceFrom is the uptime from which this entry may pace cold targets, in nanoseconds.
 	lastTick      atomic.Int64 // lastTick is the uptime at the last watchdog tick, in nanoseconds.
 	affinity      *placement.Memory
 	meters        *meters
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -81,6 +81,7 @@
 			return lease, false
 		}
 		e.events.Log(event.LeaseLost, "lease", lease, "error", err)
+		e.suspendPacing()
 	}
 	lease, err := e.grantLease(ctx)
 	if err != nil {
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -36,6 +36,7 @@
 	deadline           time.Time // deadline is the earlier of the caller's and the rule's deadline.
 	triedTargets       []*targetState
 	lastSent           time.Time // lastSent is when the last attempt was made.
+	paced              bool      // paced is set when the target was chosen although it is cold, because this entry paces it.
 	mayHaveRun         bool      // mayHaveRun is set when a target may have run the request.
 	candidateIndex     int       // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
 	firstCandidateLoad int       // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
--- a/internal/entry/edge/stall.go
+++ b/internal/entry/edge/stall.go
@@ -18,6 +18,24 @@
 	stallCatchUp = 500 * time.Millisecond
 )
 
+const (
+	// leaseRisk is the length of a stall from which this entry's lease may have ended during it: renewals follow each
+	// other after up to renewInterval and a tenth.
+	leaseRisk = leaseTTL - renewInterval - renewInterval/10
+	// paceRecovery is how long an entry paces no target after such a stall, or after its lease has ended: in that time it
+	// learns from its reader whether another entry has taken over.
+	paceRecovery = paceDelay + largeRegionWait
+)
+
+// suspendPacing ends this entry's permission to send to cold targets for paceRecovery.
+func (e *Edge) suspendPacing() { e.paceFrom.Store(int64(e.deps.Uptime() + paceRecovery)) }
+
+// mayPace reports whether this entry may send to the cold target and checks its health. The
+// permission ends with a stall, before the process has noticed it.
+func (e *Edge) mayPace(v *view, s *targetState, now time.Time) bool {
+	return !e.stalled() && e.deps.Uptime() >= time.Duration(e.paceFrom.Load()) && v.isPacer(e.settings.Name, s, now)
+}
+
 // runWatchdog ticks until ctx ends. Each pause starts after the previous tick,
 // so that ticks are late in a process whose goroutines wait for a processor.
 func (e *Edge) runWatchdog(ctx context.Context) {
@@ -43,6 +61,9 @@
 		return
 	}
 	e.events.Log(event.Stalled, "for", stalledFor)
+	if stalledFor >= leaseRisk {
+		e.suspendPacing()
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, b := range e.retryBudgets {
