--- a/internal/entry/edge/lapse_test.go
+++ b/internal/entry/edge/lapse_test.go
@@ -70,3 +70,40 @@
 		}
 	})
 }
+
+// Guards against an entry that restarts during an outage of the store and uses a target that has left, whose address
+// belongs to a target of another service by now, because it learns the registrations from a peer.
+func TestRestartedEntryDoesNotUseATargetThatLeft(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.Silent, platformtest.Busy, platformtest.Reset} {
+		runFleet(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+			f.configure(1, rule("book", "/b/", "unsafe", `,"service":"s1"`), rule("other", "/o/", "unsafe", `,"service":"s2"`))
+			left := f.target("t1", "s1", "a1", nil)
+			f.target("t2", "s1", "a1", nil)
+			settle()
+			f.stop("e1")
+			left.Register(f.store, "draining", 0)
+			settle()
+			f.store.Remove("servers/t1")
+			left.ID, left.Service = "t3", "s2" // Another target has the address now.
+			left.Register(f.store, "ready", 0)
+			settle()
+			f.store.SetFault(fault)
+			before := len(left.Runs())
+			f.start("e1", "a2")
+			settle()
+			for i := range 20 {
+				if got := f.call("e1", "POST", "/b/", object(fmt.Sprint(i))); got.status != http.StatusOK {
+					t.Errorf("fault %d: order %d: %v", fault, i, got)
+				}
+			}
+			if n := len(left.Runs()) - before; n > 0 {
+				t.Errorf("fault %d: %d orders ran at the address of the target that left", fault, n)
+			}
+			if got := f.call("e1", "POST", "/o/"); got.status != http.StatusOK {
+				t.Errorf("fault %d: the address's new target: %v", fault, got)
+			}
+			f.store.SetFault(platformtest.None)
+			settle()
+		})
+	}
+}
