--- a/internal/request/inbound/server.go
+++ b/internal/request/inbound/server.go
@@ -51,14 +51,6 @@
 	}
 }
 
-const (
-	// acceptIdleTime is the time without a new connection after which a server that stops accepting has
-	// accepted all that were established: closing the listener resets those that are left.
-	acceptIdleTime = 5 * time.Millisecond
-	// maxLastAccepts bounds the connections that are accepted then, in case further ones keep arriving.
-	maxLastAccepts = 256
-)
-
 // acceptRetryDelay is the delay after a connection could not be accepted.
 const acceptRetryDelay = 20 * time.Millisecond
 
