--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -17,6 +17,7 @@
 // cases are the plays by name; each returns how often the rule was broken.
 var cases = map[string]func(w *world) (int, error){
 	"removal": playRemoval,
+	"watch":   playWatch,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
