--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(w *world) (int, error){
 	"removal": playRemoval,
 	"watch":   playWatch,
+	"stop":    playStop,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -20,7 +19,8 @@
 type arrival struct {
 	id, worker, service, method, path string
 	at                                time.Time
-	run                               bool // run is set when the worker began to work on the request.
+	run                               bool      // run is set when the worker began to work on the request.
+	done                              time.Time // done is when the worker had its answer; zero if it was broken off.
 }
 
 // worker is a stand-in for a worker of a service.
@@ -28,7 +28,7 @@
 	id, service, zone string
 	slots             int
 	work              time.Duration
-	body              func(path string) string // body returns what follows the worker's id in the body of an answer.
+	workOn            func(path string) time.Duration // workOn returns how long a request takes; nil for work.
 	address           string
 	born              int64
 	store             *store
@@ -48,7 +48,7 @@
 	}
 	w := &worker{
 		id: id, service: service, zone: zone, slots: slots, work: work, address: l.Addr().String(), born: time.Now().UnixMilli(), store: s,
-		slot: make(chan struct{}, slots), body: func(string) string { return "" },
+		slot: make(chan struct{}, slots),
 	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
 	go func() {
@@ -115,18 +115,23 @@
 		rw.Header().Set("X-Server-Load", w.load())
 		return
 	}
-	w.count(r, true)
-	t := time.NewTimer(w.work)
+	run := w.count(r, true)
+	work := w.work
+	if w.workOn != nil {
+		work = w.workOn(r.URL.Path)
+	}
+	t := time.NewTimer(work)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		w.finish(run)
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	case <-ctx.Done():
 		w.answer(rw, r, http.StatusGatewayTimeout, "")
 		return
 	}
-	w.answer(rw, r, http.StatusOK, w.id+" "+r.Method+" "+r.RequestURI+" "+strconv.Itoa(len(body))+w.body(r.URL.Path))
+	w.answer(rw, r, http.StatusOK, w.id+" "+r.Method+" "+r.RequestURI+" "+strconv.Itoa(len(body)))
 }
 
 func (w *worker) answer(rw http.ResponseWriter, r *http.Request, status int, body string) {
@@ -168,13 +173,19 @@
 	return fmt.Sprintf("%d,%d,%d", len(w.slot), w.waiting, w.slots)
 }
 
-func (w *worker) count(r *http.Request, run bool) {
-	if strings.HasPrefix(r.URL.Path, "/healthz") {
-		return
-	}
+// finish records that the worker has the answer to its arrival with the index.
+func (w *worker) finish(index int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.arrivals[index].done = time.Now()
+}
+
+// count records an arrival and returns its index.
+func (w *worker) count(r *http.Request, run bool) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.arrivals = append(w.arrivals, arrival{
 		id: r.Header.Get("X-Request-Id"), worker: w.id, service: w.service, method: r.Method, path: r.RequestURI, at: time.Now(), run: run,
 	})
+	return len(w.arrivals) - 1
 }
--- a/review/standins/world.go
+++ b/review/standins/world.go
@@ -138,10 +138,14 @@
 	for _, a := range w.traffic.all() {
 		w.write("%.3f %s %s %s %s %d %s %.3f", w.at(a.sent), a.entry, a.id, a.method, a.path, a.status, a.stamp, w.at(a.answered))
 	}
-	w.write("\narrivals at workers: at, worker, service, id, method, path, run")
+	w.write("\narrivals at workers: at, worker, service, id, method, path, run, answer ready at (0: broken off or not run)")
 	for _, o := range w.workers {
 		for _, a := range o.seen() {
-			w.write("%.3f %s %s %s %s %s %v", w.at(a.at), a.worker, a.service, a.id, a.method, a.path, a.run)
+			done := 0.0
+			if !a.done.IsZero() {
+				done = w.at(a.done)
+			}
+			w.write("%.3f %s %s %s %s %s %v %.3f", w.at(a.at), a.worker, a.service, a.id, a.method, a.path, a.run, done)
 		}
 	}
 	w.recordMu.Lock()
