--- a/review/standins/entry.go
+++ b/review/standins/entry.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -57,14 +58,28 @@
 	troubles []time.Time // troubles holds the times of signals, starts and ends of the process.
 }
 
+// lowPort and highPort bound the ports of the entries; they lie below those that the kernel gives to outgoing connections.
+const lowPort, highPort = 20000, 32000
+
+var usedPorts = make(map[int]bool)
+
+var errNoPort = errors.New("no free port was found")
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 1000 {
+		port := lowPort + rand.IntN(highPort-lowPort)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		if err != nil {
+			continue
+		}
+		usedPorts[port] = true
+		return l.Addr().String(), l.Close()
 	}
-	defer l.Close() //nolint:errcheck // nothing was sent
-	return l.Addr().String(), nil
+	return "", errNoPort
 }
 
 // newEntry prepares a machine; its process is started by start.
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,6 +19,7 @@
 	"removal": playRemoval,
 	"watch":   playWatch,
 	"stop":    playStop,
+	"upload":  playUpload,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
