--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -20,6 +20,7 @@
 	"watch":   playWatch,
 	"stop":    playStop,
 	"upload":  playUpload,
+	"foreign": playForeign,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
