--- a/internal/entry/edge/lapse_test.go
+++ b/internal/entry/edge/lapse_test.go
@@ -107,3 +107,26 @@
 		})
 	}
 }
+
+// Guards against an entry that never learns of a removal because it reads on from a peer that was restarted after it.
+func TestEntryLearnsOfRemovalsFromARestartedPeer(t *testing.T) {
+	runFleet(t, []string{"a1", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		f.target("t1", "s1", "a1", nil)
+		gone := f.target("t2", "s1", "a1", nil)
+		settle()
+		f.stop("e0")
+		f.failStoreFor("10.2.0.2", platformtest.Silent)
+		f.store.Remove("servers/t2")
+		f.start("e0", "a1")
+		time.Sleep(6 * time.Second)
+		seen := gone.ArrivalCount()
+		sendFor(f, 2, 2*time.Second)
+		f.store.SetFault(platformtest.None)
+		time.Sleep(6 * time.Second)
+		sendFor(f, 2, 2*time.Second)
+		if n := gone.ArrivalCount() - seen; n > 0 {
+			t.Errorf("%d requests to a target that was removed", n)
+		}
+	})
+}
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -28,7 +28,7 @@
 	mu           sync.Mutex
 	items        map[string]Item // items includes removed keys, so that peers learn of the removal.
 	revision     uint64
-	removalFloor uint64 // removalFloor is the latest revision of a removal that is no longer kept.
+	removalFloor uint64 // removalFloor is the revision up to which removals may not be known: that of the last snapshot, or of a removal no longer kept.
 	removals     []removedKey
 	lastChange   uint64        // lastChange is the revision of the last change of an item.
 	changed      chan struct{} // changed is closed and replaced when an item changes.
@@ -60,13 +60,17 @@
 	defer m.mu.Unlock()
 	var changed []Item
 	for _, it := range b.Items {
-		if old, ok := m.items[it.Key]; ok && old.Revision >= it.Revision {
+		old, ok := m.items[it.Key]
+		// The key of a change that the mirror includes already may have been removed since, by a removal that is not kept.
+		included := !b.Snapshot && it.Revision <= m.revision
+		if included || ok && old.Revision >= it.Revision {
 			continue
 		}
 		changed = append(changed, m.setItem(it))
 	}
 	if b.Snapshot {
 		changed = append(changed, m.removeMissing(b)...)
+		m.removalFloor = max(m.removalFloor, b.Revision)
 	}
 	m.revision = max(m.revision, b.Revision)
 	if len(changed) > 0 {
@@ -77,11 +81,11 @@
 }
 
 // ChangedAfter returns a channel that is closed when an item changes after the
-// revision; it is closed already if one has.
+// revision; it is closed already if one has or may have been removed.
 func (m *Mirror) ChangedAfter(after uint64) <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lastChange > after {
+	if m.lastChange > after || m.removalFloor > after {
 		done := make(chan struct{})
 		close(done)
 		return done
@@ -128,7 +132,7 @@
 }
 
 // Since returns the changes after the revision, or a snapshot of all keys when removals
-// after it are no longer kept or the revision is 0.
+// after it may not be known or the revision is 0.
 func (m *Mirror) Since(revision uint64) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
