internal/request/inbound: lose no answer behind a longer request when stopping

Cause: a draining connection went on passing requests to targets behind an unanswered one, held their answers for the sake of order, and dropped them when the grace period ended.

Change: while stopping, a request behind an unanswered one is not started; the answer before it closes the connection and the caller sends it again. At the end of the grace period requests at work get a 504 and the ready answers behind them are delivered, within 0.1 s. Admission and the choice of the last answer hold one lock.

--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -44,17 +44,19 @@
 	pending           atomic.Int32 // pending is the number of exchanges that are not answered yet.
 	pendingFell       sync.Cond    // pendingFell is signalled when pending falls.
 	mu                sync.Mutex
-	receiving         bool         // receiving is set while a request is being received; guarded by mu.
-	lastWritten       atomic.Int64 // lastWritten is when the last answer was written, in Unix nanoseconds.
-	noMoreRequests    atomic.Bool  // noMoreRequests is set when no further request is read.
-	awaitingAnswers   atomic.Bool  // awaitingAnswers is set while the reader waits for the answers in progress.
-	accepted          time.Time    // accepted is when the connection was accepted.
-	requests          int          // requests counts the requests read; only the reading goroutine uses it.
-	lastAnswerWritten atomic.Bool  // lastAnswerWritten is set when the last answer of the connection has been written.
+	receiving         bool          // receiving is set while a request is being received; guarded by mu.
+	lastWritten       atomic.Int64  // lastWritten is when the last answer was written, in Unix nanoseconds.
+	noMoreRequests    atomic.Bool   // noMoreRequests is set when no further request is read.
+	awaitingAnswers   atomic.Bool   // awaitingAnswers is set while the reader waits for the answers in progress.
+	accepted          time.Time     // accepted is when the connection was accepted.
+	requests          int           // requests counts the requests read; only the reading goroutine uses it.
+	lastAnswerWritten atomic.Bool   // lastAnswerWritten is set when the last answer of the connection has been written.
+	expired           chan struct{} // expired is closed when the requests in progress get no more time.
+	expireOnce        sync.Once
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
-	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined), accepted: time.Now()}
+	c := &conn{server: s, raw: raw, queue: make(chan *exchange, maxPipelined), accepted: time.Now(), expired: make(chan struct{})}
 	c.pendingFell.L = &c.mu
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -96,6 +98,9 @@
 	c.receiving = on
 }
 
+// expire answers the requests in progress with a gateway timeout, so that answers held behind them can be delivered.
+func (c *conn) expire() { c.expireOnce.Do(func() { close(c.expired) }) }
+
 // abort cancels the requests in progress and closes the connection at once.
 func (c *conn) abort() {
 	c.cancel()
@@ -115,11 +120,13 @@
 			c.answerError(err)
 			return
 		}
-		// An earlier answer may close the connection, and the caller then sends this request again.
-		if !c.server.handler.Repeatable(r) {
+		// An earlier answer may close the connection, and the caller then sends this request again. While the server
+		// stops, the last pending one does, and the answer to a request behind it could miss the end of the grace period.
+		if c.server.phase.Load() != serving || !c.server.handler.Repeatable(r) {
 			c.awaitAnswers()
 		}
 		if !c.startRequest(r) {
+			c.awaitClose()
 			return
 		}
 	}
@@ -188,16 +195,11 @@
 
 // startRequest passes a request to the handler and reports whether further requests may be read.
 func (c *conn) startRequest(r *Request) bool {
-	if c.ctx.Err() != nil {
+	if !c.admitRequest(r) {
 		c.releaseBody(r)
 		return false
 	}
-	last := r.closeRequested || r.http10
-	if last {
-		c.noMoreRequests.Store(true)
-	}
 	e := &exchange{request: r, answer: make(chan *Answer, 1)}
-	c.pending.Add(1)
 	c.queue <- e
 	go func() {
 		a := c.server.handler.Serve(c.ctx, r)
@@ -209,6 +211,20 @@
 	return true
 }
 
+// admitRequest counts the request as pending unless the connection is closed or an answer that closes it has been chosen.
+func (c *conn) admitRequest(r *Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ctx.Err() != nil || c.noMoreRequests.Load() {
+		return false
+	}
+	if r.closeRequested || r.http10 {
+		c.noMoreRequests.Store(true)
+	}
+	c.pending.Add(1)
+	return true
+}
+
 // releaseBody subtracts the request's body from the server's buffered bytes.
 func (c *conn) releaseBody(r *Request) {
 	if r != nil {
@@ -278,19 +294,14 @@
 		_, _ = c.bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
 		return c.bw.Flush() == nil
 	}
-	a := <-e.answer
+	a := c.awaitAnswer(e)
 	if a == nil || c.ctx.Err() != nil {
 		if a != nil && a.BodyRest != nil {
 			_ = a.BodyRest.Close()
 		}
 		return false
 	}
-	// While draining, the connection stays open until the requests already read are answered, so that none is lost.
-	last := c.server.phase.Load() != serving && c.pending.Load() == 1
-	closeConn := a.Close || e.request.closeRequested || e.request.http10 || last
-	if closeConn {
-		c.noMoreRequests.Store(true)
-	}
+	closeConn := c.closesAfter(e, a)
 	w := writer{bw: c.bw, raw: c.raw}
 	if err := w.write(e.request, a, closeConn); err != nil {
 		if a.OnWriteError != nil {
@@ -301,6 +312,39 @@
 	return !closeConn
 }
 
+// awaitAnswer waits for the exchange's answer and, once the connection has expired, no longer for one that is not ready.
+func (c *conn) awaitAnswer(e *exchange) *Answer {
+	select {
+	case a := <-e.answer:
+		return a
+	case <-c.expired:
+	}
+	select {
+	case a := <-e.answer:
+		return a
+	default:
+	}
+	go func() {
+		if a := <-e.answer; a != nil && a.BodyRest != nil {
+			_ = a.BodyRest.Close()
+		}
+	}()
+	return EmptyAnswer(http.StatusGatewayTimeout)
+}
+
+// closesAfter decides whether the answer closes the connection; no request is admitted from then on. While draining, the
+// connection stays open until the requests already admitted are answered, so that none is lost.
+func (c *conn) closesAfter(e *exchange, a *Answer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := c.server.phase.Load() != serving && c.pending.Load() == 1
+	closeConn := a.Close || e.request.closeRequested || e.request.http10 || last
+	if closeConn {
+		c.noMoreRequests.Store(true)
+	}
+	return closeConn
+}
+
 // closeAfterAnswer closes the connection after its last answer.
 func (c *conn) closeAfterAnswer() {
 	c.noMoreRequests.Store(true)
--- a/internal/request/inbound/server.go
+++ b/internal/request/inbound/server.go
@@ -85,14 +85,11 @@
 func (s *Server) Drain() { s.phase.CompareAndSwap(serving, draining) }
 
 // Close closes the idle connections and waits until the others have delivered
-// their answers. When the context ends, it closes the remaining ones at once.
+// their answers. When the context ends, requests in progress get a gateway timeout, the
+// answers that are ready behind them are delivered, and what remains is closed after deliveryTimeout.
 func (s *Server) Close(ctx context.Context) {
-	s.mu.Lock()
 	s.phase.Store(closing)
-	for c := range s.conns {
-		c.wakeReader()
-	}
-	s.mu.Unlock()
+	s.forEachConn((*conn).wakeReader)
 	done := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -100,12 +97,27 @@
 	}()
 	select {
 	case <-done:
+		return
 	case <-ctx.Done():
-		s.mu.Lock()
-		for c := range s.conns {
-			c.abort()
-		}
-		s.mu.Unlock()
+	}
+	s.forEachConn((*conn).expire)
+	t := time.NewTimer(deliveryTimeout)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+		s.forEachConn((*conn).abort)
 		<-done
 	}
 }
+
+// deliveryTimeout bounds the delivery of the answers that are ready when a stop has used up its time.
+const deliveryTimeout = 100 * time.Millisecond
+
+func (s *Server) forEachConn(f func(*conn)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		f(c)
+	}
+}
--- a/internal/request/inbound/stop_test.go
+++ b/internal/request/inbound/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +99,73 @@
 		})
 	}
 }
+
+// Guards against a planned stop that loses answers: requests sent behind a long one were passed on, and their answers
+// were dropped at the end of the grace period, although callers send requests again that were not read.
+func TestDrainingConnectionStartsNothingBehindAnUnansweredRequest(t *testing.T) {
+	d := newTestHandler()
+	runServer(t, d, func(s *inbound.Server, l *pipeListener) {
+		c := l.dial()
+		defer c.Close()
+		s.Drain()
+		send(c, getRequest("/3s/")+getRequest("/1s/"))
+		br := bufio.NewReader(c)
+		if got, want := readAnswer(br), "200 GET /3s/  close"; got != want {
+			t.Errorf("answer %q, want %q", got, want)
+		}
+		if got := readAnswer(br); !strings.HasPrefix(got, "no answer") {
+			t.Errorf("answer %q behind the one that closes the connection", got)
+		}
+	})
+	if len(d.served) != 1 {
+		t.Errorf("served %v, want only the first request", d.served)
+	}
+}
+
+// Guards against answers that are ready and dropped at the end of the grace period, because a request that was sent
+// before them on the connection is still at work.
+func TestStopLimitDeliversAnswersBehindALongRequest(t *testing.T) {
+	d := newTestHandler()
+	runServer(t, d, func(s *inbound.Server, l *pipeListener) {
+		c := l.dial()
+		defer c.Close()
+		send(c, getRequest("/9s/")+getRequest("/1s/")+getRequest("/8s/")+getRequest("/2s/"))
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		s.Drain()
+		limit, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		defer cancel()
+		closed := make(chan struct{})
+		go func() { s.Close(limit); close(closed) }()
+		br := bufio.NewReader(c)
+		for _, want := range []string{"504 ", "200 GET /1s/ ", "504 ", "200 GET /2s/  close"} {
+			if got := readAnswer(br); got != want {
+				t.Errorf("answer %q, want %q", got, want)
+			}
+		}
+		<-closed
+		if took := time.Since(began); took > 4100*time.Millisecond {
+			t.Errorf("the stop took %v of simulated time, with a limit of 4 s", took)
+		}
+	})
+	if len(d.cancelled) != 2 {
+		t.Errorf("%d of 2 requests were cancelled", len(d.cancelled))
+	}
+}
+
+// Guards against a stop that waits for a caller who reads no answers.
+func TestStopLimitEndsConnectionsWhoseCallersDoNotRead(t *testing.T) {
+	runServer(t, newTestHandler(), func(s *inbound.Server, l *pipeListener) {
+		c := l.dial()
+		defer c.Close()
+		send(c, getRequest("/9s/")+getRequest("/1s/"))
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		limit, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		s.Close(limit)
+		if took := time.Since(began); took > 3200*time.Millisecond {
+			t.Errorf("the stop took %v of simulated time, with a limit of 3 s", took)
+		}
+	})
+}
