platform: take only whole registrations for targets

Cause: a registration was whatever encoding/json could fit into a struct. Missing fields became empty, names matched in any case, numbers had no limit (slots of 9e18 drew nearly all requests, coldLeftS of 1e300 overflowed), an id could hold a line break although it is sent in a header, and an error held the whole value and was logged with each heartbeat. No odd entry ended an entry or stopped it from following the store.

Errors name key and field without the value and are logged once until they change.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -32,6 +32,7 @@
 	dirtyServices  map[string]bool // dirtyServices holds the services whose targets must be rebuilt.
 	evacuatedZones map[string]bool
 	entries        map[string]census.Entry
+	invalidItems   map[string]string      // invalidItems maps the key of an item that could not be decoded to the error that was logged.
 	formerEntries  map[string]formerEntry // formerEntries holds entries whose registration has recently ended; they may still be running.
 	// registeredSince is when this entry's own registration was first read from the store; zero while it is missing.
 	registeredSince time.Time
@@ -42,6 +43,7 @@
 		keys: keys, events: events, self: self, regionCount: regionCount, recentOutage: recentOutage,
 		targets: make(map[string]*targetState), services: make(map[string]*serviceTargets), dirtyServices: make(map[string]bool),
 		evacuatedZones: make(map[string]bool), entries: make(map[string]census.Entry), formerEntries: make(map[string]formerEntry),
+		invalidItems: make(map[string]string),
 	}
 }
 
@@ -65,8 +67,14 @@
 	}
 }
 
+// logInvalid logs an item that could not be decoded, once until its error changes.
 func (b *viewBuilder) logInvalid(it mirror.Item, err error) {
-	if err != nil {
+	if err == nil {
+		delete(b.invalidItems, it.Key)
+		return
+	}
+	if text := err.Error(); b.invalidItems[it.Key] != text {
+		b.invalidItems[it.Key] = text
 		b.events.Log(event.ItemInvalid, "key", it.Key, "revision", it.Revision, "error", err)
 	}
 }
@@ -233,7 +241,7 @@
 		}
 		return nil
 	}
-	e, err := b.keys.DecodeEntry(it.Value)
+	e, err := b.keys.DecodeEntry(name, it.Value)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -69,6 +69,12 @@
 	return strings.Contains(l.text.String(), text)
 }
 
+func (l *logLines) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
+
 // runFleet runs a test against a fleet with one entry, e0, e1 and so on, for each of the zones, and then stops it.
 func runFleet(t *testing.T, zones []string, f func(f *fleet)) {
 	t.Helper()
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -57,7 +57,7 @@
 	EntryKey(name string) string
 	DecodeConfiguration(data []byte) (*book.Book, error)
 	DecodeTarget(id string, data []byte, at time.Time) (target.Target, error)
-	DecodeEntry(data []byte) (census.Entry, error)
+	DecodeEntry(name string, data []byte) (census.Entry, error)
 }
 
 // Headers reads and writes the headers of requests and answers.
--- a/internal/entry/edge/store_test.go
+++ b/internal/entry/edge/store_test.go
@@ -60,6 +60,59 @@
 	})
 }
 
+// Guards against registrations by another writer that end an entry, stop it from following the store, hide sound
+// registrations beside them, or are used as targets. Each is logged once, with its key.
+func TestForeignRegistrationsAreNoTargets(t *testing.T) {
+	const whole = `{"address":"10.1.0.9:80","born":1,"info":{"service":"s1","version":"v1","zone":"a1","slots":3},"status":{"state":"ready","sequence":%d,"coldLeftS":0}}`
+	runFleet(t, []string{"a1", "a2"}, func(f *fleet) {
+		foreign := 0
+		f.serve("10.1.0.9:80", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { foreign++; w.WriteHeader(http.StatusNotFound) }))
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`), rule("other", "/o/", "safe", `,"service":"s2"`))
+		f.target("t1", "s1", "a1", nil)
+		write := func(sequence int) {
+			sound := fmt.Sprintf(whole, sequence)
+			for i, change := range []struct{ from, to string }{
+				{`"version":"v1",`, ""},
+				{fmt.Sprintf(`"sequence":%d,`, sequence), ""},
+				{`"v1"`, strings.Repeat("[", 50_000)},
+				{`"v1"`, strings.Repeat(`{"a":`, 9_000) + "1" + strings.Repeat("}", 9_000)},
+				{`"slots":3`, `"slots":9223372036854775807`},
+				{`"slots":3`, `"slots":` + strings.Repeat("9", 5_000)},
+				{`"coldLeftS":0`, `"coldLeftS":1e300`},
+				{`10.1.0.9:80`, `10.1.0.9:70000`},
+				{`10.1.0.9:80`, `10.1.0.9:0`},
+				{sound, "\xff\xfe"},
+			} {
+				f.store.Set(fmt.Sprint("servers/odd", i, "."), strings.Replace(sound, change.from, change.to, 1))
+			}
+			f.store.Set("servers/a\r\nX-Added: 1", sound)
+		}
+		write(1)
+		settle()
+		for range 5 {
+			write(2)
+			settle()
+		}
+		f.target("t2", "s2", "a1", nil)
+		settle()
+		for i := range 40 {
+			for path, served := range map[string]string{"/r/": "t1", "/o/": "t2"} {
+				if got := f.call(fmt.Sprint("e", i%2), "GET", path, object(fmt.Sprint(i))); !strings.HasPrefix(got.body, served) {
+					t.Errorf("%s: %v", path, got)
+				}
+			}
+		}
+		if foreign > 0 {
+			t.Errorf("%d requests at the address of no target", foreign)
+		}
+		for i := range 10 {
+			if n := f.log.count(fmt.Sprint("name=item-invalid key=servers/odd", i, ".")); n != 2 {
+				t.Errorf("registration %d is logged %d times by two entries", i, n)
+			}
+		}
+	})
+}
+
 // Guards against an entry that gets no updates while the store rejects its calls but answers others.
 func TestEntriesThatTheStoreTurnsAwayFollowTheirPeers(t *testing.T) {
 	for _, fault := range []platformtest.Fault{platformtest.Silent, platformtest.Busy, platformtest.Reset} {
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -31,7 +31,7 @@
 	{Isolated, "isolated", "neither the key-value service nor any peer can be reached", "check the network of the VM"},
 	{BelowFloor, "below-floor", "the adopted configuration is older than one that this entry had before", "none if it lasts only seconds; otherwise check the key-value service and the peers"},
 	{PeerRead, "peer-read", "the key-value service does not respond and a peer's newer copy was adopted", "check the platform if it persists"},
-	{ItemInvalid, "item-invalid", "a value in the key-value service could not be decoded; the last valid value remains in use", "correct the value; the error names the field"},
+	{ItemInvalid, "item-invalid", "a value in the key-value service could not be decoded; the last valid value remains in use; logged once until the error changes", "correct the value; the error names the field"},
 	{LeaseGranted, "lease-granted", "the entry is registered under a new lease", "none"},
 	{LeaseLost, "lease-lost", "the entry's lease has expired; look-ups by other entries may omit it until it has registered again", "check the platform if it repeats"},
 	{ZoneEvacuated, "zone-evacuated", "operators are draining an availability zone; its targets receive no new requests", "none"},
--- a/internal/site/census/census.go
+++ b/internal/site/census/census.go
@@ -36,19 +36,28 @@
 // Encode returns the JSON form of an entry for the store.
 func Encode(e Entry) ([]byte, error) { return json.Marshal(storedEntry(e)) }
 
-// Decode returns the entry from its JSON form, or an error that names the entry and what is invalid.
-func Decode(data []byte) (Entry, error) {
+// maxStrength is the largest strength that a registration may have, in Mbit/s.
+const maxStrength = 1e7
+
+// Decode returns the entry with the name from its JSON form, or an error that says what is invalid.
+func Decode(name string, data []byte) (Entry, error) {
 	var r storedEntry
 	if err := json.Unmarshal(data, &r); err != nil {
-		return Entry{}, fmt.Errorf("census: %w", err)
+		// The error of the package holds the value, which may be large.
+		return Entry{}, fmt.Errorf("census: entry %q is not a registration", name)
 	}
-	for _, a := range []string{r.Call, r.Peer} {
-		if _, err := netip.ParseAddrPort(a); err != nil {
-			return Entry{}, fmt.Errorf("census: entry %q: %w", r.Name, err)
+	for _, text := range []string{r.Call, r.Peer} {
+		if a, err := netip.ParseAddrPort(text); err != nil || a.Port() == 0 {
+			return Entry{}, fmt.Errorf("census: entry %q has an address that is not an IP address and a port", name)
 		}
 	}
-	if r.Name == "" || r.Zone == "" || r.Region == "" {
-		return Entry{}, fmt.Errorf("census: entry %q lacks a name, a zone or a region", r.Name)
+	switch {
+	case r.Name != name:
+		return Entry{}, fmt.Errorf("census: entry %q is registered under another name", name)
+	case r.Name == "" || r.Zone == "" || r.Region == "":
+		return Entry{}, fmt.Errorf("census: entry %q lacks a name, a zone or a region", name)
+	case r.Strength < 0 || r.Strength > maxStrength:
+		return Entry{}, fmt.Errorf("census: the strength of entry %q is out of range", name)
 	}
 	return Entry(r), nil
 }
--- a/internal/site/census/census_test.go
+++ b/internal/site/census/census_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"tamarackspool/internal/site/census"
@@ -88,12 +89,31 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got, err := census.Decode(data); err != nil || got != want {
+	if got, err := census.Decode("e", data); err != nil || got != want {
 		t.Errorf("%v %v, want %v", got, err, want)
 	}
-	for _, wrong := range []string{`{`, `{}`, `{"name":"e","zone":"z","region":"r","call":"x","peer":"10.0.0.1:81"}`} {
-		if _, err := census.Decode([]byte(wrong)); err == nil {
+	for _, wrong := range []string{
+		`{`, `{}`, `{"name":"e","zone":"z","region":"r","call":"x","peer":"10.0.0.1:81"}`,
+		`{"name":"e","zone":"z","region":"r","call":"10.0.0.1:0","peer":"10.0.0.1:81"}`,
+		`{"name":"f","zone":"z","region":"r","call":"10.0.0.1:80","peer":"10.0.0.1:81"}`,
+		`{"name":"e","zone":"z","region":"r","call":"10.0.0.1:80","peer":"10.0.0.1:81","strength":1e300}`,
+		`{"name":"e","zone":"z","region":"r","call":"10.0.0.1:80","peer":"10.0.0.1:81","strength":-1}`,
+		`{"name":"e","zone":"z","region":` + strings.Repeat("[", 20_000) + `}`,
+	} {
+		if _, err := census.Decode("e", []byte(wrong)); err == nil {
 			t.Errorf("%s is accepted as an entry", wrong)
 		}
 	}
 }
+
+// Fuzzes the decoder of entries: what it accepts has a name, a place and addresses.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"name":"e","zone":"z","region":"r","call":"10.0.0.1:80","peer":"10.0.0.1:81","strength":80}`))
+	f.Add([]byte(`{"name":"e","strength":1e999,"zone":[[[[]]]]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := census.Decode("e", data)
+		if err == nil && (e.Name != "e" || e.Zone == "" || e.Region == "" || e.Call == "" || e.Peer == "" || e.Strength < 0) {
+			t.Errorf("%q is accepted as %+v", data, e)
+		}
+	})
+}
