internal/request/forward: end a target's connection after a refusal

On the product's own entries a caller could be told that its request had not run although it ran: a target's 429 names no request, so a second copy of it, written after the next request on a kept connection, passed for the answer to that one.

Change: a target's failure or refusal ends its connection; relays between entries keep theirs, as an entry's answers come from this code.

Evidence: TestSecondCopyOfARefusalReachesNobody of this package fails before ("not-run", 1 ran). Answers cut at each byte of head and body were played on both request paths without a finding: TestAnswersCutAnywhereAreNoSuccess, TestAnswerCutAnywhere.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -115,7 +115,7 @@
 	}
 	resp, err := t.pool.Do(t.job.ctx, pool.Call{
 		Address: t.address, MaxConns: t.maxConns, Attempt: t.id, ProbeIdle: t.job.service.AtMostOnce(),
-		Request: req, HoldBody: hold, LateCounter: t.job.counters.late,
+		Request: req, HoldBody: hold, LateCounter: t.job.counters.late, CloseAfter: t.closeAfter,
 	})
 	t.latency = time.Since(t.start)
 	if err != nil {
@@ -133,6 +133,12 @@
 	return t.readAnswer()
 }
 
+// closeAfter reports whether a target's response ends its connection: a late second copy of a refusal, which names no
+// request, would say of the next one that it has not run.
+func (t *attempt) closeAfter(r *http.Response) bool {
+	return !t.relayed && r.StatusCode >= http.StatusMultipleChoices
+}
+
 // paceBody waits until the link's pacer allows a buffered body, which is charged as one piece.
 func (t *attempt) paceBody() *verdict.Error {
 	b := t.job.body
--- a/internal/request/forward/failure_test.go
+++ b/internal/request/forward/failure_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -40,6 +43,62 @@
 	})
 }
 
+// Guards against an answer that a target cuts in its head or body, at each byte, and that is passed on as complete.
+func TestAnswerCutAnywhere(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 5\r\n\r\nhello"
+	runRig(t, forward.Settings{}, func(t *testing.T, r *rig) {
+		cut := 0
+		r.replaceTarget(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+			}
+			_, _ = io.WriteString(conn, whole[:cut])
+			_ = conn.Close()
+		})
+		for ; cut <= len(whole); cut++ {
+			got := r.sendOnce("Idempotency-Key", fmt.Sprint("cut-", cut))
+			if ran := got.status == 200; ran != (cut == len(whole)) {
+				t.Errorf("cut after %d of %d bytes: %+v", cut, len(whole), got)
+			}
+		}
+	})
+}
+
+// Guards against a request that runs and whose caller is told that it has not run, because a late second copy of an
+// earlier refusal arrived on the target's connection.
+func TestSecondCopyOfARefusalReachesNobody(t *testing.T) {
+	const refusal = "HTTP/1.1 429 Too Many Requests\r\nShed: 1\r\nContent-Length: 0\r\n\r\n"
+	runRig(t, forward.Settings{Attempts: 1}, func(t *testing.T, r *rig) {
+		ran := 0
+		r.replaceTarget(func(w http.ResponseWriter, _ *http.Request) {
+			conn, br, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			if ran > 0 {
+				ran++
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			_, _ = io.WriteString(conn, refusal)
+			ran++
+			if _, err := http.ReadRequest(br.Reader); err == nil {
+				ran++
+				_, _ = io.WriteString(conn, refusal)
+			}
+		})
+		if got := r.sendOnce("Idempotency-Key", "first"); got.verdict != "not-run" {
+			t.Errorf("the refused request: %+v", got)
+		}
+		if got := r.sendOnce("Idempotency-Key", "second"); got.verdict != "ran" || ran != 2 {
+			t.Errorf("the next request: %+v, %d ran", got, ran-1)
+		}
+	})
+}
+
 // Guards against a late answer that reaches another request or is not counted.
 func TestLateAnswer(t *testing.T) {
 	runRig(t, forward.Settings{}, func(t *testing.T, r *rig) {
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -39,6 +39,8 @@
 	Request     *http.Request // Request is written unchanged; its Body is streamed.
 	HoldBody    bool          // HoldBody delays the body until a 100 Continue response arrives or one second has passed.
 	LateCounter Counter       // LateCounter counts responses that arrive after the call was cancelled; it may be nil.
+	// CloseAfter reports whether the connection carries no other request after the response; it may be nil.
+	CloseAfter func(*http.Response) bool
 }
 
 // New returns a pool that opens connections with dial, or an error for invalid settings.
