internal/request/inbound: reset the connection behind a cut answer without a length

A caller of HTTP/1.0 took a cut answer for whole: without a length only the end of the connection ends it, and the connection was closed as usual.

Cause: a failed write closed the connection in order, which shows a cut only where a length or chunks frame the answer.

Change: such a connection is reset. Evidence: TestCutAnswerWithoutALengthIsReset fails before for HTTP/1.0 (no error) and passes now.

--- a/internal/request/inbound/conn.go
+++ b/internal/request/inbound/conn.go
@@ -307,6 +307,9 @@
 		if a.OnWriteError != nil {
 			a.OnWriteError(err)
 		}
+		if e.request.http10 && a.Length < 0 {
+			c.reset()
+		}
 		return false
 	}
 	return !closeConn
@@ -345,6 +348,14 @@
 	return closeConn
 }
 
+// reset closes the connection in a way that shows the caller a cut answer which only the end of the connection delimits.
+func (c *conn) reset() {
+	if t, ok := c.raw.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.abort()
+}
+
 // closeAfterAnswer closes the connection after its last answer.
 func (c *conn) closeAfterAnswer() {
 	c.noMoreRequests.Store(true)
--- a/internal/request/inbound/server_test.go
+++ b/internal/request/inbound/server_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -336,3 +338,52 @@
 		t.Errorf("forwarded %v", got)
 	}
 }
+
+// cutBody is a body that ends with an error after its bytes.
+type cutBody struct{ io.Reader }
+
+func (b cutBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (cutBody) Close() error { return nil }
+
+// cutHandler answers with a body that is cut.
+type cutHandler struct{ *testHandler }
+
+func (cutHandler) Serve(context.Context, *inbound.Request) *inbound.Answer {
+	return &inbound.Answer{Status: http.StatusOK, Header: http.Header{}, BodyRest: cutBody{strings.NewReader("half")}, Length: -1}
+}
+
+// Guards against a cut answer that appears whole to a caller of HTTP/1.0, for whom the end of the connection is its end.
+func TestCutAnswerWithoutALengthIsReset(t *testing.T) {
+	for version, want := range map[string]error{"1.0": syscall.ECONNRESET, "1.1": io.ErrUnexpectedEOF} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := inbound.New(cutHandler{newTestHandler()}, func(err error) { t.Error(err) })
+		served := make(chan struct{})
+		go func() { defer close(served); _ = s.Serve(l) }()
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, "GET / HTTP/"+version+"\r\nHost: a\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+		}
+		if !errors.Is(err, want) {
+			t.Errorf("HTTP/%s: error %v, want %v", version, err, want)
+		}
+		_ = c.Close()
+		_ = l.Close()
+		<-served
+		s.Close(t.Context())
+	}
+}
