internal/steer/notice: keep what targets announce in their answers

Change: platform/ decodes both headers; a notice of each incarnation keeps them through lapses of its registration, bounded in number and time. A target with a notice is no candidate, and the notice is read again just before the first byte, after which another target may take the request. No health checks go out during a pause. After it objects return one after another. A request whose allowed targets all pause is rejected at once, and its Retry-After does not end before the first pause. A registration without a start time counts as a new incarnation when its sequence starts anew.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -38,6 +38,9 @@
 // retryBudgetExhausted is the reason of a refusal when the retry budget does not allow another attempt.
 const retryBudgetExhausted = "the retry budget is exhausted"
 
+// allPaused is the reason of a refusal when the allowed targets want no requests for some time.
+const allPaused = "every target has asked for a pause"
+
 // forward sends the request to one target after another until one answers or no further attempt is allowed.
 func (e *Edge) forward(ctx context.Context, q *requestState) *inbound.Answer {
 	sent, unsent := 0, 0
@@ -47,7 +50,11 @@
 		if failure != nil {
 			return failure()
 		}
-		return e.refuse(q, reason, e.retryAfter(q))
+		delay, paused := e.refusalDelay(q, time.Now())
+		if paused {
+			reason = allPaused
+		}
+		return e.refuse(q, reason, delay)
 	}
 	for {
 		s := e.chooseTarget(q, time.Now())
@@ -70,6 +77,9 @@
 		case f == nil:
 			e.noteShed(q, s, a)
 			sent++
+		case f.Kind() == upstream.Withheld && q.withheldByNotice:
+			q.withheldByNotice = false
+			continue // Another target may take it; nothing was sent.
 		case f.Kind() == upstream.Withheld:
 			return giveUp(withheld)
 		case f.Kind() == upstream.Cancelled && failure == nil:
@@ -95,9 +105,14 @@
 	}
 }
 
-// admitAttempt reports whether an attempt may be sent to the target, just before its first byte: a cold one only while
-// this entry still paces it, and a retry only when the retry budget pays for it.
+// admitAttempt reports whether an attempt may be sent to the target, just before its first byte: only while the target
+// wants requests, to a cold one only while this entry still paces it, and a retry only when the retry budget pays for it.
 func (e *Edge) admitAttempt(q *requestState, s *targetState, sent, unsent int) bool {
+	if !s.notice.Accepts(time.Now()) {
+		q.withheldByNotice = true
+		e.meters.withheld.Inc(1)
+		return false
+	}
 	if q.paced && !e.mayPace(e.view.Load(), s, time.Now()) {
 		return false
 	}
@@ -124,22 +139,33 @@
 		time.Until(q.deadline) > q.rule.LatencyObjective()
 }
 
-// retryAfter returns the delay after which a refused caller may find free capacity.
-func (e *Edge) retryAfter(q *requestState) time.Duration {
-	v, now := e.view.Load(), time.Now()
+// refusalDelay returns the delay after which a refused caller may find free capacity, and whether that follows from the
+// pauses of all the targets that the request may go to.
+func (e *Edge) refusalDelay(q *requestState, now time.Time) (delay refusal.Delay, paused bool) {
+	v := e.view.Load()
 	var leastLoaded refusal.TargetLoad
+	var firstEnd time.Time
 	if b := v.services[q.service]; b != nil {
 		for _, s := range b.targets {
 			r := refusal.TargetLoad{Load: s.gauge.Load(now), Slots: s.target.Slots()}
 			if !e.eligible(v, q, s) || v.isCold(s, now) {
 				continue
 			}
+			if until, paused := s.notice.PausedUntil(now); paused {
+				if firstEnd.IsZero() || until.Before(firstEnd) {
+					firstEnd = until
+				}
+				continue
+			}
 			if leastLoaded.Slots == 0 || r.Load*leastLoaded.Slots < leastLoaded.Load*r.Slots {
 				leastLoaded = r
 			}
 		}
 	}
-	return refusal.RetryDelay(leastLoaded, q.rule.LatencyObjective())
+	if leastLoaded.Slots == 0 && !firstEnd.IsZero() {
+		return refusal.AfterPause(firstEnd.Sub(now)), true
+	}
+	return refusal.Around(refusal.RetryDelay(leastLoaded, q.rule.LatencyObjective())), false
 }
 
 func (e *Edge) noteFailure(q *requestState, s *targetState, f *upstream.Failure) {
@@ -197,7 +223,13 @@
 		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
 		SendContentLength: q.Method != http.MethodGet && q.Method != http.MethodHead, AtMostOnce: q.rule.Kind() != book.Safe,
 		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) },
-		Classify:   func(status int, h http.Header) upstream.AnswerClass { return e.classifyAnswer(q, status, h) },
+		Classify: func(status int, h http.Header) upstream.AnswerClass {
+			class := e.classifyAnswer(q, status, h)
+			if class == upstream.Matching || class == upstream.Unidentified {
+				e.noteAnnouncements(q.id, s, status, h)
+			}
+			return class
+		},
 	})
 	if err != nil {
 		var f *upstream.Failure
@@ -276,14 +308,17 @@
 	}
 	pick := func(allowed func(s *targetState) bool) *targetState {
 		order := placement.Order(q.key, len(b.targets), func(i int) uint64 { return b.targets[i].hash }, func(i int) float64 {
-			if !e.canAttempt(v, q, b.targets[i]) || !allowed(b.targets[i]) {
+			if !e.canAttempt(v, q, b.targets[i], now) || !allowed(b.targets[i]) {
 				return 0
 			}
 			return weights[i]
 		})
 		return e.pickCandidate(q, b.targets, order, now)
 	}
-	if s := pick(func(s *targetState) bool { return !v.isCold(s, now) && !s.gauge.BackingOff(now) }); s != nil {
+	position := q.key.Position()
+	if s := pick(func(s *targetState) bool {
+		return !v.isCold(s, now) && !s.gauge.BackingOff(now) && !s.notice.Awaits(position, now)
+	}); s != nil {
 		return s
 	}
 	if s := pick(func(s *targetState) bool { return !v.isCold(s, now) }); s != nil {
@@ -319,7 +354,7 @@
 		return nil
 	}
 	for _, s := range targets {
-		if e.canAttempt(v, q, s) && e.mayPace(v, s, now) && s.pacer.Take(service.ColdRate, now) {
+		if e.canAttempt(v, q, s, now) && e.mayPace(v, s, now) && s.pacer.Take(service.ColdRate, now) {
 			q.paced = true
 			return s
 		}
@@ -327,14 +362,14 @@
 	return nil
 }
 
-// canAttempt reports whether the target is eligible for the request and has not been tried for it.
-func (e *Edge) canAttempt(v *view, q *requestState, s *targetState) bool {
-	return e.eligible(v, q, s) && !slices.ContainsFunc(q.triedTargets, func(o *targetState) bool { return o.gauge == s.gauge })
+// canAttempt reports whether the target is eligible for the request, wants requests and has not been tried for it.
+func (e *Edge) canAttempt(v *view, q *requestState, s *targetState, now time.Time) bool {
+	return e.eligible(v, q, s) && s.notice.Accepts(now) && !slices.ContainsFunc(q.triedTargets, func(o *targetState) bool { return o.gauge == s.gauge })
 }
 
 // eligible reports whether the target serves new requests under this request's rule.
 func (e *Edge) eligible(v *view, q *requestState, s *targetState) bool {
-	if s.target.Leaving() || v.evacuatedZones[s.target.Zone()] || !s.usableUntil.IsZero() && time.Now().After(s.usableUntil) {
+	if s.isLeaving() || v.evacuatedZones[s.target.Zone()] || !s.usableUntil.IsZero() && time.Now().After(s.usableUntil) {
 		return false
 	}
 	regions := q.rule.HomeRegions()
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -12,6 +12,7 @@
 	"tamarackspool/internal/site/mirror"
 	"tamarackspool/internal/site/target"
 	"tamarackspool/internal/steer/health"
+	"tamarackspool/internal/steer/notice"
 	"tamarackspool/internal/steer/pace"
 	"tamarackspool/internal/steer/placement"
 )
@@ -28,6 +29,7 @@
 
 	book           *book.Book
 	targets        map[string]*targetState // targets is keyed by target id.
+	notices        notice.Table            // notices holds the notices of targets without a registration.
 	services       map[string]*serviceTargets
 	dirtyServices  map[string]bool // dirtyServices holds the services whose targets must be rebuilt.
 	evacuatedZones map[string]bool
@@ -175,18 +177,20 @@
 	old := b.targets[id]
 	switch {
 	case old == nil:
-	case b.recentOutage() && !old.target.Leaving() && old.usableUntil.IsZero():
+	case b.recentOutage() && !old.isLeaving() && old.usableUntil.IsZero():
 		b.targets[id] = old.copyWith(func(s *targetState) { s.usableUntil = now.Add(lapseGrace) })
 		b.dirtyServices[old.target.Service()] = true
 		b.events.Log(event.TargetLapsed, "target", id, "service", old.target.Service(), "revision", it.Revision, "for", lapseGrace)
 	case old.usableUntil.IsZero():
-		b.removeTarget(id, it.Revision)
+		b.removeTarget(id, it.Revision, now)
 	}
 }
 
-func (b *viewBuilder) removeTarget(id string, revision uint64) {
-	service := b.targets[id].target.Service()
+func (b *viewBuilder) removeTarget(id string, revision uint64, now time.Time) {
+	old := b.targets[id]
+	service := old.target.Service()
 	delete(b.targets, id)
+	b.notices.Keep(incarnationOf(old.target), old.notice, now)
 	b.dirtyServices[service] = true
 	b.events.Log(event.TargetGone, "target", id, "service", service, "revision", revision)
 }
@@ -195,20 +199,38 @@
 func (b *viewBuilder) removeLapsed(now time.Time) (changed bool) {
 	for id, s := range b.targets {
 		if !s.usableUntil.IsZero() && !now.Before(s.usableUntil) {
-			b.removeTarget(id, s.revision)
+			b.removeTarget(id, s.revision, now)
 			changed = true
 		}
 	}
 	return changed
 }
 
+// noticeOf returns the notice of a target that registers; old is its earlier incarnation under the id, if there is one.
+func (b *viewBuilder) noticeOf(old *targetState, t target.Target) *notice.Notice {
+	if old != nil && t.StartedMillis() == 0 {
+		return new(notice.Notice) // Both incarnations have the same key in the table.
+	}
+	return b.notices.Find(incarnationOf(t))
+}
+
+func incarnationOf(t target.Target) notice.Incarnation {
+	return notice.Incarnation{ID: t.ID(), StartedMillis: t.StartedMillis()}
+}
+
+// restarted reports whether the target has started again under its id. Without a start time the sequence of its
+// heartbeats shows it, which begins anew.
+func restarted(old, t target.Target) bool {
+	return old.StartedMillis() != t.StartedMillis() || t.StartedMillis() == 0 && t.Sequence() < old.Sequence()
+}
+
 // nextState returns the state of a registered target. State observed before a restart under the same id is discarded.
 func (b *viewBuilder) nextState(old *targetState, t target.Target, it mirror.Item, now time.Time) *targetState {
-	if old == nil || old.target.StartedMillis() != t.StartedMillis() {
+	if old == nil || restarted(old.target, t) {
 		b.events.Log(event.TargetJoined, "target", t.ID(), "service", t.Service(), "zone", t.Zone(),
 			"cold", t.ColdUntil().Sub(now), "revision", it.Revision)
 		return &targetState{
-			target: t, hash: placement.HashName(t.ID()), gauge: new(health.Tracker), pacer: new(pace.Pacer),
+			target: t, hash: placement.HashName(t.ID()), gauge: new(health.Tracker), pacer: new(pace.Pacer), notice: b.noticeOf(old, t),
 			coldUntil: t.ColdUntil(), confirmed: now, revision: it.Revision,
 		}
 	}
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, s := range b.targets {
-			if s.target.Leaving() || !e.mayPace(v, s, now) || !e.healthChecks.tryBegin(s.target.ID(), now) {
+			if s.target.Leaving() || !s.notice.Accepts(now) || !e.mayPace(v, s, now) || !e.healthChecks.tryBegin(s.target.ID(), now) {
 				continue
 			}
 			running.Go(func() {
@@ -134,11 +134,13 @@
 	e.deps.Headers.SetTarget(h, s.target.ID())
 	a, err := e.pool.Do(bounded, upstream.Call{
 		Address: s.target.Address(), Method: http.MethodGet, Target: path, Host: s.target.Address(), Header: h,
+		BeforeSend: func() bool { return s.notice.Accepts(time.Now()) },
 		Classify: func(status int, h http.Header) upstream.AnswerClass {
-			switch {
-			case e.deps.Headers.RequestID(h) != "":
+			if e.deps.Headers.RequestID(h) != "" {
 				return upstream.OtherRequest
-			case status >= http.StatusMultipleChoices:
+			}
+			e.noteAnnouncements("", s, status, h)
+			if status >= http.StatusMultipleChoices {
 				return upstream.Unidentified
 			}
 			return upstream.Matching // A second copy names no request, and a request's success must name its own.
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -291,6 +291,7 @@
 		case now := <-t.C:
 			e.pool.CloseExpired(now)
 			e.removeLapsed(now)
+			e.logEndedPauses(now)
 			if n := e.deps.Dropped(); n > dropped {
 				e.events.Log(event.LinesDropped, "lines", n-dropped, "since-start", n)
 				dropped = n
--- a/internal/entry/edge/metrics.go
+++ b/internal/entry/edge/metrics.go
@@ -33,6 +33,9 @@
 	mu              sync.Mutex
 	services        map[string]*serviceMeters
 	unknownRequests metrics.Counter
+	// announcedLeaving counts targets that announced in an answer that they leave, pauses the pauses that targets asked for,
+	// and withheld the requests that one of both kept from a target after it was chosen.
+	announcedLeaving, pauses, withheld metrics.Counter
 }
 
 // serviceMeters holds the metrics of one service.
@@ -46,6 +49,9 @@
 func newMeters() *meters {
 	m := &meters{registry: metrics.NewRegistry(), services: make(map[string]*serviceMeters)}
 	m.unknownRequests = metrics.NewRegisteredCounter("request.unknown", m.registry)
+	m.announcedLeaving = metrics.NewRegisteredCounter("target.announced-leaving", m.registry)
+	m.pauses = metrics.NewRegisteredCounter("target.pauses", m.registry)
+	m.withheld = metrics.NewRegisteredCounter("target.withheld", m.registry)
 	return m
 }
 
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -11,6 +11,7 @@
 	"tamarackspool/internal/request/inbound"
 	"tamarackspool/internal/site/book"
 	"tamarackspool/internal/steer/placement"
+	"tamarackspool/internal/steer/refusal"
 	"tamarackspool/internal/steer/spend"
 )
 
@@ -36,6 +37,7 @@
 	deadline           time.Time // deadline is the earlier of the caller's and the rule's deadline.
 	triedTargets       []*targetState
 	lastSent           time.Time // lastSent is when the last attempt was made.
+	withheldByNotice   bool      // withheldByNotice is set when the target announced, after it was chosen, that it wants no requests.
 	paced              bool      // paced is set when the target was chosen although it is cold, because this entry paces it.
 	mayHaveRun         bool      // mayHaveRun is set when a target may have run the request.
 	candidateIndex     int       // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
@@ -73,10 +75,10 @@
 	q := &requestState{Request: r, id: e.deps.Headers.RequestID(r.Header)}
 	v := e.viewOrWait(ctx)
 	if v.book == nil {
-		return e.refuse(q, "no configuration", startRetryAfter)
+		return e.refuse(q, "no configuration", refusal.Around(startRetryAfter))
 	}
 	if e.refusing.Load() {
-		return e.refuse(q, "stopping", 0)
+		return e.refuse(q, "stopping", refusal.Delay{})
 	}
 	rule, ok := v.book.Find(r.Host, r.Path)
 	if !ok {
@@ -86,7 +88,7 @@
 	}
 	e.prepareRequest(q, rule)
 	if !time.Now().Before(q.deadline) {
-		return e.refuse(q, "its deadline passed before it was read", 0)
+		return e.refuse(q, "its deadline passed before it was read", refusal.Delay{})
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	a := e.forward(ctx, q)
@@ -166,7 +168,8 @@
 }
 
 // refuse answers that the request has not run, with a jittered Retry-After; a request that may have run gets a 502.
-func (e *Edge) refuse(q *requestState, reason string, after time.Duration) *inbound.Answer {
+func (e *Edge) refuse(q *requestState, reason string, delay refusal.Delay) *inbound.Answer {
+	after := delay.At(rand.Float64())
 	e.events.Log(event.RequestRefused, "id", q.id, "service", q.service, "reason", reason, "tried", len(q.triedTargets), "after", after)
 	if q.mayHaveRun {
 		e.meters.countOutcome(q, outcomeFailed)
@@ -174,7 +177,6 @@
 	}
 	e.meters.countOutcome(q, outcomeRefused)
 	a := inbound.EmptyAnswer(http.StatusServiceUnavailable)
-	jittered := after/2 + rand.N(after+1)
-	a.Header.Set("Retry-After", strconv.FormatFloat(jittered.Seconds(), 'f', 3, 64))
+	a.Header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	return a
 }
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -75,6 +75,10 @@
 	TargetInstance(h http.Header) string
 	// ColdLeft returns the remaining cold time of the target that answered a health check; 0 when it is warm.
 	ColdLeft(h http.Header) time.Duration
+	// AnnouncesLeaving reports whether an answer says that its target is leaving.
+	AnnouncesLeaving(h http.Header) bool
+	// RequestedPause returns how long the target that rejected a request wants no further ones; 0 for none.
+	RequestedPause(status int, h http.Header) time.Duration
 }
 
 // Pages makes the handlers of the platform's HTTP calls to an entry.
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -7,17 +7,19 @@
 	"tamarackspool/internal/site/census"
 	"tamarackspool/internal/site/target"
 	"tamarackspool/internal/steer/health"
+	"tamarackspool/internal/steer/notice"
 	"tamarackspool/internal/steer/pace"
 	"tamarackspool/internal/steer/placement"
 )
 
 // targetState is a target with what this entry has observed of it. It is replaced when
-// the registration changes; gauge and pacer are kept.
+// the registration changes; gauge, pacer and notice are kept.
 type targetState struct {
 	target target.Target
 	hash   uint64
 	gauge  *health.Tracker
 	pacer  *pace.Pacer
+	notice *notice.Notice
 	// coldUntil is when the target is expected to be warm, by its own report or after an evacuation of its zone.
 	coldUntil time.Time
 	confirmed time.Time // confirmed is when a heartbeat of this incarnation was last read.
@@ -26,6 +28,9 @@
 	usableUntil time.Time
 }
 
+// isLeaving reports whether the target is leaving, by its registration or by an answer.
+func (s *targetState) isLeaving() bool { return s.target.Leaving() || s.notice.Leaving() }
+
 // serviceTargets holds the targets of a service and their weights for objects of
 // callers in this entry's region.
 type serviceTargets struct {
@@ -46,7 +51,7 @@
 	places := make([]placement.Place, len(targets))
 	for i, s := range targets {
 		places[i].Region = s.target.Region()
-		if !s.target.Leaving() && !evacuatedZones[s.target.Zone()] {
+		if !s.isLeaving() && !evacuatedZones[s.target.Zone()] {
 			places[i].Slots = s.target.Slots()
 		}
 	}
@@ -57,7 +62,7 @@
 	}
 }
 
-// view is the snapshot that the request path reads; it is immutable except for gauges and pacers.
+// view is the snapshot that the request path reads; it is immutable except for gauges, pacers and notices.
 type view struct {
 	book            *book.Book                 // book is nil until a configuration is known.
 	services        map[string]*serviceTargets // services is keyed by service name.
--- a/internal/record/event/steering.go
+++ b/internal/record/event/steering.go
@@ -2,26 +2,29 @@
 
 // The steering events.
 const (
-	DrainDelayed   Number = 3101
-	DrainStarted   Number = 3102
-	ReportRefused  Number = 3103
-	ClockBackwards Number = 3104
-	TickGap        Number = 3105
-	RegionBare     Number = 3106
-	BadLimit       Number = 3107
-	OwnerTaken     Number = 3108
-	LoanRefused    Number = 3109
-	InputMissing   Number = 3110
-	ShiftCapped    Number = 3111
-	TargetJoined   Number = 3112
-	TargetLeaving  Number = 3113
-	TargetGone     Number = 3114
-	TargetResting  Number = 3115
-	TargetCold     Number = 3116
-	EntryJoined    Number = 3117
-	EntryGone      Number = 3118
-	TargetSlow     Number = 3119
-	TargetLapsed   Number = 3120
+	DrainDelayed     Number = 3101
+	DrainStarted     Number = 3102
+	ReportRefused    Number = 3103
+	ClockBackwards   Number = 3104
+	TickGap          Number = 3105
+	RegionBare       Number = 3106
+	BadLimit         Number = 3107
+	OwnerTaken       Number = 3108
+	LoanRefused      Number = 3109
+	InputMissing     Number = 3110
+	ShiftCapped      Number = 3111
+	TargetJoined     Number = 3112
+	TargetLeaving    Number = 3113
+	TargetGone       Number = 3114
+	TargetResting    Number = 3115
+	TargetCold       Number = 3116
+	EntryJoined      Number = 3117
+	EntryGone        Number = 3118
+	TargetSlow       Number = 3119
+	TargetLapsed     Number = 3120
+	LeavingAnnounced Number = 3121
+	TargetPaused     Number = 3122
+	PauseEnded       Number = 3123
 )
 
 var steering = []Definition{
@@ -45,4 +48,7 @@
 	{EntryGone, "entry-gone", "another entry's registration has ended or it is leaving", "replace the VM if the platform has not done so"},
 	{TargetSlow, "target-slow", "consecutive requests to a target time out; its objects are routed to targets with free capacity", "check the target VM if it repeats"},
 	{TargetLapsed, "target-lapsed", "a target's registration expired while the store was unavailable; the target stays in use briefly because it may register again", "none"},
+	{LeavingAnnounced, "leaving-announced", "a target's answer says that it is leaving; this incarnation receives no new requests from this entry, whatever the store says", "none; check the target VM if it stays registered as ready"},
+	{TargetPaused, "target-paused", "a target rejected a request and named a time in which it wants no further ones; it receives none until then", "add targets if it repeats"},
+	{PauseEnded, "pause-ended", "the time that a target named has passed; its objects return to it one after another", "none"},
 }
--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -22,6 +22,12 @@
 // HashName returns the hash of the name of a target or an entry, as Best and Order take it.
 func HashName(name string) uint64 { return xxhash.Sum64String(name) }
 
+// Position returns a position in (0, 1) that depends only on the object, independent of where it is placed.
+func (k Key) Position() float64 { return uniform(k, positionHash) }
+
+// positionHash is the hash that stands for no target in Position.
+const positionHash = 0x9e3779b97f4a7c15
+
 // uniform returns a pseudorandom number in (0, 1) that depends only on the key and the hash.
 func uniform(k Key, hash uint64) float64 {
 	x := uint64(k) ^ hash
