--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -62,6 +62,10 @@
 // time between two renewals of the entry's lease and above the time to replace a lost reader.
 const OutageAfter = 2 * time.Second
 
+// maxReadAge is the time without a read of the changes from which the answers to other calls no longer count: above the
+// time of two calls for changes, one of which was lost.
+const maxReadAge = 2 * (watchWait + watchGrace)
+
 // startStaleAge is StaleAfter for a store that has not answered since the entry's start:
 // more than the round trips of a first call.
 const startStaleAge = 250 * time.Millisecond
@@ -77,6 +81,7 @@
 
 	mu        sync.Mutex   // mu is held while a batch is applied.
 	lastHeard atomic.Int64 // lastHeard is when the store last answered, in nanoseconds since start.
+	lastRead  atomic.Int64 // lastRead is when the changes were last read, from the store or a reader, in nanoseconds since start.
 	// recoveredAt is when the store last answered again after an outage, in nanoseconds since start; 0 for never.
 	recoveredAt atomic.Int64
 	start       time.Time
@@ -95,7 +100,7 @@
 // pause without answers it aborts the read of changes in flight, which the store may
 // never have received, so that it is sent again.
 func (f *Follower) RecordStoreAnswer() {
-	age := f.Age()
+	age := f.heardAge()
 	if age >= StaleAfter || age >= startStaleAge && f.lastHeard.Load() == 0 {
 		select {
 		case f.recovered <- struct{}{}:
@@ -118,8 +123,17 @@
 	return f.Age() >= OutageAfter || recoveredAt > 0 && time.Since(f.start)-recoveredAt < d
 }
 
-// Age returns how long ago the store last answered.
+// Age returns how long ago the store last answered. Answers to other calls count only while the changes are read too:
+// without them, the mirror would count as fresh although it misses what has changed.
 func (f *Follower) Age() time.Duration {
+	if last := f.lastRead.Load(); last > 0 && time.Since(f.start)-time.Duration(last) >= maxReadAge {
+		return time.Since(f.start) - time.Duration(last)
+	}
+	return f.heardAge()
+}
+
+// heardAge returns how long ago the store last answered any call.
+func (f *Follower) heardAge() time.Duration {
 	return time.Since(f.start) - time.Duration(f.lastHeard.Load())
 }
 
@@ -223,6 +237,7 @@
 
 // recordRead records that the store answered, directly or through a reader.
 func (f *Follower) recordRead(b Batch) {
+	f.lastRead.Store(max(f.lastRead.Load(), int64(time.Since(f.start)-b.Age)))
 	if at := int64(time.Since(f.start) - b.Age); at > f.lastHeard.Load() {
 		f.recordHeard(at)
 	}
@@ -267,7 +282,7 @@
 // does not answer other calls either.
 func (f *Follower) backoff() time.Duration {
 	d := retryDelay
-	if f.Age() >= StaleAfter {
+	if f.heardAge() >= StaleAfter {
 		d = min(retryDelay<<min(f.failures, 8), maxRetryDelay)
 	}
 	return d/2 + rand.N(d)
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -321,3 +321,45 @@
 		}
 	})
 }
+
+// Guards against a mirror that counts as fresh although the changes cannot be read, because the store answers renewals,
+// and against one that counts as stale although they are read.
+func TestAnswersToOtherCallsDoNotHideMissedChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeSource{revision: 1}
+		follower := mirror.NewFollower(mirror.New(), store, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{}, 2)
+		go func() { follower.Run(ctx); done <- struct{}{} }()
+		go func() {
+			for ctx.Err() == nil {
+				follower.RecordStoreAnswer()
+				time.Sleep(900 * time.Millisecond)
+			}
+			done <- struct{}{}
+		}()
+		for range 100 {
+			time.Sleep(300 * time.Millisecond)
+			if age := follower.Age(); age >= mirror.StaleAfter {
+				t.Fatalf("age %v although the changes are read", age)
+			}
+		}
+		for name, breakSource := range map[string]func(*fakeSource){
+			"fails": func(w *fakeSource) { w.fails = true }, "silent": func(w *fakeSource) { w.unresponsive = true },
+		} {
+			store.set(breakSource)
+			time.Sleep(8 * time.Second)
+			if age := follower.Age(); age < mirror.OutageAfter {
+				t.Errorf("%s: age %v after 8 s without a read of the changes", name, age)
+			}
+			store.set(func(w *fakeSource) { w.fails, w.unresponsive = false, false })
+			time.Sleep(4 * time.Second)
+			if age := follower.Age(); age >= mirror.StaleAfter {
+				t.Errorf("%s: age %v after the changes can be read again", name, age)
+			}
+		}
+		cancel()
+		<-done
+		<-done
+	})
+}
