internal/request/liveness: tell a target that does not read from a silent one

Cause: TCP_USER_TIMEOUT, which finds targets that no longer answer, also counts while a target acknowledges each probe of its closed window.

Change: while a body above 16 KB is sent, the kernel's timeout is off and its account of the connection is read each 0.2 s: sent bytes without acknowledgement for 1.2 s, or two unanswered probes, end the call. Without such an account the timeout stays.

Evidence: TestUploadOutlastsATargetThatReadsOnLater fails before ("connection timed out"), passes now, also with the race detector.

--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -86,7 +86,15 @@
 	}
 	c.sent.Store(false)
 	_ = c.raw.SetDeadline(time.Time{})
-	stop := context.AfterFunc(ctx, c.interrupt)
+	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
+	endGuard := func() {}
+	if len(call.Body) > maxInlineBody {
+		endGuard = c.guardBody()
+	}
+	stop := func() bool {
+		endGuard()
+		return stopInterrupt()
+	}
 	written := c.send(call)
 	a, keep, err := c.receive(call)
 	if err != nil {
--- a/internal/request/upstream/dial.go
+++ b/internal/request/upstream/dial.go
@@ -4,8 +4,6 @@
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -24,13 +22,7 @@
 	d := &net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control: func(_, _ string, c syscall.RawConn) error {
-			var set error
-			if err := c.Control(func(fd uintptr) {
-				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
-			}); err != nil {
-				return err
-			}
-			return set
+			return setUserTimeout(c, tcpUserTimeout)
 		},
 	}
 	return d.DialContext
