internal/soak: targets that announce their leaving and ask for pauses

The soak's targets say in their answers that they are leaving while the store calls them ready, and reject requests with pauses of 0.3 to 6 s, 0, a negative and an unreadable one.

TestAnnouncementsAreChecked shows a violation and an excuse of each kind.

--- a/cmd/tamaracksoak/main.go
+++ b/cmd/tamaracksoak/main.go
@@ -31,7 +31,7 @@
 	Seed    uint64        `help:"Seed of the schedule; 0 takes one from the time and prints it." default:"0"`
 	For     time.Duration `help:"How long to run, from 20s to 1h." default:"60s"`
 	Nodes   int           `help:"Number of entries, from 2 to 300." default:"6"`
-	Break   string        `help:"Promise to break on purpose: whole, once, not-run, drain, stop, version, recovery or repeats."`
+	Break   string        `help:"Promise to break on purpose: whole, once, not-run, drain, stop, version, recovery, repeats, leave or pause."`
 	Program string        `help:"Program of the entry; built from this module when empty."`
 	Cost    bool          `help:"Measure what control costs the entries, without callers and disturbances."`
 	Targets int           `help:"Number of registered targets of such a measurement, up to 5000." default:"0"`
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -19,12 +19,14 @@
 	Stop     Promise = "stop"     // Stop: a planned stop of an entry interrupts no request that a target runs.
 	Version  Promise = "version"  // Version: a new configuration is in force at every entry within seconds.
 	Recovery Promise = "recovery" // Recovery: callers are served again within seconds of the last disturbance.
+	Leave    Promise = "leave"    // Leave: a target that announced in an answer that it is leaving gets nothing more from the entry that passed the answer on.
+	Pause    Promise = "pause"    // Pause: a target that asked an entry for a pause gets at most a few requests from it until the end.
 	Repeats  Promise = "repeats"  // Repeats: the repeats, which are the retries of all entries together, stay within the retry budget of each service.
 )
 
 // Promises returns all promises.
 func Promises() []Promise {
-	return []Promise{Whole, Once, NotRun, Drain, Stop, Version, Recovery, Repeats}
+	return []Promise{Whole, Once, NotRun, Drain, Stop, Version, Recovery, Repeats, Leave, Pause}
 }
 
 // Attempt is one request and its result as the caller saw them.
@@ -45,6 +47,7 @@
 // Arrival is one request that reached a target of a service, whether it ran or not.
 type Arrival struct {
 	ID      string
+	Target  string
 	Service string
 	At      time.Time
 }
@@ -93,10 +96,15 @@
 	drains       map[string]time.Time // drains holds when each target began to drain.
 	versions     []version
 	disturbances []interval
+	// interruptions holds, by the address of an entry or the id of a target, when the entry did not run or the target was cut off.
+	interruptions map[string][]interval
+	announcements []Announcement
 }
 
 // New returns an empty ledger.
-func New() *Ledger { return &Ledger{drains: make(map[string]time.Time)} }
+func New() *Ledger {
+	return &Ledger{drains: make(map[string]time.Time), interruptions: make(map[string][]interval)}
+}
 
 // AddAttempt records an attempt of a caller.
 func (l *Ledger) AddAttempt(a Attempt) {
@@ -161,6 +169,7 @@
 		found = append(found, l.checkRun(r)...)
 	}
 	found = append(found, l.checkRepeats(arrivals)...)
+	found = append(found, l.checkAnnouncements(arrivals)...)
 	return append(found, l.checkRecovery()...)
 }
 
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -134,3 +134,53 @@
 		t.Errorf("%v repeats beyond the ratio, want 0", got)
 	}
 }
+
+// Guards against a check of what targets announce that misses a request, and against one that reports an excused one.
+func TestAnnouncementsAreChecked(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, int64(s*float64(time.Second))) }
+	for _, c := range []struct {
+		name     string
+		announce ledger.Announcement
+		sent     []float64 // sent are the times of the requests through entry e0 that reach the target.
+		other    bool      // other is set when they come through another entry.
+		stopped  bool      // stopped is set when e0 was restarted meanwhile.
+		want     ledger.Promise
+	}{
+		{"leaving, late", ledger.Announcement{Leaving: true}, []float64{14}, false, false, ledger.Leave},
+		{"leaving, in time", ledger.Announcement{Leaving: true}, []float64{13}, false, false, ""},
+		{"leaving, through another entry", ledger.Announcement{Leaving: true}, []float64{14}, true, false, ""},
+		{"leaving, after a restart of the entry", ledger.Announcement{Leaving: true}, []float64{14}, false, true, ""},
+		{"pause, three requests", ledger.Announcement{Pause: 3 * time.Second}, []float64{10.6, 11, 12.9}, false, false, ledger.Pause},
+		{"pause, two requests", ledger.Announcement{Pause: 3 * time.Second}, []float64{10.4, 10.6, 12.9, 13.1}, false, false, ""},
+		{"pause, through another entry", ledger.Announcement{Pause: 3 * time.Second}, []float64{11, 11, 11}, true, false, ""},
+		{"pause, a restart of the entry", ledger.Announcement{Pause: 3 * time.Second}, []float64{11, 11, 11}, false, true, ""},
+		{"no announcement", ledger.Announcement{}, []float64{11, 11, 11}, false, false, ""},
+	} {
+		l := ledger.New()
+		l.AddAttempt(ledger.Attempt{ID: "first", Entry: "e0", Sent: at(9.9), Done: at(10), Status: 503})
+		c.announce.ID, c.announce.Target, c.announce.At = "first", "t", at(10)
+		l.AddAnnouncement(c.announce)
+		entry := "e0"
+		if c.other {
+			entry = "e1"
+		}
+		if c.stopped {
+			l.AddInterruption("e0", at(10.5), at(10.6))
+		}
+		var arrivals []ledger.Arrival
+		for i, s := range c.sent {
+			id := fmt.Sprint(i)
+			l.AddAttempt(ledger.Attempt{ID: id, Entry: entry, Sent: at(s), Done: at(s + 1), Status: 200, Success: true, Complete: true})
+			arrivals = append(arrivals, ledger.Arrival{ID: id, Target: "t", At: at(s)})
+		}
+		var found ledger.Promise
+		for _, b := range l.Check(nil, arrivals) {
+			if b.Promise == ledger.Leave || b.Promise == ledger.Pause {
+				found = b.Promise
+			}
+		}
+		if found != c.want {
+			t.Errorf("%s: %q, want %q", c.name, found, c.want)
+		}
+	}
+}
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -52,8 +52,13 @@
 func (w *World) breakPromise() {
 	behavior := map[string]platformtest.Behavior{
 		string(ledger.Whole): platformtest.WrongBody, string(ledger.Once): platformtest.RunTwice, string(ledger.NotRun): platformtest.FalseNotRun,
-		string(ledger.Repeats): platformtest.Full,
+		string(ledger.Repeats): platformtest.Full, string(ledger.Pause): platformtest.Full,
 	}[w.s.BreakPromise]
+	for _, t := range w.targets {
+		if t.Mute {
+			t.Announce("Server-Leaving", "1", "Retry-After", "3")
+		}
+	}
 	if behavior == platformtest.Normal {
 		return
 	}
@@ -128,6 +133,9 @@
 
 // restart ends an entry's process with the signal and starts it again after the delay.
 func (w *World) restart(ctx context.Context, e *entry, s os.Signal, after time.Duration) {
+	from := time.Now()
+	address, _, _ := e.addresses()
+	defer func() { w.ledger.AddInterruption(address, from, time.Now()) }()
 	exited := e.signal(s)
 	select {
 	case <-exited:
@@ -163,11 +171,16 @@
 	storeFails := func(name string, f platformtest.Fault) {
 		begin("store "+name, func() { w.store.SetFault(f) }, func() { w.store.SetFault(platformtest.None) })
 	}
-	switch w.random.IntN(19) {
+	switch w.random.IntN(21) {
 	case 0:
 		begin("kill "+e.name, func() {}, func() { w.restart(ctx, e, os.Kill, 0) })
 	case 1:
-		begin("freeze "+e.name, func() { e.signal(syscall.SIGSTOP) }, func() { e.signal(syscall.SIGCONT) })
+		from := time.Now()
+		begin("freeze "+e.name, func() { e.signal(syscall.SIGSTOP) }, func() {
+			e.signal(syscall.SIGCONT)
+			address, _, _ := e.addresses()
+			w.ledger.AddInterruption(address, from, time.Now())
+		})
 	case 2:
 		storeFails("silent", platformtest.Silent)
 	case 3:
@@ -187,7 +200,12 @@
 	case 10:
 		begin("connections of "+t.ID+" silent", t.proxy.Silence, func() {})
 	case 11:
-		begin("target "+t.ID+" cut off", func() { t.proxy.SetPartition(true) }, func() { t.proxy.SetPartition(false); t.proxy.Reset() })
+		from := time.Now()
+		begin("target "+t.ID+" cut off", func() { t.proxy.SetPartition(true) }, func() {
+			t.proxy.SetPartition(false)
+			t.proxy.Reset()
+			w.ledger.AddInterruption(t.ID, from, time.Now())
+		})
 	case 12:
 		behave("closes without response", platformtest.CloseWithoutResponse)
 	case 13:
@@ -202,11 +220,36 @@
 		begin(fmt.Sprintf("target %s restarts, its clock stepped by %v", t.ID, step), func() {
 			t.Restart(step + time.Millisecond)
 			t.proxy.Reset()
+			w.ledger.AddInterruption(t.ID, time.Now().Add(-d), time.Now())
 			t.Register(w.store, "ready", d)
 		}, func() { w.registerWarm(t) })
 	case 18:
 		behave("sends an endless header", platformtest.EndlessHeader)
+	case 19:
+		w.announceLeaving(t, begin)
+	case 20:
+		length := pauses[w.random.IntN(len(pauses))]
+		begin(fmt.Sprintf("target %s full, asks for a pause of %s s", t.ID, length), func() {
+			t.SetBehavior(platformtest.Full)
+			t.Announce("Retry-After", length)
+		}, func() { t.SetBehaviorFunc(nil); t.Announce(); w.breakPromise() })
 	case 16:
 		begin("target "+t.ID+" slow", func() { t.proxy.SetDelay(150 * time.Millisecond) }, func() { t.proxy.SetDelay(0) })
 	}
 }
+
+// pauses are the lengths of the pauses that targets ask for, in seconds.
+var pauses = []string{"0.3", "1", "2.5", "6", "0", "-1", "soon"}
+
+// announceLeaving makes a target announce in its answers for some time that it is leaving, while its registration says
+// that it is ready. Another target takes its place.
+func (w *World) announceLeaving(t *target, begin func(what string, on, off func())) {
+	if err := w.add(t.Service, t.Zone); err != nil {
+		w.note("no new target: %v", err)
+		return
+	}
+	w.mu.Lock()
+	t.draining = true
+	w.mu.Unlock()
+	begin(fmt.Sprintf("target %s announces its leaving", t.ID), func() { t.Announce("Server-Leaving", "1") }, func() { t.Announce() })
+}
--- a/internal/soak/world/target.go
+++ b/internal/soak/world/target.go
@@ -68,11 +68,18 @@
 func (t *target) arrivals() []ledger.Arrival {
 	var list []ledger.Arrival
 	for _, a := range t.Arrivals() {
-		list = append(list, ledger.Arrival{ID: a.ID, Service: t.Service, At: a.At})
+		list = append(list, ledger.Arrival{ID: a.ID, Target: t.ID, Service: t.Service, At: a.At})
 	}
 	return list
 }
 
+// addAnnouncements adds what the target announced to the ledger.
+func (t *target) addAnnouncements(l *ledger.Ledger) {
+	for _, a := range t.Announcements() {
+		l.AddAnnouncement(ledger.Announcement{ID: a.ID, Target: t.ID, At: a.At, Leaving: a.Leaving, Pause: a.Pause})
+	}
+}
+
 func (t *target) close(ctx context.Context) {
 	t.proxy.Close()
 	_ = t.server.Shutdown(ctx)
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		return err
 	}
+	t.Mute = w.s.BreakPromise == string(ledger.Leave) || w.s.BreakPromise == string(ledger.Pause)
 	w.mu.Lock()
 	w.targets = append(w.targets, t)
 	w.mu.Unlock()
@@ -211,6 +212,7 @@
 	for _, t := range w.targets {
 		runs = append(runs, t.runs()...)
 		arrivals = append(arrivals, t.arrivals()...)
+		t.addAnnouncements(w.ledger)
 	}
 	r := Report{Runs: len(runs), Steps: w.steps, Violations: w.ledger.Check(runs, arrivals)}
 	r.Requests, r.Served = w.ledger.AttemptCounts()
--- a/internal/soak/world/world_test.go
+++ b/internal/soak/world/world_test.go
@@ -64,7 +64,7 @@
 // Guards against a soak that doesn't detect a broken promise.
 func TestBrokenPromisesAreFound(t *testing.T) {
 	t.Parallel()
-	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery, ledger.Repeats} {
+	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery, ledger.Repeats, ledger.Leave, ledger.Pause} {
 		t.Run(string(p), func(t *testing.T) {
 			t.Parallel()
 			r := soak(t, t.Context(), world.Settings{Seed: 3, BreakPromise: string(p)})
