--- a/internal/entry/edge/announce_test.go
+++ b/internal/entry/edge/announce_test.go
@@ -181,12 +181,7 @@
 	} {
 		runFleet(t, []string{"a1"}, func(f *fleet) {
 			f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
-			registered := &platformtest.Target{ID: "t1", Service: "s1", Zone: "a1", Slots: 3, StartedMillis: 1, Address: "10.1.0.99:80"}
-			registered.Register(f.store, "ready", 0)
-			l, err := f.net.Listen("tcp", registered.Address)
-			if err != nil {
-				t.Fatal(err)
-			}
+			l := f.listenAsTarget("t1", "s1", "a1")
 			defer l.Close()
 			ctx, stop := context.WithCancel(context.Background())
 			go serveText(ctx, l, c.answer)
--- a/internal/entry/edge/cut_test.go
+++ b/internal/entry/edge/cut_test.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"tamarackspool/platform/platformtest"
 )
 
 // Guards against a success with an empty or short body, framed as whole, when a target closes in the middle of an
@@ -23,12 +21,7 @@
 	} {
 		runFleet(t, []string{"a1"}, func(f *fleet) {
 			f.configure(1, rule("book", "/b/", "unsafe", `,"service":"s1"`))
-			registered := &platformtest.Target{ID: "t1", Service: "s1", Zone: "a1", Slots: 3, StartedMillis: 1, Address: "10.1.0.99:80"}
-			registered.Register(f.store, "ready", 0)
-			l, err := f.net.Listen("tcp", registered.Address)
-			if err != nil {
-				t.Fatal(err)
-			}
+			l := f.listenAsTarget("t1", "s1", "a1")
 			defer l.Close()
 			cut := 0
 			go func() {
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -121,6 +121,18 @@
 	return t
 }
 
+// listenAsTarget registers a target whose connections the test serves itself.
+func (f *fleet) listenAsTarget(id, service, zone string) net.Listener {
+	f.t.Helper()
+	x := &platformtest.Target{ID: id, Service: service, Zone: zone, Slots: 3, StartedMillis: 1, Address: "10.1.0.99:80"}
+	x.Register(f.store, "ready", 0)
+	l, err := f.net.Listen("tcp", x.Address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return l
+}
+
 // rule returns one rule of the operators' configuration as JSON.
 func rule(name, prefix, kind, rest string) string {
 	return fmt.Sprintf(`{"resourceKind":"routes","metadata":{"name":%q},"spec":{"host":"h","prefix":%q,"kind":%q,"maxAttempts":2,"targetLatencyS":0.5,"homeRegions":[]%s}}`,
--- a/internal/entry/edge/late_test.go
+++ b/internal/entry/edge/late_test.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"tamarackspool/platform/platformtest"
 )
 
 // Guards against an order whose caller is told that it has not run, because a late second copy of the refusal of an
@@ -16,12 +14,7 @@
 func TestSecondCopyOfARefusalReachesNobody(t *testing.T) {
 	runFleet(t, []string{"a1"}, func(f *fleet) {
 		f.configure(1, rule("book", "/b/", "unsafe", `,"service":"s1"`))
-		registered := &platformtest.Target{ID: "t1", Service: "s1", Zone: "a1", Slots: 3, StartedMillis: 1, Address: "10.1.0.99:80"}
-		registered.Register(f.store, "ready", 0)
-		l, err := f.net.Listen("tcp", registered.Address)
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := f.listenAsTarget("t1", "s1", "a1")
 		defer l.Close()
 		const refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 		ran := make(chan string, 10)
