--- a/internal/soak/world/entry.go
+++ b/internal/soak/world/entry.go
@@ -34,6 +34,7 @@
 	peer      string
 	metrics   string
 	lines     []string
+	awaited   string // awaited is the text of the log line that pauseAt waits for; empty for none.
 }
 
 // maxLines is the number of log lines that are kept for each entry.
@@ -84,6 +85,10 @@
 			e.lines = e.lines[maxLines/2:]
 		}
 		e.lines = append(e.lines, e.name+" "+s.Text())
+		if e.awaited != "" && strings.Contains(s.Text(), e.awaited) {
+			_ = e.cmd.Process.Signal(syscall.SIGSTOP)
+			e.awaited = ""
+		}
 		e.mu.Unlock()
 	}
 }
@@ -96,6 +101,21 @@
 	return e.exited
 }
 
+// pauseAt freezes the process when it logs a line with the text.
+func (e *entry) pauseAt(text string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.awaited = text
+}
+
+// continueProcess lets a process run that pauseAt has stopped, and ends the waiting for its line.
+func (e *entry) continueProcess() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.awaited = ""
+	_ = e.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 // addresses returns the listen addresses of the running process; empty until it has logged them.
 func (e *entry) addresses() (call, directory, peer string) {
 	e.mu.Lock()
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -171,7 +171,7 @@
 	storeFails := func(name string, f platformtest.Fault) {
 		begin("store "+name, func() { w.store.SetFault(f) }, func() { w.store.SetFault(platformtest.None) })
 	}
-	switch w.random.IntN(21) {
+	switch w.random.IntN(23) {
 	case 0:
 		begin("kill "+e.name, func() {}, func() { w.restart(ctx, e, os.Kill, 0) })
 	case 1:
@@ -233,11 +233,27 @@
 			t.SetBehavior(platformtest.Full)
 			t.Announce("Retry-After", length)
 		}, func() { t.SetBehaviorFunc(nil); t.Announce(); w.breakPromise() })
+	case 21:
+		behave("writes refusals twice", platformtest.RefuseTwice)
+	case 22:
+		line := pauseLines[w.random.IntN(len(pauseLines))]
+		from := time.Now()
+		begin(fmt.Sprintf("freeze %s when it logs %s", e.name, line), func() { e.pauseAt("name=" + line + " ") }, func() {
+			e.continueProcess()
+			address, _, _ := e.addresses()
+			w.ledger.AddInterruption(address, from, time.Now())
+		})
 	case 16:
 		begin("target "+t.ID+" slow", func() { t.proxy.SetDelay(150 * time.Millisecond) }, func() { t.proxy.SetDelay(0) })
 	}
 }
 
+// pauseLines are the events at which an entry is frozen: it has just read a permission, or is about to act on one.
+var pauseLines = []string{
+	"request-placed", "request-repeated", "request-shed", "target-cold", "target-joined", "target-leaving", "target-paused",
+	"leaving-announced", "zone-evacuated", "version-adopted", "lease-granted", "stopping",
+}
+
 // pauses are the lengths of the pauses that targets ask for, in seconds.
 var pauses = []string{"0.3", "1", "2.5", "6", "0", "-1", "soon"}
 
