--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -108,7 +108,7 @@
 // admitAttempt reports whether an attempt may be sent to the target, just before its first byte: only while the target
 // wants requests, to a cold one only while this entry still paces it, and a retry only when the retry budget pays for it.
 func (e *Edge) admitAttempt(q *requestState, s *targetState, sent, unsent int) bool {
-	if !s.notice.Accepts(time.Now()) {
+	if !s.notice.AcceptsRequests(time.Now()) {
 		q.withheldByNotice = true
 		e.meters.withheld.Inc(1)
 		return false
@@ -317,7 +317,7 @@
 	}
 	position := q.key.Position()
 	if s := pick(func(s *targetState) bool {
-		return !v.isCold(s, now) && !s.gauge.BackingOff(now) && !s.notice.Awaits(position, now)
+		return !v.isCold(s, now) && !s.gauge.BackingOff(now) && !s.notice.AwaitsReturn(position, now)
 	}); s != nil {
 		return s
 	}
@@ -364,7 +364,7 @@
 
 // canAttempt reports whether the target is eligible for the request, wants requests and has not been tried for it.
 func (e *Edge) canAttempt(v *view, q *requestState, s *targetState, now time.Time) bool {
-	return e.eligible(v, q, s) && s.notice.Accepts(now) && !slices.ContainsFunc(q.triedTargets, func(o *targetState) bool { return o.gauge == s.gauge })
+	return e.eligible(v, q, s) && s.notice.AcceptsRequests(now) && !slices.ContainsFunc(q.triedTargets, func(o *targetState) bool { return o.gauge == s.gauge })
 }
 
 // eligible reports whether the target serves new requests under this request's rule.
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -114,7 +114,7 @@
 			continue
 		}
 		for _, s := range b.targets {
-			if s.target.Leaving() || !s.notice.Accepts(now) || !e.mayPace(v, s, now) || !e.healthChecks.tryBegin(s.target.ID(), now) {
+			if s.target.Leaving() || !s.notice.AcceptsRequests(now) || !e.mayPace(v, s, now) || !e.healthChecks.tryBegin(s.target.ID(), now) {
 				continue
 			}
 			running.Go(func() {
@@ -134,7 +134,7 @@
 	e.deps.Headers.SetTarget(h, s.target.ID())
 	a, err := e.pool.Do(bounded, upstream.Call{
 		Address: s.target.Address(), Method: http.MethodGet, Target: path, Host: s.target.Address(), Header: h,
-		BeforeSend: func() bool { return s.notice.Accepts(time.Now()) },
+		BeforeSend: func() bool { return s.notice.AcceptsRequests(time.Now()) },
 		Classify: func(status int, h http.Header) upstream.AnswerClass {
 			if e.deps.Headers.RequestID(h) != "" {
 				return upstream.OtherRequest
--- a/internal/steer/notice/notice.go
+++ b/internal/steer/notice/notice.go
@@ -56,16 +56,16 @@
 	return p.until, now.Before(p.until)
 }
 
-// Accepts reports whether the target may get requests.
-func (n *Notice) Accepts(now time.Time) bool {
+// AcceptsRequests reports whether the target may get requests.
+func (n *Notice) AcceptsRequests(now time.Time) bool {
 	_, paused := n.PausedUntil(now)
 	return !paused && !n.Leaving()
 }
 
-// Awaits reports whether an object is to wait for its return to the target after a pause. Objects come back one
+// AwaitsReturn reports whether an object is to wait for its return to the target after a pause. Objects come back one
 // after another, in the order of their positions in [0, 1), over the length of the pause or maxReturn, so that
 // neither one entry nor hundreds send all that they held back at the same moment.
-func (n *Notice) Awaits(position float64, now time.Time) bool {
+func (n *Notice) AwaitsReturn(position float64, now time.Time) bool {
 	p := n.pause.Load()
 	if p == nil {
 		return false
@@ -81,4 +81,4 @@
 }
 
 // active reports whether the notice still keeps requests from its target.
-func (n *Notice) active(now time.Time) bool { return !n.Accepts(now) }
+func (n *Notice) active(now time.Time) bool { return !n.AcceptsRequests(now) }
--- a/internal/steer/notice/notice_test.go
+++ b/internal/steer/notice/notice_test.go
@@ -54,11 +54,11 @@
 			case step == 4: // The target starts again under its id.
 				table.Keep(i, notices[id], now)
 				register(id, i.StartedMillis+1)
-				if !notices[id].Accepts(now) {
+				if !notices[id].AcceptsRequests(now) {
 					t.Fatalf("a new incarnation of %s does not start clean", id)
 				}
 			default:
-				if !notices[id].Accepts(now) {
+				if !notices[id].AcceptsRequests(now) {
 					continue
 				}
 				for _, a := range announced {
@@ -73,7 +73,7 @@
 			for _, a := range announced {
 				keeps = keeps || a.of == i && (a.leaving || now.Before(a.at.Add(a.pause)))
 			}
-			if notices[id].Accepts(now) == keeps {
+			if notices[id].AcceptsRequests(now) == keeps {
 				t.Fatalf("%v gets requests: %v, although its announcements say otherwise", i, !keeps)
 			}
 		}
@@ -91,7 +91,7 @@
 		t.Error("a shorter pause moves the end")
 	}
 	end := now.Add(notice.MaxPause)
-	if n.TakeEnd(end.Add(-1)) || n.Accepts(end.Add(-1)) || !n.Accepts(end) || !n.TakeEnd(end) || n.TakeEnd(end) {
+	if n.TakeEnd(end.Add(-1)) || n.AcceptsRequests(end.Add(-1)) || !n.AcceptsRequests(end) || !n.TakeEnd(end) || n.TakeEnd(end) {
 		t.Error("the end of the pause is not taken once, when it comes")
 	}
 }
@@ -107,7 +107,7 @@
 				e := new(notice.Notice)
 				e.Pause(pause, now)
 				for k := range objects {
-					if !e.Awaits((float64(k)+0.5)/objects, now.Add(pause+after)) {
+					if !e.AwaitsReturn((float64(k)+0.5)/objects, now.Add(pause+after)) {
 						n++
 					}
 				}
