internal/request/liveness: refuse an account that counts nothing

Change: an account of an open connection without a sent segment is none; the kernel's timeout stays there, as before the guard.

--- a/internal/request/liveness/liveness.go
+++ b/internal/request/liveness/liveness.go
@@ -31,7 +31,13 @@
 	if read != nil {
 		return Sample{}, fmt.Errorf("liveness: %w", read)
 	}
-	if info.State != tcpEstablished || info.Snd_mss == 0 {
+	return FromInfo(info)
+}
+
+// FromInfo returns the sample that a kernel's account holds. The error says that the account counts nothing: an open
+// connection has sent at least one segment. Its other fields would call every peer alive.
+func FromInfo(info *unix.TCPInfo) (Sample, error) {
+	if info.State != tcpEstablished || info.Segs_out == 0 {
 		return Sample{}, errNoAccount
 	}
 	return Sample{
--- a/internal/request/liveness/liveness_test.go
+++ b/internal/request/liveness/liveness_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tamarackspool/internal/request/liveness"
 )
 
@@ -45,6 +47,18 @@
 	}
 }
 
+// Guards against an account that a system fills with zeros: by it, no peer would ever be silent.
+func TestAccountsThatCountNothingAreRefused(t *testing.T) {
+	const established = 1
+	if _, err := liveness.FromInfo(&unix.TCPInfo{State: established, Snd_mss: 1448}); err == nil {
+		t.Error("an account without a sent segment is accepted")
+	}
+	s, err := liveness.FromInfo(&unix.TCPInfo{State: established, Segs_out: 3, Unacked: 2, Probes: 1, Last_ack_recv: 700})
+	if want := (liveness.Sample{Unacknowledged: true, Probes: 1, SinceAnswer: 700 * time.Millisecond}); err != nil || s != want {
+		t.Errorf("%+v, %v; want %+v", s, err, want)
+	}
+}
+
 // Guards against an account that cannot be read from a real connection.
 func TestAccountOfAnOpenConnection(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
