internal/site/mirror: give a hanging call and the one behind it their time in the test

Cause: the call that hangs ends after 2.8 s, the next one begins up to 0.75 s later, by jitter, and is held open for 2 s, as nothing has changed: 5.55 s by the follower's own constants.

--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -353,7 +353,8 @@
 				t.Errorf("%s: age %v after 8 s without a read of the changes", name, age)
 			}
 			store.set(func(w *fakeSource) { w.fails, w.unresponsive = false, false })
-			time.Sleep(4 * time.Second)
+			// The call that hangs ends after 2.8 s, the next one begins up to 0.75 s later and is held open for 2 s.
+			time.Sleep(5600 * time.Millisecond)
 			if age := follower.Age(); age >= mirror.StaleAfter {
 				t.Errorf("%s: age %v after the changes can be read again", name, age)
 			}
