internal/entry/edge, internal/request/upstream: log what a refusal rests on

Cause: a line of a refusal (4013, 4008) says neither whether the target's answer named the request, nor what its connection had carried before, nor whether the request had been sent whole. The hypotheses about REFUSED in docs/incidents/refused.md cannot be told apart by it. No decision changes. Result: go test ./internal/entry/edge ./internal/request/upstream passes.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -76,6 +76,7 @@
 			sent++
 		case f == nil:
 			e.noteShed(q, s, a)
+			q.proofs++
 			sent++
 		case f.Kind() == upstream.Withheld && q.withheldByNotice:
 			q.withheldByNotice = false
@@ -181,7 +182,8 @@
 	now := time.Now()
 	running, waiting, _, _ := e.deps.Headers.TargetLoad(a.Header)
 	e.events.Log(event.RequestShed, "id", q.id, "target", s.target.ID(), "status", a.Status, "running", running, "waiting", waiting,
-		"slots", s.target.Slots(), "opened", a.ConnectTime, "after", time.Since(q.Arrived))
+		"slots", s.target.Slots(), "opened", a.ConnectTime, "named", a.Named, "carried", a.Earlier, "whole", a.SentWhole, "after", time.Since(q.Arrived))
+	e.meters.countProof(a)
 	if a.Status == http.StatusMisdirectedRequest {
 		// Another target answers at the address: this one has terminated.
 		s.gauge.RecordFailure(now)
@@ -213,7 +215,7 @@
 	h := inbound.EndToEndHeaders(q.Header)
 	e.deps.Headers.SetDeadline(h, time.Until(q.deadline))
 	e.deps.Headers.SetTarget(h, s.target.ID())
-	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(),
+	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(), "kind", q.rule.Kind(),
 		"object", q.object, "earlier", sent, "home", q.candidateIndex, "first-load", q.firstCandidateLoad, "load", s.gauge.Load(time.Now()), "slots", s.target.Slots(), "waited", time.Since(q.Arrived), "revision", s.revision)
 	e.affinity.Record(q.key, s.hash, time.Now())
 	q.lastSent = time.Now()
--- a/internal/entry/edge/metrics.go
+++ b/internal/entry/edge/metrics.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"tamarackspool/internal/request/upstream"
 )
 
 // The outcomes of requests; each has its own counter.
@@ -36,6 +38,9 @@
 	// announcedLeaving counts targets that announced in an answer that they leave, pauses the pauses that targets asked for,
 	// and withheld the requests that one of both kept from a target after it was chosen.
 	announcedLeaving, pauses, withheld metrics.Counter
+	// proofs counts the answers by which targets stated that they did not run a request, unnamedProofs those of them that
+	// named no request, and sharedProofs those on a connection that had carried an earlier request.
+	proofs, unnamedProofs, sharedProofs metrics.Counter
 }
 
 // serviceMeters holds the metrics of one service.
@@ -52,6 +57,9 @@
 	m.announcedLeaving = metrics.NewRegisteredCounter("target.announced-leaving", m.registry)
 	m.pauses = metrics.NewRegisteredCounter("target.pauses", m.registry)
 	m.withheld = metrics.NewRegisteredCounter("target.withheld", m.registry)
+	m.proofs = metrics.NewRegisteredCounter("target.proofs", m.registry)
+	m.unnamedProofs = metrics.NewRegisteredCounter("target.proofs-unnamed", m.registry)
+	m.sharedProofs = metrics.NewRegisteredCounter("target.proofs-shared", m.registry)
 	return m
 }
 
@@ -82,6 +90,17 @@
 	return s
 }
 
+// countProof counts an answer by which a target stated that it did not run a request.
+func (m *meters) countProof(a *upstream.Answer) {
+	m.proofs.Inc(1)
+	if !a.Named {
+		m.unnamedProofs.Inc(1)
+	}
+	if a.Earlier > 0 {
+		m.sharedProofs.Inc(1)
+	}
+}
+
 // countOutcome counts the outcome of a request and records the latency of an answered one.
 func (m *meters) countOutcome(q *requestState, outcome string) {
 	if q.service == "" {
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -40,6 +40,7 @@
 	withheldByNotice   bool      // withheldByNotice is set when the target announced, after it was chosen, that it wants no requests.
 	paced              bool      // paced is set when the target was chosen although it is cold, because this entry paces it.
 	mayHaveRun         bool      // mayHaveRun is set when a target may have run the request.
+	proofs             int       // proofs counts the targets that have stated that they did not run the request.
 	candidateIndex     int       // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
 	firstCandidateLoad int       // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
 }
@@ -170,7 +171,8 @@
 // refuse answers that the request has not run, with a jittered Retry-After; a request that may have run gets a 502.
 func (e *Edge) refuse(q *requestState, reason string, delay refusal.Delay) *inbound.Answer {
 	after := delay.At(rand.Float64())
-	e.events.Log(event.RequestRefused, "id", q.id, "service", q.service, "reason", reason, "tried", len(q.triedTargets), "after", after)
+	e.events.Log(event.RequestRefused, "id", q.id, "service", q.service, "reason", reason, "tried", len(q.triedTargets), "proofs", q.proofs,
+		"version", configurationVersion(e.view.Load()), "after", after)
 	if q.mayHaveRun {
 		e.meters.countOutcome(q, outcomeFailed)
 		return inbound.EmptyAnswer(http.StatusBadGateway)
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -48,6 +48,9 @@
 	BodyRest    io.ReadCloser // BodyRest follows Body for a large answer; nil when Body is whole.
 	ConnectTime time.Duration // ConnectTime is the time that it took to obtain a connection, before the first byte was sent.
 	Length      int64         // Length is the length of the whole body in bytes; negative when unknown.
+	Named       bool          // Named is set when the answer names the request.
+	Earlier     int           // Earlier is the number of requests that the connection had carried before this one.
+	SentWhole   bool          // SentWhole is set when the whole request had been written when the answer was complete.
 }
 
 const (
@@ -85,6 +88,7 @@
 		return nil, &Failure{kind: Withheld, connectTime: connectTime, err: errWithheld}
 	}
 	c.sent.Store(false)
+	c.requests++
 	_ = c.raw.SetDeadline(time.Time{})
 	stopInterrupt := context.AfterFunc(ctx, c.interrupt)
 	endGuard := func() {}
@@ -102,14 +106,15 @@
 		c.abort()
 		return nil, newFailure(ctx, c, connectTime, err)
 	}
-	a.ConnectTime = connectTime
+	a.ConnectTime, a.Earlier = connectTime, c.requests-1
+	a.SentWhole = writeSucceeded(written)
 	if a.BodyRest != nil {
 		a.BodyRest = &bodyRest{ReadCloser: a.BodyRest, c: c, stop: stop}
 		return a, nil
 	}
 	// If the body is still being written when the answer is complete, the target has
 	// not read it, and the connection can't be reused.
-	if done := stop(); done && keep && writeSucceeded(written) && c.br.Buffered() == 0 {
+	if done := stop(); done && keep && a.SentWhole && c.br.Buffered() == 0 {
 		c.markIdle(a.Header, time.Now())
 		p.putIdle(c)
 	} else {
@@ -223,6 +228,7 @@
 		if err != nil {
 			return nil, false, readError(err)
 		}
+		a.Named = class == Matching
 		return a, !resp.Close && otherAnswers == 0 && class != Unidentified, nil
 	}
 }
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -19,6 +19,7 @@
 	br        *bufio.Reader
 	lastUsed  time.Time
 	expires   time.Time   // expires is the time after which the connection must not be used.
+	requests  int         // requests counts the requests that the connection has carried, the one in progress included.
 	sent      atomic.Bool // sent is set when bytes of the request in progress may have been sent.
 	readLimit int         // readLimit is how many more bytes may be read; negative means no limit.
 }
