--- a/internal/request/forward/failure_test.go
+++ b/internal/request/forward/failure_test.go
@@ -99,6 +99,41 @@
 	})
 }
 
+// Guards against an order that runs and whose caller is told that it has not: a refusal behind an earlier answer is taken for the order's.
+func TestRefusalBehindAnAnswerDoesNotRefuseTheNextOrder(t *testing.T) {
+	for name, first := range map[string]func(r *rig) reply{
+		"a read":   func(r *rig) reply { return r.roundTrip(r.request("GET", "gifts/a", nil, "Idempotency-Key", "first")) },
+		"an order": func(r *rig) reply { return r.sendOnce("Idempotency-Key", "first") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runRig(t, forward.Settings{Attempts: 1}, func(t *testing.T, r *rig) {
+				ran := 0
+				r.replaceTarget(func(w http.ResponseWriter, _ *http.Request) {
+					conn, br, err := http.NewResponseController(w).Hijack()
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					defer conn.Close()
+					const success = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+					ran++
+					_, _ = io.WriteString(conn, success)
+					if _, err := http.ReadRequest(br.Reader); err == nil {
+						ran++
+						_, _ = io.WriteString(conn, "HTTP/1.1 429 Too Many Requests\r\nShed: 1\r\nContent-Length: 0\r\n\r\n"+success)
+					}
+				})
+				if got := first(r); got.verdict != "ran" {
+					t.Errorf("the first request: %+v", got)
+				}
+				if got := r.sendOnce("Idempotency-Key", "second"); got.verdict != "ran" || ran != 2 {
+					t.Errorf("the order: %+v, %d ran", got, ran)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a late answer that reaches another request or is not counted.
 func TestLateAnswer(t *testing.T) {
 	runRig(t, forward.Settings{}, func(t *testing.T, r *rig) {
