internal/request/upstream: a connection of its own for each attempt of an order

Cause: what a target said of an earlier request, or of an earlier attempt of the same order, could be read as the answer to the attempt in progress on a shared connection. An answer is matched by the caller's id, which refusals often lack and which all attempts of an order share; ended connections behind refusals without an id only. Change: an attempt that must run at most once opens a connection and is the first request on it, so that nothing read there can answer anything else. The rule of 150 ms of idle time goes.

--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -19,7 +19,7 @@
 	Header            http.Header
 	Body              []byte
 	SendContentLength bool // SendContentLength sends Content-Length: 0 for an empty body.
-	AtMostOnce        bool // AtMostOnce is set when the request must run at most once.
+	AtMostOnce        bool // AtMostOnce is set when the request must run at most once; it gets a connection of its own.
 	// BeforeSend is called when a connection is available and before the first byte is sent. The request
 	// is not sent when it returns false. It may be nil.
 	BeforeSend func() bool
--- a/internal/request/upstream/forgotten_test.go
+++ b/internal/request/upstream/forgotten_test.go
@@ -14,7 +14,7 @@
 	"tamarackspool/internal/soak/proxy"
 )
 
-// idlePause is longer than a connection may have been idle for a request that must run at most once.
+// idlePause is the idle time between the orders of the test.
 const idlePause = 200 * time.Millisecond
 
 // Guards against an at-most-once request that is lost on a connection which something between the two ends has forgotten
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -18,9 +18,6 @@
 	defaultIdleTimeout = 5 * time.Second
 	// idleTimeoutMargin is subtracted from the timeout that the target states, to allow for network delay.
 	idleTimeoutMargin = time.Second
-	// maxOnceIdle is the longest idle time after which a connection may carry a request that must run at most
-	// once. On a connection that the target has dropped, the outcome would be unknown; no target drops one so soon.
-	maxOnceIdle = 150 * time.Millisecond
 	// earlyCloseWindow is the idle time up to which a closed connection indicates that the target has
 	// terminated: targets close, or drop, connections that are idle for longer.
 	earlyCloseWindow = 2 * time.Second
@@ -104,11 +101,16 @@
 // Close closes all idle connections.
 func (p *Pool) Close() { p.CloseExpired(time.Now().Add(24 * time.Hour)) }
 
-// acquire returns an idle connection that may carry the request, or opens a new one.
+// acquire returns an idle connection that may carry the request, or opens a new one. A request that must run at most
+// once gets a new one: on a connection that has carried another request, a late copy of that one's answer could say that
+// this one has not run, and on one that its target has dropped the outcome would be unknown.
 func (p *Pool) acquire(ctx context.Context, address string, once bool) (*conn, error) {
+	if once {
+		return p.open(ctx, address)
+	}
 	for {
 		now := time.Now()
-		c := p.popIdle(address, once, now)
+		c := p.popIdle(address)
 		if c == nil {
 			return p.open(ctx, address)
 		}
@@ -126,9 +128,8 @@
 	}
 }
 
-// popIdle returns the most recently used idle connection. It returns nil when there is none,
-// or when once is set and that connection was idle for longer than maxOnceIdle.
-func (p *Pool) popIdle(address string, once bool, now time.Time) *conn {
+// popIdle returns the most recently used idle connection, or nil when there is none.
+func (p *Pool) popIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -136,9 +137,6 @@
 		return nil
 	}
 	c := list[len(list)-1]
-	if once && now.Sub(c.lastUsed) > maxOnceIdle {
-		return nil
-	}
 	p.idle[address] = list[:len(list)-1]
 	return c
 }
--- a/internal/request/upstream/pool_test.go
+++ b/internal/request/upstream/pool_test.go
@@ -255,11 +255,11 @@
 	})
 }
 
-// Guards against an at-most-once request on a connection that was idle for a while: when the target
-// has dropped the connection, it is unknown whether the request has run. Reads may still use it.
+// Guards against an at-most-once request on a connection that has carried another one: a late copy of that one's answer
+// could say that it has not run, and when the target has dropped the connection, the outcome is unknown.
 func TestOnceCallsUseFreshConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newRig(echo, echo)
+		r := newRig(echo, echo, echo, echo)
 		defer r.pool.Close()
 		once := func(c *upstream.Call) { c.AtMostOnce = true }
 		for i, step := range []struct {
@@ -268,11 +268,11 @@
 			dials int
 		}{
 			{0, once, 1},
-			{100 * time.Millisecond, once, 1},
-			{180 * time.Millisecond, once, 2},
-			{time.Second, nil, 2},
-			{time.Millisecond, once, 2},
-			{50 * time.Millisecond, nil, 2},
+			{0, once, 2},
+			{180 * time.Millisecond, once, 3},
+			{time.Second, nil, 3},
+			{time.Millisecond, once, 4},
+			{50 * time.Millisecond, nil, 4},
 		} {
 			time.Sleep(step.pause)
 			r.call(t.Context(), fmt.Sprint(i), step.with)
