internal/request/forward: a connection for each request of services that run once

Callers of the product's own entries got not-run for an order that had run. Change: a response of a target whose service runs requests at most once ends its connection. Relays between entries name their attempts and keep theirs.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -133,10 +133,10 @@
 	return t.readAnswer()
 }
 
-// closeAfter reports whether a target's response ends its connection: a late second copy of a refusal, which names no
-// request, would say of the next one that it has not run.
+// closeAfter reports whether a target's response ends its connection. No response names its request, so that one which
+// comes late would be read as the next one's; where requests run at most once, each has a connection of its own.
 func (t *attempt) closeAfter(r *http.Response) bool {
-	return !t.relayed && r.StatusCode >= http.StatusMultipleChoices
+	return !t.relayed && (r.StatusCode >= http.StatusMultipleChoices || t.job.service.AtMostOnce())
 }
 
 // paceBody waits until the link's pacer allows a buffered body, which is charged as one piece.
