internal/request/upstream: take no bytes that precede an order for its answer

Cause: a target, or something before it, that sends a refusal when a connection is opened was believed to have refused the order that was sent next. Change: a connection of an order on which bytes wait before its first byte is ended; nothing was sent, so that another target may get the order.

--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -87,6 +87,10 @@
 		p.putIdle(c)
 		return nil, &Failure{kind: Withheld, connectTime: connectTime, err: errWithheld}
 	}
+	if call.AtMostOnce && c.hasUnreadBytes() {
+		c.abort()
+		return nil, &Failure{kind: InvalidAnswer, connectTime: connectTime, err: errUnasked}
+	}
 	c.sent.Store(false)
 	c.requests++
 	_ = c.raw.SetDeadline(time.Time{})
@@ -123,6 +127,9 @@
 	return a, nil
 }
 
+// errUnasked means that the target sent bytes before it was sent the request, so that they cannot be an answer to it.
+var errUnasked = &invalidAnswerError{"bytes before the request"}
+
 var errWithheld = errors.New("call withheld before it was sent")
 
 func writeSucceeded(written <-chan error) bool {
