internal/request/pool: what a restarted process says of an attempt proves nothing

Callers of the product's own entries got not-run for an order that had run. Cause: when a connection breaks, the entry asks the address over a new one to drop the attempt, and 'dropped' counts as proof. A target (or another entry) that was started again in between knows nothing of the attempt and says 'dropped' too. Change: the answer says how long its process has run ('up'); it is a proof only from a process that ran when the attempt was sent. The entry's side counts the time of day too, as its steady clock stands still while its VM is suspended. An answer without the field proves nothing. Evidence: TestRestartedTargetProvesNothingAboutAnOrder fails before (both orders told not-run, 1 and 1 ran) and passes. Two tests that compare the answer's text have the new field; one of them runs in simulated time now, so that it is exact.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -210,5 +210,5 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.job.ctx), cancelTimeout)
 	defer cancel()
-	return t.pool.CancelAttempt(ctx, t.address, t.id) == pool.Dropped
+	return t.pool.CancelAttempt(ctx, t.address, t.id, t.start) == pool.Dropped
 }
--- a/internal/request/forward/check_test.go
+++ b/internal/request/forward/check_test.go
@@ -216,7 +216,7 @@
 func TestRelayedAttemptArrivesLateOrTwice(t *testing.T) {
 	runRig(t, forward.Settings{}, func(t *testing.T, r *rig) {
 		get := func(id string) reply { return r.sendRelayed("GET", "/run/status/a", "1", peerToken, id) }
-		if got := r.sendRelayed("DELETE", "/attempt/x", "1", peerToken, ""); got.body != `{"state":"dropped"}` {
+		if got := r.sendRelayed("DELETE", "/attempt/x", "1", peerToken, ""); got.body != `{"state":"dropped","up":0}` {
 			t.Errorf("DELETE: %s", got.body)
 		}
 		r.expectReply(get("x"), 503, verdict.NotRun, verdict.ReasonCancelled)
--- a/internal/request/forward/failure_test.go
+++ b/internal/request/forward/failure_test.go
@@ -134,6 +134,34 @@
 	}
 }
 
+// Guards against an order that runs and whose caller is told that it has not: the target that ran it was started again at
+// its address, and the new process knows nothing of the order.
+func TestRestartedTargetProvesNothingAboutAnOrder(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": time.Millisecond, "after a while": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runRig(t, forward.Settings{Attempts: 1}, func(t *testing.T, r *rig) {
+				time.Sleep(time.Minute)
+				ran := 0
+				restarted := target.New(target.Settings{})
+				r.replaceTarget(func(w http.ResponseWriter, q *http.Request) {
+					if q.Method == http.MethodDelete {
+						restarted.ServeHTTP(w, q)
+						return
+					}
+					ran++
+					time.Sleep(pause)
+					restarted = target.New(target.Settings{})
+					panic(http.ErrAbortHandler)
+				})
+				r.expectReply(r.sendOnce(), 502, verdict.MayHaveRun, verdict.ReasonConnect)
+				if ran != 1 {
+					t.Errorf("%d ran", ran)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a late answer that reaches another request or is not counted.
 func TestLateAnswer(t *testing.T) {
 	runRig(t, forward.Settings{}, func(t *testing.T, r *rig) {
--- a/internal/request/forward/peer.go
+++ b/internal/request/forward/peer.go
@@ -104,7 +104,7 @@
 	case http.MethodDelete:
 		state = f.attempts.cancel(id)
 	}
-	writeJSON(w, map[string]string{"state": state})
+	writeJSON(w, map[string]any{"state": state, "up": f.uptime().Milliseconds()})
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -19,7 +19,7 @@
 	Unknown                  // Unknown means that the attempt has not arrived at the remote side.
 	Running                  // Running means that the attempt has started.
 	Done                     // Done means that the attempt has ended.
-	Dropped                  // Dropped proves that the attempt has not started and never will.
+	Dropped                  // Dropped proves that the attempt has not started and never will, if the remote process ran when it was sent.
 )
 
 const (
@@ -37,40 +37,54 @@
 
 // QueryAttempt queries the state of an attempt over a new connection.
 func (p *Pool) QueryAttempt(ctx context.Context, address, attempt string) State {
-	return p.sendQuery(ctx, http.MethodGet, address, attempt)
+	state, _ := p.sendQuery(ctx, http.MethodGet, address, attempt)
+	return state
 }
 
-// CancelAttempt requests over a new connection that an attempt be dropped, and returns its state.
-func (p *Pool) CancelAttempt(ctx context.Context, address, attempt string) State {
-	return p.sendQuery(ctx, http.MethodDelete, address, attempt)
+// CancelAttempt requests over a new connection that an attempt, which was sent at the given time, be dropped, and returns
+// its state. What a process says that has started since then is Unknown: the one before it may have run the attempt.
+func (p *Pool) CancelAttempt(ctx context.Context, address, attempt string, sent time.Time) State {
+	state, uptime := p.sendQuery(ctx, http.MethodDelete, address, attempt)
+	if state == Dropped && uptime < elapsedSince(sent) {
+		return Unknown
+	}
+	return state
+}
+
+// elapsedSince returns the time since t by the steady clock or, if that stood still while the VM was suspended, by the time of day.
+func elapsedSince(t time.Time) time.Duration {
+	now := time.Now()
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
 }
 
-// sendQuery opens a new connection, because the pooled connections may be silent.
-func (p *Pool) sendQuery(ctx context.Context, method, address, attempt string) State {
+// sendQuery returns the state of an attempt and how long the process that states it has run. It opens a new connection,
+// because the pooled connections may be silent.
+func (p *Pool) sendQuery(ctx context.Context, method, address, attempt string) (State, time.Duration) {
 	a := p.addrPool(address)
 	// A target with hundreds of waiting requests must not receive as many additional connections.
 	select {
 	case a.querySlots <- struct{}{}:
 		defer func() { <-a.querySlots }()
 	case <-ctx.Done():
-		return Unreachable
+		return Unreachable, 0
 	}
 	c, err := p.connect(ctx, a)
 	if err != nil {
-		return Unreachable
+		return Unreachable, 0
 	}
 	defer c.close()
 	data, err := p.doShortRequest(ctx, c, method, "/attempt/"+attempt)
 	if err != nil {
-		return Unreachable
+		return Unreachable, 0
 	}
 	var answer struct {
 		State string `json:"state"`
+		Up    int64  `json:"up"` // Up is the time since the start of the process in milliseconds; 0 if it isn't stated.
 	}
 	if json.Unmarshal(data, &answer) != nil {
-		return Unreachable
+		return Unreachable, 0
 	}
-	return statesByName[answer.State]
+	return statesByName[answer.State], time.Duration(answer.Up) * time.Millisecond
 }
 
 // doShortRequest sends one request on the connection and returns the body of its short response.
--- a/internal/standin/target/serve.go
+++ b/internal/standin/target/serve.go
@@ -34,7 +34,7 @@
 	default:
 		state = t.attempts.get(id)
 	}
-	writeJSON(w, map[string]string{"state": state})
+	writeJSON(w, map[string]any{"state": state, "up": time.Since(t.started).Milliseconds()})
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -20,6 +20,7 @@
 	draining bool // draining is whether the target reports that it is leaving.
 	runs     []Run
 	attempts *attempts
+	started  time.Time
 	samples  []sample // samples holds past loads, the oldest first.
 	conns    map[*conn]bool
 	server   *http.Server
@@ -39,7 +40,7 @@
 func New(s Settings) *Target {
 	s.Slots = max(1, s.Slots)
 	return &Target{
-		s: s, rand: rand.New(rand.NewPCG(s.Seed, 1)), attempts: newAttempts(),
+		s: s, rand: rand.New(rand.NewPCG(s.Seed, 1)), attempts: newAttempts(), started: time.Now(),
 		conns: make(map[*conn]bool), arrivals: make(chan struct{}, maxArrivals),
 	}
 }
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -24,18 +24,20 @@
 
 // Guards against a stand-in that runs an attempt after it has reported it as dropped.
 func TestDroppedAttemptIsRefusedLater(t *testing.T) {
-	s := target.New(target.Settings{})
-	if got := get(t, s, "DELETE", "/attempt/x").Body.String(); got != `{"state":"dropped"}` {
-		t.Errorf("DELETE of an unknown attempt: %s", got)
-	}
-	w := get(t, s, "GET", "/a", "Attempt", "x")
-	if w.Code != http.StatusTooManyRequests || w.Header().Get("Shed") != "1" || len(s.Runs()) != 0 {
-		t.Errorf("late arrival: %d with %d runs", w.Code, len(s.Runs()))
-	}
-	get(t, s, "GET", "/a", "Attempt", "y")
-	if got := get(t, s, "DELETE", "/attempt/y").Body.String(); got != `{"state":"done"}` {
-		t.Errorf("DELETE of a finished attempt: %s", got)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		s := target.New(target.Settings{})
+		if got := get(t, s, "DELETE", "/attempt/x").Body.String(); got != `{"state":"dropped","up":0}` {
+			t.Errorf("DELETE of an unknown attempt: %s", got)
+		}
+		w := get(t, s, "GET", "/a", "Attempt", "x")
+		if w.Code != http.StatusTooManyRequests || w.Header().Get("Shed") != "1" || len(s.Runs()) != 0 {
+			t.Errorf("late arrival: %d with %d runs", w.Code, len(s.Runs()))
+		}
+		get(t, s, "GET", "/a", "Attempt", "y")
+		if got := get(t, s, "DELETE", "/attempt/y").Body.String(); got != `{"state":"done","up":0}` {
+			t.Errorf("DELETE of a finished attempt: %s", got)
+		}
+	})
 }
 
 // Guards against a count of repeated orders that mixes tenants or misses a second target.
