--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -171,7 +171,7 @@
 	storeFails := func(name string, f platformtest.Fault) {
 		begin("store "+name, func() { w.store.SetFault(f) }, func() { w.store.SetFault(platformtest.None) })
 	}
-	switch w.random.IntN(23) {
+	switch w.random.IntN(24) {
 	case 0:
 		begin("kill "+e.name, func() {}, func() { w.restart(ctx, e, os.Kill, 0) })
 	case 1:
@@ -243,6 +243,8 @@
 			address, _, _ := e.addresses()
 			w.ledger.AddInterruption(address, from, time.Now())
 		})
+	case 23:
+		behave("writes refusals behind answers", platformtest.RefuseBehind)
 	case 16:
 		begin("target "+t.ID+" slow", func() { t.proxy.SetDelay(150 * time.Millisecond) }, func() { t.proxy.SetDelay(0) })
 	}
