internal/entry/edge: end the connection of a long answer that is not passed on

Cause: an answer longer than 256 KB is read on by whoever gets it. Refusals and answers to health checks go to nobody, and were dropped without being ended: the connection stayed open, with all that the kernel buffers for it, until the garbage collector found it. Change: upstream.Answer.Discard ends what is not passed on.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -75,6 +75,7 @@
 			failure = func() *inbound.Answer { return e.deliver(q, s, a) }
 			sent++
 		case f == nil:
+			a.Discard()
 			e.noteShed(q, s, a)
 			q.proofs++
 			sent++
@@ -276,9 +277,7 @@
 	s.gauge.RecordAnswer(time.Since(q.lastSent) <= q.rule.LatencyObjective())
 	if promisesNotRun(a.Status) && q.rule.Kind() != book.Safe {
 		// The status would guarantee that the request has not run, but the target gave no proof of it.
-		if a.BodyRest != nil {
-			_ = a.BodyRest.Close()
-		}
+		a.Discard()
 		e.events.Log(event.RequestFailed, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
 		e.meters.countOutcome(q, outcomeFailed)
 		return inbound.EmptyAnswer(http.StatusBadGateway)
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -146,11 +146,12 @@
 			return upstream.Matching // A second copy names no request, and a request's success must name its own.
 		},
 	})
-	if err != nil || e.deps.Headers.TargetInstance(a.Header) != s.target.ID() {
+	if err != nil {
 		return
 	}
-	if a.BodyRest != nil {
-		_ = a.BodyRest.Close()
+	a.Discard()
+	if e.deps.Headers.TargetInstance(a.Header) != s.target.ID() {
+		return
 	}
 	if left := e.deps.Headers.ColdLeft(a.Header); left > 0 {
 		if e.markCold(s, left, "its health check reports it") {
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -53,6 +53,13 @@
 	SentWhole   bool          // SentWhole is set when the whole request had been written when the answer was complete.
 }
 
+// Discard ends an answer that nobody reads to its end, with its connection if some of the body has not been read.
+func (a *Answer) Discard() {
+	if a.BodyRest != nil {
+		_ = a.BodyRest.Close()
+	}
+}
+
 const (
 	// maxBufferedBody is the largest answer body in bytes that is buffered before any of it is passed on,
 	// so that the request can be retried when the answer is cut.
