internal/request/inbound: end the rest of an answer whose caller has disconnected

Cause: the rest of a long answer was ended only behind its last byte. Change: each answer with a rest is ended once it is written, cut or passed over; its buffered beginning, up to 256 KB, is released before the rest is streamed. Evidence: TestRestsOfAnswersAreClosedWithTheirConnection fails before (2 of 2 rests open in each case) and passes, also with the race detector.

--- a/internal/request/inbound/answers.go
+++ b/internal/request/inbound/answers.go
@@ -11,6 +11,7 @@
 	open := true
 	for e := range c.queue {
 		if !open {
+			e.discardAnswer()
 			c.markAnswered(e)
 			continue
 		}
@@ -45,10 +46,13 @@
 		return c.bw.Flush() == nil
 	}
 	a := c.awaitAnswer(e)
-	if a == nil || c.ctx.Err() != nil {
-		if a != nil && a.BodyRest != nil {
-			_ = a.BodyRest.Close()
-		}
+	if a == nil {
+		return false
+	}
+	if a.BodyRest != nil {
+		defer a.BodyRest.Close() //nolint:errcheck // what was read of it has been written
+	}
+	if c.ctx.Err() != nil {
 		return false
 	}
 	closeConn := c.closesAfter(e, a)
@@ -77,12 +81,20 @@
 		return a
 	default:
 	}
+	e.discardAnswer()
+	return EmptyAnswer(http.StatusGatewayTimeout)
+}
+
+// discardAnswer ends the exchange's answer, once there is one, without writing it.
+func (e *exchange) discardAnswer() {
+	if e.request == nil {
+		return
+	}
 	go func() {
 		if a := <-e.answer; a != nil && a.BodyRest != nil {
 			_ = a.BodyRest.Close()
 		}
 	}()
-	return EmptyAnswer(http.StatusGatewayTimeout)
 }
 
 // closesAfter decides whether the answer closes the connection; no request is admitted from then on. While draining, the
--- /dev/null
+++ b/internal/request/inbound/rest_test.go
@@ -0,0 +1,66 @@
+package inbound_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tamarackspool/internal/request/inbound"
+)
+
+// restHandler answers every request with a body of which a rest is to be read, and counts the rests that are not closed.
+type restHandler struct {
+	*testHandler
+	open *atomic.Int32
+}
+
+// rest is a body that counts itself as open until it is closed.
+type rest struct {
+	io.Reader
+	open   *atomic.Int32
+	closed atomic.Bool
+}
+
+func (r *rest) Close() error {
+	if !r.closed.Swap(true) {
+		r.open.Add(-1)
+	}
+	return nil
+}
+
+func (d restHandler) Serve(ctx context.Context, q *inbound.Request) *inbound.Answer {
+	if d.testHandler.Serve(ctx, q) == nil {
+		return nil
+	}
+	d.open.Add(1)
+	return &inbound.Answer{
+		Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, 256<<10),
+		BodyRest: &rest{Reader: strings.NewReader("rest"), open: d.open}, Length: -1,
+	}
+}
+
+// Guards against the rest of an answer that stays open, with the target's connection, when its caller has disconnected.
+func TestRestsOfAnswersAreClosedWithTheirConnection(t *testing.T) {
+	for name, read := range map[string]int64{"before the answer": 0, "within the head": 5, "within the body": 100 << 10} {
+		t.Run(name, func(t *testing.T) {
+			var open atomic.Int32
+			d := newTestHandler()
+			runHandler(t, restHandler{d, &open}, func(_ *inbound.Server, l *pipeListener) {
+				c := l.dial()
+				send(c, "GET /1ms HTTP/1.1\r\nHost: a\r\n\r\nGET /2ms HTTP/1.1\r\nHost: a\r\n\r\n")
+				_, _ = io.CopyN(io.Discard, bufio.NewReaderSize(c, 1), read)
+				time.Sleep(10 * time.Millisecond)
+				_ = c.Close()
+				time.Sleep(time.Minute)
+				if n := open.Load(); n != 0 || len(d.served) != 2 {
+					t.Errorf("%d rests of %d answers are open", n, len(d.served))
+				}
+			})
+		})
+	}
+}
--- a/internal/request/inbound/server_test.go
+++ b/internal/request/inbound/server_test.go
@@ -85,6 +85,12 @@
 
 // runServer calls the function with a server and its listener in simulated time.
 func runServer(t *testing.T, d *testHandler, f func(s *inbound.Server, l *pipeListener)) {
+	t.Helper()
+	runHandler(t, d, f)
+}
+
+// runHandler calls the function with a server for the handler and its listener in simulated time.
+func runHandler(t *testing.T, d inbound.Handler, f func(s *inbound.Server, l *pipeListener)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s, l := inbound.New(d, func(error) {}), newPipeListener()
--- a/internal/request/inbound/writer.go
+++ b/internal/request/inbound/writer.go
@@ -47,15 +47,13 @@
 	chunked := a.Length < 0 && !noBody && !r.http10
 	w.writeHead(a, closeConn, chunked, noBody)
 	if noBody {
-		if a.BodyRest != nil {
-			_ = a.BodyRest.Close()
-		}
 		return w.flush()
 	}
 	if err := w.writePiece(a.Body, chunked); err != nil {
 		return err
 	}
 	if a.BodyRest != nil {
+		a.Body = nil // The rest may last long; what has been written need not be kept for it.
 		if err := w.streamRest(a.BodyRest, chunked); err != nil {
 			return err
 		}
@@ -105,8 +103,7 @@
 	return err
 }
 
-func (w writer) streamRest(rest io.ReadCloser, chunked bool) error {
-	defer rest.Close() //nolint:errcheck // all bytes that were read have been written
+func (w writer) streamRest(rest io.Reader, chunked bool) error {
 	b := make([]byte, 16<<10)
 	for {
 		n, err := rest.Read(b)
