--- a/cmd/tamarackedge/flags.go
+++ b/cmd/tamarackedge/flags.go
@@ -30,6 +30,7 @@
 	Link        float64 `help:"Bandwidth of this VM's link in Mbit/s." default:"1000"`
 	Cores       float64 `help:"Share of a processor core that the entry has." default:"1"`
 	Memory      float64 `help:"Memory limit of the process in MB." default:"284"`
+	Answer      float64 `help:"Largest answer of the store that is read, in MB; changes that do not fit are read anew." default:"8"`
 	GC          int     `name:"gc" help:"Growth of the heap in percent that starts a garbage collection." default:"100"`
 	Log         string  `help:"Which events are written: none, beliefs or requests." default:"requests"`
 	LogRoom     int     `help:"Log lines held until they are written, in bytes." default:"1048576"`
@@ -64,6 +65,7 @@
 		{"link", f.Link, 0.1, 1e6},
 		{"cores", f.Cores, 0.01, 1024},
 		{"memory", f.Memory, 32, 1 << 20},
+		{"answer", f.Answer, 2, 1024},
 		{"gc", float64(f.GC), 10, 1000},
 		{"log-room", float64(f.LogRoom), 4096, 1 << 30},
 		{"log-rate", float64(f.LogRate), 1000, 1 << 30},
--- a/cmd/tamarackedge/flags_test.go
+++ b/cmd/tamarackedge/flags_test.go
@@ -40,6 +40,7 @@
 		{"--grace=0", "--grace 0 is out of range; the range is 1 to 3600"},
 		{"--lookup-ttl=-1", "the range is 0.1 to 3600"},
 		{"--memory=1", "--memory 1 is out of range"},
+		{"--answer=1", "--answer 1 is out of range; the range is 2 to 1024"},
 		{"--log=loud", "none, beliefs, requests"},
 		{"--log-rate=1", "--log-rate"},
 		{"--unknown=1", "unknown"},
--- a/cmd/tamarackedge/main.go
+++ b/cmd/tamarackedge/main.go
@@ -100,7 +100,7 @@
 		DialContext: storeTraffic.WrapDial(dial), MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, DisableCompression: true,
 	}}
 	e, err := edge.New(s, edge.Dependencies{
-		Store: platform.NewStore(f.Store, client), StoreTraffic: storeTraffic, Keys: platform.NewKeys(f.Zones),
+		Store: platform.NewStore(f.Store, client, int64(f.Answer*1e6)), StoreTraffic: storeTraffic, Keys: platform.NewKeys(f.Zones),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: net.Listen, Events: events, Dropped: droppedLines,
 		Uptime: uptime,
 	})
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -166,7 +166,7 @@
 		SeedAddresses: []string{address(1, 83), address(2, 83)}, LookupTTL: 2 * time.Second, GracePeriod: 6 * time.Second,
 		RetryBudget: spend.Limits{Ratio: 0.2, Window: 10 * time.Second}, MemoryLimit: 1 << 28, Strength: 1,
 	}, edge.Dependencies{
-		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}), StoreTraffic: storeTraffic, Keys: platform.NewKeys(regions),
+		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}, 8<<20), StoreTraffic: storeTraffic, Keys: platform.NewKeys(regions),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: f.net.Listen,
 		Events: event.New(log.NewLogfmtLogger(&f.log)), Dropped: func() int64 { return 0 },
 		Uptime: func() time.Duration { return time.Since(f.clockStart) + time.Duration(f.suspended.Load()) },
