internal/request/upstream: keep few idle connections behind orders

Cause: each attempt of an order opens a connection now, which goes idle behind it; where a service takes orders only, nobody uses it again, and up to four per target and entry held its place at a target that bounds its connections. Change: a connection that carried an order is kept only as the first idle one. Evidence: TestOnceCallsUseFreshConnections asks for one idle connection behind each step; before, 2 to 4 were idle.

--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -91,7 +91,7 @@
 		if c.expires.IsZero() { // A new connection has no expiry time yet.
 			c.markIdle(nil, time.Now())
 		}
-		p.putIdle(c)
+		p.putIdle(c, call.maxIdle())
 		return nil, &Failure{kind: Withheld, connectTime: connectTime, err: errWithheld}
 	}
 	if call.AtMostOnce && c.hasUnreadBytes() {
@@ -127,7 +127,7 @@
 	// not read it, and the connection can't be reused.
 	if done := stop(); done && keep && a.SentWhole && c.br.Buffered() == 0 {
 		c.markIdle(a.Header, time.Now())
-		p.putIdle(c)
+		p.putIdle(c, call.maxIdle())
 	} else {
 		c.close()
 	}
@@ -190,6 +190,14 @@
 	return err
 }
 
+// maxIdle returns the limit of idle connections to the target up to which the call's connection is kept.
+func (c Call) maxIdle() int {
+	if c.AtMostOnce {
+		return maxIdleAfterOnce
+	}
+	return maxIdlePerTarget
+}
+
 func (c Call) head() []byte {
 	var b bytes.Buffer
 	b.Grow(512)
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -23,6 +23,9 @@
 	earlyCloseWindow = 2 * time.Second
 	// maxIdlePerTarget is the largest number of idle connections that are kept for one target.
 	maxIdlePerTarget = 4
+	// maxIdleAfterOnce is the same for a connection that carried a request which must run at most once: only requests of
+	// another kind use it again, and targets bound their connections.
+	maxIdleAfterOnce = 1
 )
 
 // Pool keeps idle connections to targets for reuse and is safe for concurrent use.
@@ -154,11 +157,12 @@
 	return newConn(address, raw), nil
 }
 
-// putIdle returns a connection without a request in progress to the pool.
-func (p *Pool) putIdle(c *conn) {
+// putIdle returns a connection without a request in progress to the pool, or closes it if the limit of idle connections to
+// its target is reached.
+func (p *Pool) putIdle(c *conn, limit int) {
 	p.mu.Lock()
 	list := p.idle[c.address]
-	full := len(list) >= maxIdlePerTarget
+	full := len(list) >= limit
 	if !full {
 		p.idle[c.address] = append(list, c)
 	}
--- a/internal/request/upstream/pool_test.go
+++ b/internal/request/upstream/pool_test.go
@@ -276,8 +276,8 @@
 		} {
 			time.Sleep(step.pause)
 			r.call(t.Context(), fmt.Sprint(i), step.with)
-			if r.dials != step.dials {
-				t.Errorf("step %d: %d connections, want %d", i, r.dials, step.dials)
+			if r.dials != step.dials || r.pool.Idle() != 1 {
+				t.Errorf("step %d: %d connections, want %d; %d are idle, want 1", i, r.dials, step.dials, r.pool.Idle())
 			}
 		}
 	})
