internal/request/pool: connections of their own for orders that share an address

Callers of the product's own entries could still get not-run for an order that had run: ended connections behind the answers of services that run once, but a connection to the same address that had carried a request of another service was used for an order. Change: the rule moves to where connections are chosen. Call.OwnConn asks for a connection that carries no other request, before or after; at the limit of connections an idle one is closed for it. Evidence: the new case of TestRefusalBehindAnAnswerDoesNotRefuseTheNextOrder fails before (not-run, 2 ran) and passes. TestOwnConnectionsCarryOneRequest deadlocks without the closing at the limit. TestSilentConnection makes the order's own connection silent instead of an idle one, with the same bounds. Orders at targets are no longer sent on idle connections, so that the probe of those is now tested at the pool (TestIdleConnectionIsProbed, for relays) and that orders are not delayed by a silent idle connection in TestOnceRequestsAvoidIdleConnections, which replaces TestIdleConnectionIsProbedBeforeOnceRequests.

--- a/internal/request/forward/attempt.go
+++ b/internal/request/forward/attempt.go
@@ -114,7 +114,7 @@
 		req.Header["Expect"] = []string{"100-continue"}
 	}
 	resp, err := t.pool.Do(t.job.ctx, pool.Call{
-		Address: t.address, MaxConns: t.maxConns, Attempt: t.id, ProbeIdle: t.job.service.AtMostOnce(),
+		Address: t.address, MaxConns: t.maxConns, Attempt: t.id, ProbeIdle: t.job.service.AtMostOnce(), OwnConn: !t.relayed && t.job.service.AtMostOnce(),
 		Request: req, HoldBody: hold, LateCounter: t.job.counters.late, CloseAfter: t.closeAfter,
 	})
 	t.latency = time.Since(t.start)
@@ -133,10 +133,10 @@
 	return t.readAnswer()
 }
 
-// closeAfter reports whether a target's response ends its connection. No response names its request, so that one which
-// comes late would be read as the next one's; where requests run at most once, each has a connection of its own.
+// closeAfter reports whether a target's response ends its connection. No response names its request, so that a late second
+// copy of a refusal would be read as the answer to the next one.
 func (t *attempt) closeAfter(r *http.Response) bool {
-	return !t.relayed && (r.StatusCode >= http.StatusMultipleChoices || t.job.service.AtMostOnce())
+	return !t.relayed && r.StatusCode >= http.StatusMultipleChoices
 }
 
 // paceBody waits until the link's pacer allows a buffered body, which is charged as one piece.
--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -132,7 +132,7 @@
 		// A truncated response that ends with the connection is indistinguishable from a complete one.
 		return nil, errors.New("pool: response has neither a length nor a chunked encoding")
 	}
-	reusable := !resp.Close && (e.call.CloseAfter == nil || !e.call.CloseAfter(resp))
+	reusable := !resp.Close && !e.call.OwnConn && (e.call.CloseAfter == nil || !e.call.CloseAfter(resp))
 	if resp.Body == http.NoBody {
 		e.finish(reusable)
 		return resp, nil
--- a/internal/request/pool/path.go
+++ b/internal/request/pool/path.go
@@ -21,16 +21,17 @@
 	querySlots   chan struct{} // querySlots holds one value for each open connection of a query.
 }
 
-// takeConn returns an idle connection, or nil as the right to open one. At the limit it waits for either.
-func (p *addrPool) takeConn(ctx context.Context, limit int, keep time.Duration) (*conn, error) {
+// takeConn returns an idle connection, or nil as the right to open one. At the limit it waits for either. With open set
+// it returns only the right to open one, and closes an idle connection for it if the limit is reached.
+func (p *addrPool) takeConn(ctx context.Context, limit int, keep time.Duration, open bool) (*conn, error) {
 	for {
 		p.mu.Lock()
 		p.limit = limit
-		for len(p.idle) > 0 {
+		for len(p.idle) > 0 && (!open || len(p.open)+p.opening >= p.limit) {
 			c := p.idle[len(p.idle)-1]
 			p.idle = p.idle[:len(p.idle)-1]
 			p.mu.Unlock()
-			if time.Since(c.lastUsed) < keep && c.alive() {
+			if !open && time.Since(c.lastUsed) < keep && c.alive() {
 				return c, nil
 			}
 			p.discardConn(c)
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -36,6 +36,7 @@
 	MaxConns    int           // MaxConns is the maximum number of connections to the address; 0 means the pool's setting.
 	Attempt     string        // Attempt is the id of the request at the remote side; if it is empty, the state is never queried.
 	ProbeIdle   bool          // ProbeIdle requires a probe of a connection that was idle for more than Settings.Idle.
+	OwnConn     bool          // OwnConn requires a connection that carries no other request, before or after.
 	Request     *http.Request // Request is written unchanged; its Body is streamed.
 	HoldBody    bool          // HoldBody delays the body until a 100 Continue response arrives or one second has passed.
 	LateCounter Counter       // LateCounter counts responses that arrive after the call was cancelled; it may be nil.
@@ -136,7 +137,7 @@
 	}
 	a := p.addrPool(c.Address)
 	for {
-		k, err := a.takeConn(ctx, max(1, limit-reservedConns), p.settings.Keep)
+		k, err := a.takeConn(ctx, max(1, limit-reservedConns), p.settings.Keep, c.OwnConn)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/standin/target/listen.go
+++ b/internal/standin/target/listen.go
@@ -40,6 +40,8 @@
 	c := &conn{Conn: raw, t: l.t}
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
+	c.silent.Store(l.t.silenceNext)
+	l.t.silenceNext = false
 	l.t.conns[c] = true
 	return c, nil
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -23,9 +23,11 @@
 	started  time.Time
 	samples  []sample // samples holds past loads, the oldest first.
 	conns    map[*conn]bool
-	server   *http.Server
-	gate     chan struct{} // gate is closed to let held requests run; nil when Hold isn't in force.
-	arrivals chan struct{} // arrivals receives a value for each request that has taken a slot.
+	// silenceNext makes the next connection silent.
+	silenceNext bool
+	server      *http.Server
+	gate        chan struct{} // gate is closed to let held requests run; nil when Hold isn't in force.
+	arrivals    chan struct{} // arrivals receives a value for each request that has taken a slot.
 }
 
 // sample is the load at a time.
@@ -129,6 +131,13 @@
 	}
 }
 
+// SilenceNext makes the next connection that is accepted drop all bytes.
+func (t *Target) SilenceNext() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silenceNext = true
+}
+
 // Kill closes the listener and all connections at once.
 func (t *Target) Kill() {
 	t.mu.Lock()
