--- a/internal/entry/edge/refused_test.go
+++ b/internal/entry/edge/refused_test.go
@@ -143,6 +143,33 @@
 	})
 }
 
+// Guards against orders that are refused and run at a target that stands under a former id too, as the soak plays it.
+func TestOrdersAtAFormerRegistrationAreNotRefused(t *testing.T) {
+	runFleet(t, []string{"a1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`), rule("book", "/b/", "unsafe", `,"service":"s1"`))
+		x := f.target("t1", "s1", "a1", nil)
+		x.SetBehavior(platformtest.MisdirectedTwice)
+		settle()
+		misdirected := 0
+		for i := range 30 {
+			f.earnRetries("e0", 10, "/r/1")
+			former := fmt.Sprint("former", i)
+			x.RegisterAs(former, f.store, "ready", 0)
+			settle()
+			arrived, id := x.ArrivalCount(), fmt.Sprint("order", i)
+			if got := f.callAs(id, "e0", "POST", "/b/1", object(id)); got.status != http.StatusOK {
+				t.Errorf("%s: %v", id, got)
+			}
+			misdirected += x.ArrivalCount() - arrived - 1
+			f.store.Remove("servers/" + former)
+			settle()
+		}
+		if misdirected < 5 {
+			t.Errorf("only %d attempts went to the former registrations", misdirected)
+		}
+	})
+}
+
 // Guards against orders that are refused and run, or run twice, at a target that adds copies of earlier answers and
 // refusals of nobody to its answers.
 func TestOrdersThatAreRefusedNeverRun(t *testing.T) {
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -244,12 +245,31 @@
 			w.ledger.AddInterruption(address, from, time.Now())
 		})
 	case 23:
+		// The target's number decides, not a draw, so that the seeds that are kept play the same steps.
+		if n, err := strconv.Atoi(strings.TrimPrefix(t.ID, "t")); err == nil && n%3 == 1 {
+			w.registerFormerID(t, begin)
+			return
+		}
 		behave("writes refusals behind answers", platformtest.RefuseBehind)
 	case 16:
 		begin("target "+t.ID+" slow", func() { t.proxy.SetDelay(150 * time.Millisecond) }, func() { t.proxy.SetDelay(0) })
 	}
 }
 
+// registerFormerID registers a target under a second id at its address, as after a restart whose former registration stands
+// for a while. The target writes its refusals of requests to that id twice.
+func (w *World) registerFormerID(t *target, begin func(what string, on, off func())) {
+	former := t.ID + "-former"
+	begin("target "+t.ID+" is registered under a former id too", func() {
+		t.SetBehavior(platformtest.MisdirectedTwice)
+		t.RegisterAs(former, w.store, "ready", 0)
+	}, func() {
+		w.store.Remove("servers/" + former)
+		t.SetBehaviorFunc(nil)
+		w.breakPromise()
+	})
+}
+
 // pauseLines are the events at which an entry is frozen: it has just read a permission, or is about to act on one.
 var pauseLines = []string{
 	"request-placed", "request-repeated", "request-shed", "target-cold", "target-joined", "target-leaving", "target-paused",
