internal/request/forward: relayed answers name their attempt

Relays share connections, and an entry took the verdict of whatever answer came next; design.md argued that HTTP/1.1 lets a response belong to its own request only, which is not so when one comes late. Change: the answer to a relay repeats the attempt's id. One that names another attempt proves nothing: may-have-run. One without a name, from an entry of the version before, is read as before. The header does not reach callers. Evidence: TestRelayedAnswerBelongsToItsAttempt and TestRelayedAnswersNameTheirAttempt fail before and pass; ./internal/entry/node and ./internal/demo/... pass.

--- a/internal/request/forward/failure_test.go
+++ b/internal/request/forward/failure_test.go
@@ -136,6 +136,51 @@
 	}
 }
 
+// Guards against an order that runs and whose caller is told that it has not: another entry's answer to another attempt is taken for that to its own.
+func TestRelayedAnswerBelongsToItsAttempt(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempt func(own string) string
+		want    verdict.Verdict
+	}{
+		"own":     {func(own string) string { return own }, verdict.NotRun},
+		"another": {func(own string) string { return own + "0" }, verdict.MayHaveRun},
+		"unnamed": {func(string) string { return "" }, verdict.NotRun}, // Entries of the version before name none.
+	} {
+		t.Run(name, func(t *testing.T) {
+			runRig(t, forward.Settings{Attempts: 1}, func(t *testing.T, r *rig) {
+				r.chooser.relayTo, r.chooser.maxRelays = "e2", 1
+				r.serve(peerAddress.String(), func(w http.ResponseWriter, q *http.Request) {
+					if id := c.attempt(q.Header.Get("Attempt")); id != "" {
+						w.Header().Set("Attempt", id)
+					}
+					w.Header().Set("Verdict", "not-run")
+					w.Header().Set("Reason", "shed")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				})
+				synctest.Wait()
+				if got := r.sendOnce(); got.verdict != c.want.String() {
+					t.Errorf("%+v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a relayed answer that does not name its attempt.
+func TestRelayedAnswersNameTheirAttempt(t *testing.T) {
+	runRig(t, forward.Settings{Attempts: 1}, func(t *testing.T, r *rig) {
+		for _, fault := range []target.Faults{{}, {Shedding: true}} {
+			r.targetServers["t1"].SetFaults(fault)
+			if got := r.sendRelayed("GET", "/run/status/a", "1", peerToken, fmt.Sprint("x", fault.Shedding)); got.attempt != fmt.Sprint("x", fault.Shedding) {
+				t.Errorf("shedding %v: the answer names %q", fault.Shedding, got.attempt)
+			}
+		}
+		if got := r.sendRead(); got.attempt != "" {
+			t.Errorf("a caller gets the name %q", got.attempt)
+		}
+	})
+}
+
 // Guards against an order that runs and whose caller is told that it has not: the target that ran it was started again at
 // its address, and the new process knows nothing of the order.
 func TestRestartedTargetProvesNothingAboutAnOrder(t *testing.T) {
--- a/internal/request/forward/header.go
+++ b/internal/request/forward/header.go
@@ -57,7 +57,7 @@
 // dropFromAnswer holds the headers of a target's response that are not copied.
 var dropFromAnswer = func() map[string]bool {
 	m := make(map[string]bool)
-	for _, h := range slices.Concat(hopByHop, []string{headerVerdict, headerReason, headerServedBy, headerVia, headerShed, headerFree}) {
+	for _, h := range slices.Concat(hopByHop, []string{headerVerdict, headerReason, headerServedBy, headerVia, headerShed, headerFree, headerAttempt}) {
 		m[h] = true
 	}
 	return m
--- a/internal/request/forward/peer.go
+++ b/internal/request/forward/peer.go
@@ -79,6 +79,7 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if id != "" {
+		w.Header()[headerAttempt] = []string{id}
 		if state, ok := f.attempts.start(id, cancel); !ok {
 			f.refuse(w, duplicateAttempt(state))
 			return
--- a/internal/request/forward/respond.go
+++ b/internal/request/forward/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,9 +12,14 @@
 	"tamarackspool/internal/request/verdict"
 )
 
-// relayedAnswer reads the response of another entry and adopts its verdict.
+// relayedAnswer reads the response of another entry and adopts its verdict, unless the response names another attempt.
 func (t *attempt) relayedAnswer() (*answer, *verdict.Error) {
 	h := t.resp.Header
+	if id := h.Get(headerAttempt); id != "" && id != t.id {
+		t.outcome = Failed
+		_ = t.resp.Body.Close()
+		return nil, verdict.NewError(verdict.MayHaveRun, verdict.ReasonConnect, 502, fmt.Errorf("forward: entry %s answers attempt %q in place of %q", t.name, id, t.id))
+	}
 	v, err := verdict.Parse(h.Get(headerVerdict))
 	if err != nil {
 		t.outcome = Failed
--- a/internal/request/forward/rig_test.go
+++ b/internal/request/forward/rig_test.go
@@ -213,6 +213,7 @@
 type reply struct {
 	status                  int
 	verdict, reason, served string
+	attempt                 string
 	body                    string
 	err                     error
 }
@@ -225,7 +226,7 @@
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
 	h := resp.Header
-	return reply{resp.StatusCode, h.Get("Verdict"), h.Get("Reason"), h.Get("Served-By"), string(data), err}
+	return reply{resp.StatusCode, h.Get("Verdict"), h.Get("Reason"), h.Get("Served-By"), h.Get("Attempt"), string(data), err}
 }
 
 // expectReply checks status, verdict and reason of a reply.
