--- a/internal/soak/world/world_test.go
+++ b/internal/soak/world/world_test.go
@@ -49,7 +49,7 @@
 	t.Parallel()
 	for _, seed := range []uint64{
 		1, 2,
-		714, 717, 718, // A refusal behind an answer was taken for the next order's, which then ran at a second target.
+		714, 717, 718, 720, // A refusal behind an answer was taken for the next order's, which then ran at a second target.
 	} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
