platform, internal/site: work time in load reports, and rules of kind download

Cause: a load header with four figures was read as no load, and a rule of kind download as unsafe, so that its requests were never repeated and each took a connection of its own. Change: TargetLoad decodes the fourth figure as the work time factor; book.Download is a repeatable kind. Result: TestHeaders and TestConfigurationIsDecodedOnce pass with the new forms; both failed to compile or to decode them before.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -92,7 +92,7 @@
 			sent++
 			e.noteFailure(q, s, f)
 			q.mayHaveRun = true
-			if q.rule.Kind() != book.Safe {
+			if !q.rule.Kind().Repeatable() {
 				e.events.Log(event.RequestFailed, "id", q.id, "target", s.target.ID(), "kind", f.Kind(), "after", time.Since(q.Arrived))
 				e.meters.countOutcome(q, outcomeFailed)
 				return inbound.EmptyAnswer(http.StatusBadGateway)
@@ -137,7 +137,7 @@
 // shouldRetryAnswer reports whether another target may do better than this answer:
 // a safe request that got a server error and has enough time left for another attempt.
 func (e *Edge) shouldRetryAnswer(q *requestState, a *upstream.Answer) bool {
-	return q.rule.Kind() == book.Safe && a.Status >= http.StatusInternalServerError && a.BodyRest == nil &&
+	return q.rule.Kind().Repeatable() && a.Status >= http.StatusInternalServerError && a.BodyRest == nil &&
 		time.Until(q.deadline) > q.rule.LatencyObjective()
 }
 
@@ -181,8 +181,8 @@
 // noteShed records an answer by which a target proves that it has not run the request.
 func (e *Edge) noteShed(q *requestState, s *targetState, a *upstream.Answer) {
 	now := time.Now()
-	running, waiting, _, _ := e.deps.Headers.TargetLoad(a.Header)
-	e.events.Log(event.RequestShed, "id", q.id, "target", s.target.ID(), "status", a.Status, "running", running, "waiting", waiting,
+	load, _ := e.deps.Headers.TargetLoad(a.Header)
+	e.events.Log(event.RequestShed, "id", q.id, "target", s.target.ID(), "status", a.Status, "running", load.Running, "waiting", load.Waiting,
 		"slots", s.target.Slots(), "opened", a.ConnectTime, "named", a.Named, "carried", a.Earlier, "whole", a.SentWhole, "after", time.Since(q.Arrived))
 	e.meters.countProof(a)
 	if a.Status == http.StatusMisdirectedRequest {
@@ -224,7 +224,7 @@
 	defer s.gauge.End()
 	a, err := e.pool.Do(ctx, upstream.Call{
 		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
-		SendContentLength: q.Method != http.MethodGet && q.Method != http.MethodHead, AtMostOnce: q.rule.Kind() != book.Safe,
+		SendContentLength: q.Method != http.MethodGet && q.Method != http.MethodHead, AtMostOnce: !q.rule.Kind().Repeatable(),
 		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) },
 		Classify: func(status int, h http.Header) upstream.AnswerClass {
 			class := e.classifyAnswer(q, status, h)
@@ -239,8 +239,8 @@
 		errors.As(err, &f)
 		return nil, f
 	}
-	if running, waiting, _, ok := e.deps.Headers.TargetLoad(a.Header); ok {
-		s.gauge.RecordLoad(running, waiting, time.Now())
+	if load, ok := e.deps.Headers.TargetLoad(a.Header); ok {
+		s.gauge.RecordLoad(load.Running, load.Waiting, time.Now())
 	}
 	return a, nil
 }
@@ -275,16 +275,16 @@
 // deliver returns a target's answer to the caller.
 func (e *Edge) deliver(q *requestState, s *targetState, a *upstream.Answer) *inbound.Answer {
 	s.gauge.RecordAnswer(time.Since(q.lastSent) <= q.rule.LatencyObjective())
-	if promisesNotRun(a.Status) && q.rule.Kind() != book.Safe {
+	if promisesNotRun(a.Status) && !q.rule.Kind().Repeatable() {
 		// The status would guarantee that the request has not run, but the target gave no proof of it.
 		a.Discard()
 		e.events.Log(event.RequestFailed, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived))
 		e.meters.countOutcome(q, outcomeFailed)
 		return inbound.EmptyAnswer(http.StatusBadGateway)
 	}
-	running, waiting, _, _ := e.deps.Headers.TargetLoad(a.Header)
+	load, _ := e.deps.Headers.TargetLoad(a.Header)
 	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived),
-		"running", running, "waiting", waiting, "slots", s.target.Slots(), "opened", a.ConnectTime)
+		"running", load.Running, "waiting", load.Waiting, "slots", s.target.Slots(), "opened", a.ConnectTime)
 	e.meters.countOutcome(q, outcomeAnswered)
 	return &inbound.Answer{
 		Status: a.Status, Header: a.Header, Body: a.Body, BodyRest: a.BodyRest, Length: a.Length,
--- a/internal/entry/edge/check.go
+++ b/internal/entry/edge/check.go
@@ -159,8 +159,8 @@
 		}
 		return
 	}
-	if running, waiting, _, ok := e.deps.Headers.TargetLoad(a.Header); ok {
-		s.gauge.RecordLoad(running, waiting, time.Now())
+	if load, ok := e.deps.Headers.TargetLoad(a.Header); ok {
+		s.gauge.RecordLoad(load.Running, load.Waiting, time.Now())
 	}
 }
 
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -68,7 +68,7 @@
 		return r.Method == http.MethodGet
 	}
 	rule, ok := b.Find(r.Host, r.Path)
-	return !ok || rule.Kind() == book.Safe
+	return !ok || rule.Kind().Repeatable()
 }
 
 // Serve forwards one request to a target and returns the answer, or nil when the caller has disconnected.
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -70,7 +70,8 @@
 	Object(h http.Header) string
 	ProvesNotRun(status int, h http.Header) bool
 	HasTargetStamp(h http.Header) bool
-	TargetLoad(h http.Header) (running, waiting, slots int, ok bool)
+	// TargetLoad returns the load that the target of an answer reports.
+	TargetLoad(h http.Header) (target.Load, bool)
 	// TargetInstance returns the id of the target that answered a health check; empty when the answer has none.
 	TargetInstance(h http.Header) string
 	// ColdLeft returns the remaining cold time of the target that answered a health check; 0 when it is warm.
--- a/internal/site/book/rule.go
+++ b/internal/site/book/rule.go
@@ -10,11 +10,15 @@
 
 // The kinds; the zero value is the most restrictive.
 const (
-	Unsafe Kind = iota // Unsafe requests run at most once.
-	Upload             // Upload requests run at most once and have large bodies.
-	Safe               // Safe requests may run more than once.
+	Unsafe   Kind = iota // Unsafe requests run at most once.
+	Upload               // Upload requests run at most once and have large bodies.
+	Safe                 // Safe requests may run more than once.
+	Download             // Download requests may run more than once and have large answers.
 )
 
+// Repeatable reports whether a request of the kind may run more than once.
+func (k Kind) Repeatable() bool { return k == Safe || k == Download }
+
 // String returns the name of the kind as used in logs.
 func (k Kind) String() string {
 	switch k {
@@ -22,6 +26,8 @@
 		return "safe"
 	case Upload:
 		return "upload"
+	case Download:
+		return "download"
 	default:
 		return "unsafe"
 	}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -132,6 +132,9 @@
 	return f.heardAge()
 }
 
+// ConfirmedAge returns an upper bound of the time since the mirror held everything that the store had acknowledged.
+func (f *Follower) ConfirmedAge() time.Duration { return f.Age() }
+
 // heardAge returns how long ago the store last answered any call.
 func (f *Follower) heardAge() time.Duration {
 	return time.Since(f.start) - time.Duration(f.lastHeard.Load())
