internal/request/upstream, internal/request/pool: cut answers during an upload, and undefined statuses

Cause: an answer without a length ends with its connection. When the target reset the connection while the upload was still being written, the write got the error of the reset and the read only an end of the bytes, so that a part passed for the whole answer. A status of 000 counted as an interim answer, and statuses above 599 were passed on. Change: a body that ends with its connection is complete only if the request has been written too. A status outside 100 to 599 is an invalid answer.

--- /dev/null
+++ b/internal/request/pool/status_test.go
@@ -0,0 +1,93 @@
+package pool_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"tamarackspool/internal/request/pool"
+)
+
+// answering returns a dial function whose connections answer a request with the text, once they have read that many bytes
+// of its body, and then close.
+func answering(text string, read int64) func(context.Context, string, string) (net.Conn, error) {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			r, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, r.Body, read)
+			_, _ = io.WriteString(far, text)
+		}()
+		return near, nil
+	}
+}
+
+// answerTo returns the body that the pool passes on for the text that a target answers to an upload, or "failed".
+func answerTo(t *testing.T, text string) (got string) {
+	synctest.Test(t, func(t *testing.T) {
+		p, err := pool.New(pool.Settings{Conns: 4}, answering(text, 1000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer p.Close()
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://a/x", strings.NewReader(strings.Repeat("x", 300_000)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := p.Do(t.Context(), pool.Call{Address: "a", Attempt: "1", Request: r})
+		var f *pool.Failure
+		if errors.As(err, &f) {
+			got = "failed"
+			return
+		}
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if got = string(data); err != nil {
+			got = "failed"
+		}
+	})
+	return got
+}
+
+// Guards against bytes with a status that HTTP does not define as an answer that reaches a caller, as the answer itself or
+// as an interim answer whose successor is taken for the answer.
+func TestUndefinedStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "600", "999"} {
+		head := "HTTP/1.1 " + status + " Trouble\r\n"
+		for _, text := range []string{
+			head + "Content-Length: 2\r\n\r\nno",
+			head + "\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			if got := answerTo(t, text); got != "failed" {
+				t.Errorf("status %s: the caller gets %q", status, got)
+			}
+		}
+	}
+}
+
+// Guards against a part of an early answer without a length, or of a longer one, that passes for the whole one when the
+// target ends the connection while the upload is still being written.
+func TestEarlyAnswerCutDuringAnUploadIsNotComplete(t *testing.T) {
+	for text, want := range map[string]string{
+		"HTTP/1.1 200 OK\r\n\r\npart":                                                 "failed",
+		"HTTP/1.0 200 OK\r\n\r\npart":                                                 "failed",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart":                            "failed",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n":          "failed",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull":                            "full",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n": "full",
+	} {
+		if got := answerTo(t, text); got != want {
+			t.Errorf("%q: the caller gets %q, want %q", text, got, want)
+		}
+	}
+}
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -72,6 +72,8 @@
 	maxHead = 64 << 10
 	// maxInterim is the largest number of interim (1xx) answers that are skipped.
 	maxInterim = 8
+	// minStatus and maxStatus bound the statuses that HTTP defines; bytes with any other are no answer.
+	minStatus, maxStatus = 100, 599
 )
 
 // Do sends the call and returns the answer; the error is a *Failure. The
@@ -110,15 +112,15 @@
 		endGuard()
 		return stopInterrupt()
 	}
-	written := c.send(call)
-	a, keep, err := c.receive(call)
+	request := c.send(call)
+	a, keep, err := c.receive(call, request)
 	if err != nil {
 		stop()
 		c.abort()
 		return nil, newFailure(ctx, c, connectTime, err)
 	}
 	a.ConnectTime, a.Earlier = connectTime, c.requests-1
-	a.SentWhole = writeSucceeded(written)
+	a.SentWhole = request.succeeded()
 	if a.BodyRest != nil {
 		a.BodyRest = &bodyRest{ReadCloser: a.BodyRest, c: c, stop: stop}
 		return a, nil
@@ -139,15 +141,6 @@
 
 var errWithheld = errors.New("call withheld before it was sent")
 
-func writeSucceeded(written <-chan error) bool {
-	select {
-	case err := <-written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 func newFailure(ctx context.Context, c *conn, connectTime time.Duration, err error) *Failure {
 	f := &Failure{kind: ConnectionLost, sent: c.sent.Load(), connectTime: connectTime, err: err}
 	var g *invalidAnswerError
@@ -167,21 +160,21 @@
 func (g *invalidAnswerError) Error() string { return "upstream: " + g.cause }
 
 // send writes the request; a large body is written while the answer is awaited.
-func (c *conn) send(call Call) <-chan error {
-	written := make(chan error, 1)
+func (c *conn) send(call Call) *transfer {
+	t := newTransfer()
 	head := call.head()
 	if len(call.Body) <= maxInlineBody {
-		written <- c.write(append(head, call.Body...))
-		return written
+		t.end(c.write(append(head, call.Body...)))
+		return t
 	}
 	go func() {
 		err := c.write(head)
 		if err == nil {
 			err = c.write(call.Body)
 		}
-		written <- err
+		t.end(err)
 	}()
-	return written
+	return t
 }
 
 func (c *conn) write(b []byte) error {
@@ -218,7 +211,7 @@
 }
 
 // receive returns the answer to the call and whether the connection may carry another request.
-func (c *conn) receive(call Call) (*Answer, bool, error) {
+func (c *conn) receive(call Call, request *transfer) (*Answer, bool, error) {
 	req := &http.Request{Method: call.Method}
 	otherAnswers, interim := 0, 0
 	c.readLimit = maxHead
@@ -227,7 +220,10 @@
 		if err != nil {
 			return nil, false, readError(err)
 		}
-		if resp.StatusCode < 200 {
+		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+			return nil, false, &invalidAnswerError{"undefined status"}
+		}
+		if resp.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
 				return nil, false, &invalidAnswerError{"unexpected interim answer"}
 			}
@@ -246,6 +242,9 @@
 			return nil, false, &invalidAnswerError{"answer was not produced by the target"}
 		}
 		c.readLimit = -1
+		if endsWithConnection(resp) {
+			resp.Body = &uploadBoundBody{resp.Body, request}
+		}
 		a, err := readAnswer(resp)
 		if err != nil {
 			return nil, false, readError(err)
@@ -259,7 +258,7 @@
 const lengthUnknown = -1
 
 func discardBody(resp *http.Response) error {
-	if resp.ContentLength == lengthUnknown && len(resp.TransferEncoding) == 0 {
+	if endsWithConnection(resp) {
 		return io.ErrUnexpectedEOF
 	}
 	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody))
