internal/site/book: client accounts and public rules

A configuration may have accounts with keys. The book holds digests of the keys and looks accounts up by the digest of what a caller sends, so that neither the book nor the timing of a look-up shows a key. Accounts without a name or a list of keys, names or keys that two accounts share, and quotas out of range are refused with an error that names the account. The state of a request has its account and its priority.

--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -32,6 +32,8 @@
 	id                 string
 	object             string // object is what the request is about, by its affinity key, else the request's id; targets are chosen by it.
 	rule               *book.Rule
+	account            *book.Account // account is nil under a public rule and when the configuration has no accounts.
+	priority           int           // priority is the account's, or else the rule's; 0 is the most urgent.
 	service            string
 	key                placement.Key
 	deadline           time.Time // deadline is the earlier of the caller's and the rule's deadline.
@@ -129,7 +131,7 @@
 }
 
 func (e *Edge) prepareRequest(q *requestState, rule *book.Rule) {
-	q.rule = rule
+	q.rule, q.priority = rule, priorityOf(rule, q.account)
 	q.service = rule.Service(e.nextSplitDraw())
 	wait, ok := e.deps.Headers.Deadline(q.Header)
 	if !ok {
--- a/internal/site/book/book.go
+++ b/internal/site/book/book.go
@@ -32,14 +32,18 @@
 	rulesByHost map[string][]*Rule // rulesByHost holds the rules of each host, the longest prefix first.
 	services    map[string]ServiceFields
 	limits      Limits
+
+	accounts      map[string]*Account // accounts is keyed by name.
+	accountsByKey map[keyDigest]*Account
 }
 
-// New returns the book of a version, or an error that names the invalid rule
-// or says that a limit is invalid.
-func New(version uint64, rules []*Rule, services []ServiceFields, limits Limits) (*Book, error) {
+// New returns the book of a version, or an error that names the invalid rule or
+// account or says that a limit is invalid.
+func New(version uint64, rules []*Rule, services []ServiceFields, limits Limits, accounts ...*Account) (*Book, error) {
 	b := &Book{
 		version: version, rules: slices.Clone(rules), limits: limits,
 		rulesByHost: make(map[string][]*Rule), services: make(map[string]ServiceFields),
+		accounts: make(map[string]*Account), accountsByKey: make(map[keyDigest]*Account),
 	}
 	for _, s := range services {
 		b.services[s.Name] = s
@@ -53,6 +57,11 @@
 	for _, l := range b.rulesByHost {
 		slices.SortStableFunc(l, func(x, y *Rule) int { return cmp.Compare(len(y.Prefix()), len(x.Prefix())) })
 	}
+	for _, a := range accounts {
+		if err := b.addAccount(a); err != nil {
+			return nil, err
+		}
+	}
 	if limits.MaxHeaderBytes <= 0 || limits.MaxBodyBytes < 0 || limits.HeaderTimeout <= 0 || limits.IdleTimeout <= 0 {
 		return nil, fmt.Errorf("book: version %d: a limit is missing or not above 0", version)
 	}
--- a/internal/site/book/doc.go
+++ b/internal/site/book/doc.go
@@ -1,4 +1,5 @@
 // Package book holds one version of the operators' configuration as an entry
-// applies it: the routing rules by host and path prefix, the services, and the
+// applies it: the routing rules by host and path prefix, the services, the client
+// accounts, and the
 // limits for callers' requests.
 package book
--- a/internal/site/book/rule.go
+++ b/internal/site/book/rule.go
@@ -52,6 +52,7 @@
 	MaxAttempts      int      // MaxAttempts is the largest number of targets that one request may be sent to.
 	Sticky           bool     // Sticky is set when a target is faster with an object that it has handled before.
 	HomeRegions      []string // HomeRegions are the only regions that may run the requests; empty means all.
+	Public           bool     // Public is set when the requests need no key although the configuration has accounts.
 }
 
 // Rule is the routing rule for the requests of one host and path prefix; it is immutable.
@@ -103,6 +104,9 @@
 // HomeRegions returns the only regions that may run the requests; empty means all.
 func (r *Rule) HomeRegions() []string { return r.fields.HomeRegions }
 
+// Public reports whether the requests need no key although the configuration has accounts.
+func (r *Rule) Public() bool { return r.fields.Public }
+
 // Service returns the service for a number in [0, 1): uniformly distributed numbers are split by the weights.
 func (r *Rule) Service(draw float64) string {
 	position := draw * r.totalWeight
