--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -82,6 +82,11 @@
 		case f.Kind() == upstream.Withheld && q.withheldByNotice:
 			q.withheldByNotice = false
 			continue // Another target may take it; nothing was sent.
+		case f.Kind() == upstream.Withheld && q.keys.changed:
+			q.triedTargets = q.triedTargets[:len(q.triedTargets)-1]
+			continue // The attempt is made anew under the account of the version in force.
+		case f.Kind() == upstream.Withheld && q.keys.blocked:
+			return e.finishBlocked(q, sent, giveUp)
 		case f.Kind() == upstream.Withheld:
 			return giveUp(withheld)
 		case f.Kind() == upstream.Cancelled && failure == nil:
@@ -216,6 +221,7 @@
 	h := inbound.EndToEndHeaders(q.Header)
 	e.deps.Headers.SetDeadline(h, time.Until(q.deadline))
 	e.deps.Headers.SetTarget(h, s.target.ID())
+	e.setAccountHeaders(q, h)
 	e.events.Log(event.RequestPlaced, "id", q.id, "target", s.target.ID(), "zone", s.target.Zone(), "service", q.service, "rule", q.rule.Name(), "kind", q.rule.Kind(),
 		"object", q.object, "earlier", sent, "home", q.candidateIndex, "first-load", q.firstCandidateLoad, "load", s.gauge.Load(time.Now()), "slots", s.target.Slots(), "waited", time.Since(q.Arrived), "revision", s.revision)
 	e.affinity.Record(q.key, s.hash, time.Now())
@@ -225,7 +231,7 @@
 	a, err := e.pool.Do(ctx, upstream.Call{
 		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
 		SendContentLength: q.Method != http.MethodGet && q.Method != http.MethodHead, AtMostOnce: !q.rule.Kind().Repeatable(),
-		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) },
+		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) && e.admitKey(q) },
 		Classify: func(status int, h http.Header) upstream.AnswerClass {
 			class := e.classifyAnswer(q, status, h)
 			if class == upstream.Matching || class == upstream.Unidentified {
@@ -373,8 +379,7 @@
 	if s.isLeaving() || v.evacuatedZones[s.target.Zone()] || !s.usableUntil.IsZero() && time.Now().After(s.usableUntil) {
 		return false
 	}
-	regions := q.rule.HomeRegions()
-	return len(regions) == 0 || slices.Contains(regions, s.target.Region())
+	return q.allowsRegion(s.target.Region())
 }
 
 // isCold reports whether a target is or may be cold: it reported so, or it may have
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -57,6 +57,7 @@
 	peerAnswers   answerCache
 	healthChecks  healthChecks
 	zoneCoolings  zoneCoolings
+	keyChecks     keyChecks
 	// peerTraffic counts the bytes exchanged with other entries; dialPeer opens connections whose bytes it counts.
 	peerTraffic traffic.Meter
 	dialPeer    traffic.DialFunc
@@ -95,6 +96,7 @@
 	})
 	e.follower = mirror.NewFollower(e.mirror, e.deps.Store, (*peerSelector)(e), d.Events, e.applyChanges)
 	e.registerGauges()
+	e.initKeyChecks()
 	return e, nil
 }
 
@@ -261,7 +263,7 @@
 
 func (e *Edge) nearestEntries(region, zone, caller string) []string {
 	entries := e.view.Load().entries
-	if e.stopping.Load() {
+	if e.stopping.Load() || e.keysStale() && len(entries) > 1 {
 		entries = withoutEntry(entries, e.settings.Name)
 	}
 	return census.NearestAddresses(entries, region, zone, caller, minLookupEntries)
@@ -292,6 +294,7 @@
 			e.pool.CloseExpired(now)
 			e.removeLapsed(now)
 			e.logEndedPauses(now)
+			e.keysStale()
 			if n := e.deps.Dropped(); n > dropped {
 				e.events.Log(event.LinesDropped, "lines", n-dropped, "since-start", n)
 				dropped = n
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -41,7 +41,8 @@
 	log        logLines
 	sent       int
 	clockStart time.Time
-	suspended  atomic.Int64 // suspended is how long the VMs were suspended, in nanoseconds.
+	revoke     time.Duration // revoke is the RevokeBound of entries that are started from then on.
+	suspended  atomic.Int64  // suspended is how long the VMs were suspended, in nanoseconds.
 }
 
 type runningEntry struct {
@@ -164,7 +165,7 @@
 		Name: name, Zone: zone, Region: regions[zone], RegionCount: 2,
 		CallAddress: address(index, 80), ReadyAddress: address(index, 81), DirectoryAddress: address(index, 82), PeerAddress: address(index, 83), MetricsAddress: address(index, 84),
 		SeedAddresses: []string{address(1, 83), address(2, 83)}, LookupTTL: 2 * time.Second, GracePeriod: 6 * time.Second,
-		RetryBudget: spend.Limits{Ratio: 0.2, Window: 10 * time.Second}, MemoryLimit: 1 << 28, Strength: 1,
+		RetryBudget: spend.Limits{Ratio: 0.2, Window: 10 * time.Second}, MemoryLimit: 1 << 28, Strength: 1, RevokeBound: f.revoke,
 	}, edge.Dependencies{
 		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}, 8<<20), StoreTraffic: storeTraffic, Keys: platform.NewKeys(regions),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: f.net.Listen,
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -34,6 +34,7 @@
 	rule               *book.Rule
 	account            *book.Account // account is nil under a public rule and when the configuration has no accounts.
 	priority           int           // priority is the account's, or else the rule's; 0 is the most urgent.
+	keys               keyState
 	service            string
 	key                placement.Key
 	deadline           time.Time // deadline is the earlier of the caller's and the rule's deadline.
@@ -76,7 +77,7 @@
 // Serve forwards one request to a target and returns the answer, or nil when the caller has disconnected.
 func (e *Edge) Serve(ctx context.Context, r *inbound.Request) *inbound.Answer {
 	q := &requestState{Request: r, id: e.deps.Headers.RequestID(r.Header)}
-	v := e.viewOrWait(ctx)
+	v, known := e.judgingView(ctx)
 	if v.book == nil {
 		return e.refuse(q, "no configuration", refusal.Around(startRetryAfter))
 	}
@@ -89,6 +90,9 @@
 		e.events.Log(event.RequestUnknown, "id", q.id, "host", r.Host, "path", r.Path, "version", v.book.Version())
 		return inbound.EmptyAnswer(http.StatusNotFound)
 	}
+	if a := e.authorize(q, known, v.book, rule); a != nil {
+		return a
+	}
 	e.prepareRequest(q, rule)
 	if !time.Now().Before(q.deadline) {
 		return e.refuse(q, "its deadline passed before it was read", refusal.Delay{})
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -34,6 +34,8 @@
 	LookupTTL   time.Duration // LookupTTL is how long callers cache the answer to a lookup.
 	GracePeriod time.Duration // GracePeriod is the time between the signal to stop and the end of the process.
 	RetryBudget spend.Limits
+	// RevokeBound is the longest time after its removal from the configuration for which a key may be acted on; 0 for no bound.
+	RevokeBound time.Duration
 	MemoryLimit int64 // MemoryLimit is the limit of the process in bytes.
 }
 
@@ -66,6 +68,10 @@
 	Deadline(h http.Header) (time.Duration, bool)
 	SetDeadline(h http.Header, d time.Duration)
 	SetTarget(h http.Header, id string)
+	// TakeCredential removes the caller's key and account from a request and returns the key; false when it is not usable.
+	TakeCredential(h http.Header) (key string, ok bool)
+	// SetAccount gives the target the name of the caller's account.
+	SetAccount(h http.Header, name string)
 	// Object returns the affinity key of a request, which names what the request is about; empty when it has none.
 	Object(h http.Header) string
 	ProvesNotRun(status int, h http.Header) bool
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -19,6 +19,8 @@
 	ReloadIgnored    Number = 2015
 	ReaderLeft       Number = 2016
 	RenewalFailed    Number = 2017
+	KeysStale        Number = 2018
+	KeysFresh        Number = 2019
 )
 
 var configuration = []Definition{
@@ -39,4 +41,6 @@
 	{ReloadIgnored, "reload-ignored", "a reload was requested; settings are only read at startup", "restart the entry to change its settings"},
 	{ReaderLeft, "reader-left", "the entry that reads the key-value service on behalf of this one failed or has lost contact with it; this one reads it directly for a while", "none; check that entry if it repeats"},
 	{RenewalFailed, "renewal-failed", "the entry's registration could not be created or renewed; it is retried within a second", "check the platform if it persists"},
+	{KeysStale, "keys-stale", "this entry's copy of the callers' keys is too old for the bound on revoked keys; requests that need a key are refused", "check the key-value service and the network of the VM"},
+	{KeysFresh, "keys-fresh", "this entry's copy of the callers' keys is fresh again", "none"},
 }
--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -14,6 +14,8 @@
 	RequestFailed    Number = 4011
 	RequestUnknown   Number = 4012
 	RequestShed      Number = 4013
+
+	RequestUnauthorized Number = 4014
 )
 
 var request = []Definition{
@@ -29,4 +31,5 @@
 	{RequestFailed, "request-failed", "a request ended without a complete response and may have run", "check the named target"},
 	{RequestUnknown, "request-unknown", "no rule of the adopted configuration matches the request", "compare the version with the newest committed one"},
 	{RequestShed, "request-shed", "a target confirmed that it has not run the request: it was at capacity, or another target has its address", "none; check the target's load in the line"},
+	{RequestUnauthorized, "request-unauthorized", "a request was answered 401 because its key selects no account; it has not run", "compare the version with the newest committed one if the caller's key should be valid"},
 }
--- a/internal/site/book/account.go
+++ b/internal/site/book/account.go
@@ -20,6 +20,9 @@
 // maxQuota bounds a rate and a burst; a larger one is taken for a mistake.
 const maxQuota = 1e9
 
+// maxNameBytes bounds the name of an account, which every request of it carries to its target.
+const maxNameBytes = 256
+
 // keyDigest is the SHA-256 digest of a key.
 type keyDigest [sha256.Size]byte
 
@@ -83,12 +86,12 @@
 // addAccount adds an account, or returns an error that names it and never a key.
 func (b *Book) addAccount(a *Account) error {
 	invalid := func(what string) error {
-		return fmt.Errorf("book: version %d: account %q: %s", b.version, a.Name(), what)
+		return fmt.Errorf("book: version %d: account %.64q: %s", b.version, a.Name(), what)
 	}
 	switch {
 	case strings.TrimSpace(a.Name()) == "":
 		return invalid("the name is empty")
-	case strings.TrimSpace(a.Name()) != a.Name() || strings.ContainsFunc(a.Name(), func(r rune) bool { return r < ' ' || r == 0x7f }):
+	case len(a.Name()) > maxNameBytes || strings.TrimSpace(a.Name()) != a.Name() || strings.ContainsFunc(a.Name(), func(r rune) bool { return r < ' ' || r == 0x7f }):
 		return invalid("the name cannot be sent in a header")
 	case b.accounts[a.Name()] != nil:
 		return invalid("the name is taken by another account")
@@ -100,7 +103,7 @@
 	b.accounts[a.Name()] = a
 	for _, d := range a.digests {
 		if other := b.accountsByKey[d]; other != nil && other != a {
-			return invalid(fmt.Sprintf("it has a key of account %q", other.Name()))
+			return invalid(fmt.Sprintf("it has a key of account %.64q", other.Name()))
 		}
 		b.accountsByKey[d] = a
 	}
