--- a/internal/entry/edge/account.go
+++ b/internal/entry/edge/account.go
@@ -42,8 +42,16 @@
 	key     string
 	public  bool               // public is set when the rule needs no key.
 	verdict credential.Verdict // verdict is the last one; it is meaningful after taken is set and while public is not.
-	blocked bool               // blocked is set when the last attempt was withheld because of the key or the account.
-	changed bool               // changed is set when the version in force selects another account; the attempt is made anew.
+	blocked bool               // blocked is set when an attempt was withheld because of the key, which ends the request.
+	changed bool               // changed is set when an attempt was withheld because the version in force selects another account.
+}
+
+// takeChanged reports whether the attempt must be made anew under another account, once for each such attempt: the next
+// one may be withheld for another reason.
+func (s *keyState) takeChanged() bool {
+	changed := s.changed
+	s.changed = false
+	return changed
 }
 
 // judgingView returns the view that gives a request's rule and account, and how old it is.
@@ -109,7 +117,6 @@
 func (e *Edge) admitKey(q *requestState) bool {
 	k := e.knowledge()
 	b := e.view.Load().book
-	q.keys.blocked, q.keys.changed = false, false
 	if !b.HasAccounts() || q.keys.taken && q.keys.public {
 		return true
 	}
@@ -121,7 +128,8 @@
 		}
 		e.judge(q, k, b, rule)
 		q.priority = priorityOf(q.rule, q.account)
-		q.keys.blocked, q.keys.changed = true, q.keys.public || q.keys.verdict == credential.Valid
+		q.keys.changed = q.keys.public || q.keys.verdict == credential.Valid
+		q.keys.blocked = !q.keys.changed
 		return false
 	}
 	account := b.Account(q.keys.key)
@@ -132,7 +140,7 @@
 	}
 	if q.account == nil || q.account.Name() != account.Name() {
 		q.account, q.priority = account, priorityOf(q.rule, account)
-		q.keys.blocked, q.keys.changed = true, true
+		q.keys.changed = true
 		return false
 	}
 	return true
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -82,7 +82,7 @@
 		case f.Kind() == upstream.Withheld && q.withheldByNotice:
 			q.withheldByNotice = false
 			continue // Another target may take it; nothing was sent.
-		case f.Kind() == upstream.Withheld && q.keys.changed:
+		case f.Kind() == upstream.Withheld && q.keys.takeChanged():
 			q.triedTargets = q.triedTargets[:len(q.triedTargets)-1]
 			continue // The attempt is made anew under the account of the version in force.
 		case f.Kind() == upstream.Withheld && q.keys.blocked:
