internal/steer/quota: holders, terms and the worst case

A small account has less than one request a second at each entry, and with buckets of burst / regions its requests were refused three times as often as by a single bucket (15 of 100 at a rate and burst of 3).

--- a/internal/steer/quota/limit.go
+++ b/internal/steer/quota/limit.go
@@ -28,20 +28,35 @@
 const (
 	// minLifetime is the shortest lifetime of a token: more than a call to an owner in another region takes.
 	minLifetime = 250 * time.Millisecond
-	// lifetimePart is the part of the tolerance that the lifetime uses. The rest covers the time between the admission of a request
-	// and its arrival at the target.
-	lifetimePart = 0.5
+	// maxLifetime is the longest. Longer ones save no calls at the demand of a small account.
+	maxLifetime = 3 * time.Second
+	// lifetimePart is the part of the usable excess that the lifetime of tokens uses; the rest widens the buckets.
+	lifetimePart = 0.7
+	// arrivalTime bounds the time between the expiry of a token and the arrival of its request at the target. The requests of this
+	// time are kept out of the usable excess, but at most half of the tolerated excess.
+	arrivalTime = time.Second
 )
 
+// usable returns the excess in requests that the lifetime of tokens and the buckets may use.
+func (t Tolerance) usable(l Limit) float64 {
+	excess := t.Over*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
+	return excess - min(excess/2, l.Rate*arrivalTime.Seconds())
+}
+
 // Lifetime returns how long after it was requested a token may be spent.
 func (t Tolerance) Lifetime(l Limit) time.Duration {
-	if !l.Limited() {
-		return t.Window
+	longest := min(t.Window, maxLifetime)
+	seconds := longest.Seconds()
+	if l.Limited() {
+		seconds = min(seconds, lifetimePart*t.usable(l)/l.Rate)
 	}
-	excess := t.Over*(l.Rate*t.Window.Seconds()+l.Burst) + t.Slack
-	seconds := lifetimePart * excess / l.Rate
-	if seconds >= t.Window.Seconds() {
-		return t.Window
-	}
-	return min(t.Window, max(minLifetime, time.Duration(seconds*float64(time.Second))))
+	return max(min(minLifetime, longest), time.Duration(seconds*float64(time.Second)))
+}
+
+// Widen returns the limit that the buckets of the owners grant: its burst has the usable excess that the lifetime leaves. A small
+// account needs it, because a bucket that holds one token loses what it accrues until it is asked, and because the tokens that one
+// holder has are of no use to the others.
+func (t Tolerance) Widen(l Limit) Limit {
+	l.Burst += max(0, t.usable(l)-l.Rate*t.Lifetime(l).Seconds())
+	return l
 }
--- a/internal/steer/quota/purse.go
+++ b/internal/steer/quota/purse.go
@@ -7,12 +7,17 @@
 )
 
 const (
-	// demandTime is the time over which the demand for an account is averaged.
-	demandTime = 3 * time.Second
-	// renewLead is how long before the tokens are used up new ones are requested: a call to another region takes about 70 ms.
+	// demandTime is the time over which the demand for an account is averaged. Over a shorter time a few requests of a small account
+	// look like steady demand, and its tokens expire unused.
+	demandTime = 10 * time.Second
+	// minExpected is the number of requests within the lifetime of a token from which tokens are requested in advance.
+	minExpected = 1.0
+	// prefetchPart is the part of the lifetime for whose expected requests tokens are requested in advance.
+	prefetchPart = 0.75
+	// renewPart is the part of the lifetime for whose expected requests tokens are left when new ones are requested.
+	renewPart = 0.25
+	// renewLead is how long a token must still last to count as left then: a call to another region takes about 70 ms.
 	renewLead = 100 * time.Millisecond
-	// prefetchPart is the part of the lifetime for whose expected demand tokens are requested in advance.
-	prefetchPart = 0.5
 	// maxPrefetch bounds the tokens that are requested in advance.
 	maxPrefetch = 1000
 )
@@ -92,17 +97,15 @@
 	return n
 }
 
-// Want returns how many tokens to request for the waiting requests and in advance, 0 for none. Tokens are requested in advance only
-// where a request is expected within their lifetime, as others expire unused.
+// Want returns how many tokens to request for the waiting requests and in advance, 0 for none.
 func (p *Purse) Want(waiting int, lifetime, now time.Duration) int {
-	demand := p.Demand(now)
-	if demand*lifetime.Seconds() < 1 {
+	expected := p.Demand(now) * lifetime.Seconds()
+	if expected < minExpected {
 		return waiting
 	}
 	left := p.Tokens(now + renewLead)
-	if waiting == 0 && float64(left) >= max(1, demand*min(renewLead, lifetime/4).Seconds()) {
+	if waiting == 0 && float64(left) >= max(1, expected*renewPart) {
 		return 0
 	}
-	ahead := min(maxPrefetch, int(math.Ceil(demand*lifetime.Seconds()*prefetchPart)))
-	return waiting + max(0, ahead-left)
+	return waiting + max(0, min(maxPrefetch, int(math.Ceil(expected*prefetchPart)))-left)
 }
