internal/entry/edge: quotas of accounts over all entries

Requests of an account take a token of the owners of its quota, wait for it, or get 429 with the time after which there is one.

--- a/cmd/tamarackedge/flags.go
+++ b/cmd/tamarackedge/flags.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tamarackspool/internal/entry/edge"
+	"tamarackspool/internal/steer/quota"
 	"tamarackspool/internal/steer/spend"
 )
 
@@ -28,6 +29,9 @@
 	RepeatRatio float64 `help:"Part of a service's requests that all entries together may send to a second target." default:"0.2"`
 	RepeatSpan  float64 `help:"Time over which repeats are counted, in seconds." default:"10"`
 	Revoke      float64 `help:"Longest time for which a revoked key may be acted on, in seconds; 0 for no bound." default:"0"`
+	QuotaWindow float64 `help:"Time over which the requests of an account are counted for its quota, in seconds." default:"5"`
+	QuotaOver   float64 `help:"Part by which the requests of an account in this time may exceed its quota." default:"0"`
+	QuotaSlack  float64 `help:"Requests by which they may exceed it in addition." default:"0"`
 	Link        float64 `help:"Bandwidth of this VM's link in Mbit/s." default:"1000"`
 	Cores       float64 `help:"Share of a processor core that the entry has." default:"1"`
 	Memory      float64 `help:"Memory limit of the process in MB." default:"284"`
@@ -64,6 +68,9 @@
 		{"repeat-ratio", f.RepeatRatio, 0, 1},
 		{"repeat-span", f.RepeatSpan, 1, 3600},
 		{"revoke", f.Revoke, 0, 3600},
+		{"quota-window", f.QuotaWindow, 0.5, 3600},
+		{"quota-over", f.QuotaOver, 0, 10},
+		{"quota-slack", f.QuotaSlack, 0, 1e6},
 		{"link", f.Link, 0.1, 1e6},
 		{"cores", f.Cores, 0.01, 1024},
 		{"memory", f.Memory, 32, 1 << 20},
@@ -83,7 +90,7 @@
 		Name: f.Name, Zone: f.Zone, Region: f.Region, RegionCount: f.regionCount(), CallAddress: f.Call, ReadyAddress: f.Ready, DirectoryAddress: f.Directory, PeerAddress: f.Peer,
 		SeedAddresses: f.Seeds, MetricsAddress: f.Metrics, LookupTTL: seconds(f.LookupTTL), GracePeriod: seconds(f.Grace),
 		RetryBudget: spend.Limits{Ratio: f.RepeatRatio, Window: seconds(f.RepeatSpan)},
-		RevokeBound: seconds(f.Revoke),
+		RevokeBound: seconds(f.Revoke), QuotaTolerance: quota.Tolerance{Window: seconds(f.QuotaWindow), Over: f.QuotaOver, Slack: f.QuotaSlack},
 		MemoryLimit: int64(f.Memory * 1e6), Strength: min(f.Link, f.Cores*mbitPerCore),
 	}, nil
 }
--- a/cmd/tamarackedge/flags_test.go
+++ b/cmd/tamarackedge/flags_test.go
@@ -44,6 +44,9 @@
 		{"--log=loud", "none, beliefs, requests"},
 		{"--log-rate=1", "--log-rate"},
 		{"--revoke=-1", "--revoke -1 is out of range; the range is 0 to 3600"},
+		{"--quota-window=0", "--quota-window 0 is out of range; the range is 0.5 to 3600"},
+		{"--quota-over=-1", "--quota-over -1 is out of range; the range is 0 to 10"},
+		{"--quota-slack=-1", "--quota-slack -1 is out of range; the range is 0 to 1e+06"},
 		{"--unknown=1", "unknown"},
 	} {
 		code, message := runCanceled(t, append(append([]string(nil), validArgs...), c.arg)...)
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -87,6 +87,8 @@
 			continue // The attempt is made anew under the account of the version in force.
 		case f.Kind() == upstream.Withheld && q.keys.blocked:
 			return e.finishBlocked(q, sent, giveUp)
+		case f.Kind() == upstream.Withheld && q.token.missing:
+			return giveUp(tokenExpired)
 		case f.Kind() == upstream.Withheld:
 			return giveUp(withheld)
 		case f.Kind() == upstream.Cancelled && failure == nil:
@@ -231,7 +233,7 @@
 	a, err := e.pool.Do(ctx, upstream.Call{
 		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
 		SendContentLength: q.Method != http.MethodGet && q.Method != http.MethodHead, AtMostOnce: !q.rule.Kind().Repeatable(),
-		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) && e.admitKey(q) },
+		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) && e.admitKey(q) && e.admitToken(q) },
 		Classify: func(status int, h http.Header) upstream.AnswerClass {
 			class := e.classifyAnswer(q, status, h)
 			if class == upstream.Matching || class == upstream.Unidentified {
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -15,6 +15,7 @@
 	"tamarackspool/internal/steer/notice"
 	"tamarackspool/internal/steer/pace"
 	"tamarackspool/internal/steer/placement"
+	"tamarackspool/internal/steer/quota"
 )
 
 // viewBuilder keeps the state read from the store and builds views of it. It is not safe for concurrent use.
@@ -38,6 +39,8 @@
 	formerEntries  map[string]formerEntry // formerEntries holds entries whose registration has recently ended; they may still be running.
 	// registeredSince is when this entry's own registration was first read from the store; zero while it is missing.
 	registeredSince time.Time
+	roster          quota.Roster
+	uptime          func() time.Duration // uptime returns the time of a clock that advances while the machine is suspended.
 }
 
 func newViewBuilder(keys Keys, events *event.Log, self census.Entry, regionCount int, recentOutage func() bool) *viewBuilder {
@@ -335,6 +338,7 @@
 		}
 	}
 	v.reader, v.hasReader = census.ReaderOf(v.entries, b.self)
+	v.roster = b.nextRoster(revision)
 	return v
 }
 
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -58,6 +58,7 @@
 	healthChecks  healthChecks
 	zoneCoolings  zoneCoolings
 	keyChecks     keyChecks
+	quotas        *quotas
 	// peerTraffic counts the bytes exchanged with other entries; dialPeer opens connections whose bytes it counts.
 	peerTraffic traffic.Meter
 	dialPeer    traffic.DialFunc
@@ -89,6 +90,7 @@
 	e.lastTick.Store(int64(d.Uptime()))
 	e.dialPeer = e.peerTraffic.WrapDial(d.Dial)
 	e.builder = newViewBuilder(d.Keys, d.Events, e.self, s.RegionCount, func() bool { return e.follower.RecentOutage(lapseWindow) })
+	e.builder.uptime = d.Uptime
 	e.view.Store(e.builder.buildView(0, e.started))
 	e.pool = upstream.New(d.Dial, e.noteClosedConnection)
 	e.server = inbound.New(e, func(err error) {
@@ -97,6 +99,7 @@
 	e.follower = mirror.NewFollower(e.mirror, e.deps.Store, (*peerSelector)(e), d.Events, e.applyChanges)
 	e.registerGauges()
 	e.initKeyChecks()
+	e.initQuotas()
 	return e, nil
 }
 
@@ -186,6 +189,7 @@
 	e.stop(ctx)
 	stop()
 	closePages()
+	e.quotas.links.close()
 	e.listeners.closeAll()
 	err := g.Wait()
 	e.pool.Close()
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -21,6 +21,7 @@
 	"tamarackspool/internal/entry/edge"
 	"tamarackspool/internal/record/event"
 	"tamarackspool/internal/record/traffic"
+	"tamarackspool/internal/steer/quota"
 	"tamarackspool/internal/steer/spend"
 	"tamarackspool/platform"
 	"tamarackspool/platform/platformtest"
@@ -166,6 +167,7 @@
 		CallAddress: address(index, 80), ReadyAddress: address(index, 81), DirectoryAddress: address(index, 82), PeerAddress: address(index, 83), MetricsAddress: address(index, 84),
 		SeedAddresses: []string{address(1, 83), address(2, 83)}, LookupTTL: 2 * time.Second, GracePeriod: 6 * time.Second,
 		RetryBudget: spend.Limits{Ratio: 0.2, Window: 10 * time.Second}, MemoryLimit: 1 << 28, Strength: 1, RevokeBound: f.revoke,
+		QuotaTolerance: quota.Tolerance{Window: 5 * time.Second, Over: 0.1, Slack: 20},
 	}, edge.Dependencies{
 		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}, 8<<20), StoreTraffic: storeTraffic, Keys: platform.NewKeys(regions),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: f.net.Listen,
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -157,6 +157,8 @@
 }
 
 func (e *Edge) putRegistration(ctx context.Context, lease uint64) bool {
+	e.suspendOwning()
+	defer e.suspendOwning()
 	value, err := census.Encode(e.self)
 	if err == nil {
 		err = e.deps.Store.Put(ctx, e.deps.Keys.EntryKey(e.settings.Name), value, lease)
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -88,6 +88,12 @@
 		}
 		e.receiveCold(c)
 		return struct{}{}, nil
+	case methodQuota:
+		var request quotaRequest
+		if err := json.Unmarshal(*r.Params, &request); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return e.grantTokens(request), nil
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "edge: method " + r.Method + " is unknown"}
 }
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -35,6 +35,7 @@
 	account            *book.Account // account is nil under a public rule and when the configuration has no accounts.
 	priority           int           // priority is the account's, or else the rule's; 0 is the most urgent.
 	keys               keyState
+	token              quotaToken
 	service            string
 	key                placement.Key
 	deadline           time.Time // deadline is the earlier of the caller's and the rule's deadline.
@@ -97,6 +98,10 @@
 	if !time.Now().Before(q.deadline) {
 		return e.refuse(q, "its deadline passed before it was read", refusal.Delay{})
 	}
+	if a, ok := e.takeToken(ctx, q); !ok {
+		return a
+	}
+	defer e.returnToken(q)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	a := e.forward(ctx, q)
 	if a != nil && a.BodyRest != nil {
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -13,6 +13,7 @@
 	"tamarackspool/internal/site/census"
 	"tamarackspool/internal/site/mirror"
 	"tamarackspool/internal/site/target"
+	"tamarackspool/internal/steer/quota"
 	"tamarackspool/internal/steer/spend"
 )
 
@@ -36,7 +37,9 @@
 	RetryBudget spend.Limits
 	// RevokeBound is the longest time after its removal from the configuration for which a key may be acted on; 0 for no bound.
 	RevokeBound time.Duration
-	MemoryLimit int64 // MemoryLimit is the limit of the process in bytes.
+	// QuotaTolerance is by how much the requests of an account may exceed its quota, over all entries.
+	QuotaTolerance quota.Tolerance
+	MemoryLimit    int64 // MemoryLimit is the limit of the process in bytes.
 }
 
 // Store is the client of the platform's key-value store.
--- a/internal/entry/edge/stall.go
+++ b/internal/entry/edge/stall.go
@@ -47,6 +47,7 @@
 			return
 		case <-t.C:
 			e.watchdogTick()
+			e.tickQuotas()
 			t.Reset(watchdogInterval)
 		}
 	}
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -10,6 +10,7 @@
 	"tamarackspool/internal/steer/notice"
 	"tamarackspool/internal/steer/pace"
 	"tamarackspool/internal/steer/placement"
+	"tamarackspool/internal/steer/quota"
 )
 
 // targetState is a target with what this entry has observed of it. It is replaced when
@@ -76,6 +77,7 @@
 	revision        uint64
 	reader          census.Reader // reader is the entry that reads the store for this one.
 	hasReader       bool          // hasReader is false when this entry reads the store itself.
+	roster          quota.Roster  // roster holds the entries that may own accounts.
 }
 
 // paceDelay is how long an entry's own registration must have been visible before the entry paces
--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -16,6 +16,8 @@
 	RequestShed      Number = 4013
 
 	RequestUnauthorized Number = 4014
+	QuotaExceeded       Number = 4015
+	QuotaUnreachable    Number = 4016
 )
 
 var request = []Definition{
@@ -32,4 +34,6 @@
 	{RequestUnknown, "request-unknown", "no rule of the adopted configuration matches the request", "compare the version with the newest committed one"},
 	{RequestShed, "request-shed", "a target confirmed that it has not run the request: it was at capacity, or another target has its address", "none; check the target's load in the line"},
 	{RequestUnauthorized, "request-unauthorized", "a request was answered 401 because its key selects no account; it has not run", "compare the version with the newest committed one if the caller's key should be valid"},
+	{QuotaExceeded, "quota-exceeded", "a request was answered 429 because its account has used its quota; it has not run", "none; raise the account's quota if it is meant to send more"},
+	{QuotaUnreachable, "quota-unreachable", "a request was refused because no owner of its account's quota can be reached; it has not run", "check the links of the VM and the key-value service if it repeats"},
 }
--- a/internal/record/event/steering.go
+++ b/internal/record/event/steering.go
@@ -25,6 +25,7 @@
 	LeavingAnnounced Number = 3121
 	TargetPaused     Number = 3122
 	PauseEnded       Number = 3123
+	QuotaOwner       Number = 3124
 )
 
 var steering = []Definition{
@@ -51,4 +52,5 @@
 	{LeavingAnnounced, "leaving-announced", "a target's answer says that it is leaving; this incarnation receives no new requests from this entry, whatever the store says", "none; check the target VM if it stays registered as ready"},
 	{TargetPaused, "target-paused", "a target rejected a request and named a time in which it wants no further ones; it receives none until then", "add targets if it repeats"},
 	{PauseEnded, "pause-ended", "the time that a target named has passed; its objects return to it one after another", "none"},
+	{QuotaOwner, "quota-owner", "the number of client accounts whose quota this entry owns in its region has changed", "none; check the key-value service if it stays 0 on all entries of a region"},
 }
