--- a/internal/entry/edge/link.go
+++ b/internal/entry/edge/link.go
@@ -152,7 +152,7 @@
 		select {
 		case <-l.opened:
 		default:
-			continue // connect closes it, or its next use does not come.
+			continue // connect closes it after close, and a later sweep when it stays unused.
 		}
 		if match(l) {
 			delete(p.links, address)
--- a/internal/entry/edge/quota.go
+++ b/internal/entry/edge/quota.go
@@ -286,7 +286,9 @@
 		e.quotas.mu.Lock()
 		defer e.quotas.mu.Unlock()
 		for ok {
-			e.askOwner(account, h, o, want)
+			if e.askOwner(account, h, o, want) && h.waiting == 0 {
+				break // What is wanted in advance is asked for once, so that calls do not go on without requests.
+			}
 			o, want, ok = e.nextOwner(account, h, e.deps.Uptime())
 		}
 		h.asking = false
@@ -294,8 +296,9 @@
 	}()
 }
 
-// askOwner asks one owner and adds the tokens that it grants; quotas.mu is held, but not during the call.
-func (e *Edge) askOwner(account string, h *holder, o quota.Member, want int) {
+// askOwner asks one owner, adds the tokens that it grants, and reports whether these are all that were wanted; quotas.mu is held,
+// but not during the call.
+func (e *Edge) askOwner(account string, h *holder, o quota.Member, want int) bool {
 	s := e.quotas
 	request := quotaRequest{Account: account, Want: want, Waiting: h.waiting}
 	s.mu.Unlock()
@@ -306,11 +309,12 @@
 	if err != nil || !answer.Owner {
 		s.failedCalls.Inc(1)
 		s.silent[o.Name] = now + silentTime
-		return
+		return false
 	}
 	lifetime := min(time.Duration(answer.Lifetime)*time.Millisecond, s.tolerance.Window)
 	h.RecordAnswer(o, want, answer.Granted, began+lifetime, time.Duration(answer.Wait)*time.Millisecond, now)
 	h.announce()
+	return answer.Granted == want
 }
 
 func (e *Edge) callOwner(o quota.Member, request quotaRequest) (quotaAnswer, error) {
@@ -328,122 +332,3 @@
 	err := e.quotas.links.call(ctx, o.Address, methodQuota, request, &answer)
 	return answer, err
 }
-
-// grantTokens answers a request for tokens.
-func (e *Edge) grantTokens(request quotaRequest) quotaAnswer {
-	s := e.quotas
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, limit := e.ownedBucket(request.Account)
-	if o == nil {
-		return quotaAnswer{}
-	}
-	granted, wait := o.Grant(request.Want, request.Waiting, e.deps.Uptime())
-	// A pause between the check and the grant could have ended this entry's right to grant.
-	if o, _ := e.ownedBucket(request.Account); o == nil {
-		return quotaAnswer{}
-	}
-	if granted == 0 {
-		s.refusedCalls.Inc(1)
-	}
-	s.granted.Inc(int64(granted))
-	return quotaAnswer{Granted: granted, Lifetime: s.tolerance.Lifetime(limit).Milliseconds(), Wait: wait.Milliseconds(), Owner: true}
-}
-
-// ownedBucket returns the bucket of the account and its limit if this entry may grant its tokens now, else nil; quotas.mu is held.
-// The age is read before the view, because a view of before a pause must not count as confirmed by an age of after it.
-func (e *Edge) ownedBucket(account string) (*quota.Owner, quota.Limit) {
-	s := e.quotas
-	holds := e.holdsTenure()
-	v, now := e.view.Load(), e.deps.Uptime()
-	if !holds {
-		return nil, quota.Limit{}
-	}
-	limit := v.accountLimit(account)
-	if !limit.Limited() || !v.roster.Owns(e.settings.Name, quota.Key(account), now) {
-		delete(s.owned, account)
-		return nil, quota.Limit{}
-	}
-	wide, regions := s.tolerance.Widen(limit), v.roster.Regions(now)
-	o := s.owned[account]
-	if o == nil {
-		o = quota.NewOwner(wide, regions, now)
-		s.owned[account] = o
-	}
-	o.SetLimit(wide, regions, now)
-	if e.stalled() || e.stopping.Load() {
-		return nil, quota.Limit{}
-	}
-	return o, limit
-}
-
-// holdsTenure reports whether this entry may own accounts, and discards its buckets when it may not; quotas.mu is held.
-func (e *Edge) holdsTenure() bool {
-	now := e.deps.Uptime()
-	if e.quotas.tenure.Holds(e.follower.ConfirmedAge(), now) {
-		return true
-	}
-	clear(e.quotas.owned)
-	return false
-}
-
-// suspendOwning ends this entry's right to grant tokens until the others know of its registration.
-func (e *Edge) suspendOwning() {
-	e.quotas.mu.Lock()
-	defer e.quotas.mu.Unlock()
-	e.quotas.tenure.Suspend(e.deps.Uptime())
-}
-
-// tickQuotas checks this entry's right to own accounts. From time to time it creates the buckets of the accounts that the entry
-// owns, which begin to accrue then, and discards what is no longer used.
-func (e *Edge) tickQuotas() {
-	s := e.quotas
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	holds := e.holdsTenure()
-	s.ticks++
-	if s.ticks%sweepTicks != 0 {
-		return
-	}
-	v, now := e.view.Load(), e.deps.Uptime()
-	if holds && v.book != nil {
-		for _, name := range v.book.AccountNames() {
-			_, _ = e.ownedBucket(name)
-		}
-		for name := range s.owned {
-			if !v.accountLimit(name).Limited() {
-				delete(s.owned, name)
-			}
-		}
-	}
-	for name, h := range s.holders {
-		if now-h.used >= holderIdleTime && h.waiting == 0 && !h.asking {
-			delete(s.holders, name)
-		}
-	}
-	for name, until := range s.silent {
-		if now >= until {
-			delete(s.silent, name)
-		}
-	}
-	if len(s.owned) != s.logged {
-		s.logged = len(s.owned)
-		e.events.Log(event.QuotaOwner, "accounts", s.logged, "regions", v.roster.Regions(now), "confirmed-age", e.follower.ConfirmedAge())
-	}
-	s.links.closeIdle(time.Now())
-}
-
-// nextRoster returns the entries that may own accounts after a change that was read from the store.
-func (b *viewBuilder) nextRoster(revision uint64) quota.Roster {
-	if revision == 0 {
-		return quota.Roster{}
-	}
-	members := make([]quota.Member, 0, len(b.entries))
-	for _, o := range b.entries {
-		if !o.Leaving {
-			members = append(members, quota.Member{Name: o.Name, Region: o.Region, Address: o.Peer})
-		}
-	}
-	b.roster = b.roster.Next(members, b.self.Name, b.uptime())
-	return b.roster
-}
--- a/internal/entry/edge/quota_test.go
+++ b/internal/entry/edge/quota_test.go
@@ -103,7 +103,8 @@
 			}
 		}
 		if owner == "" || f.metric("e3", "quota.owned") != 1 {
-			t.Fatal("a region has no owner")
+			t.Error("a region has no owner")
+			return
 		}
 		asked := map[string]string{"e0": "e1", "e1": "e2", "e2": "e0"}[owner]
 		index := f.entries[owner].index
@@ -180,3 +181,112 @@
 		}
 	})
 }
+
+// Guards against requests that are sent with tokens from before a pause of the process, in addition to those that the owner has
+// granted since.
+func TestTokensExpireDuringAPause(t *testing.T) {
+	runFleet(t, []string{"a1", "a1"}, func(f *fleet) {
+		f.configureAccounts(1, limited(10, 10))
+		x := f.target("t0", "s1", "a1", nil)
+		time.Sleep(ownershipTime)
+		f.net.SetDialTime(x.Address, 500*time.Millisecond)
+		answers := make(chan answer)
+		go func() { answers <- f.callQuota("e0") }()
+		time.Sleep(200 * time.Millisecond)
+		f.suspended.Add(int64(10 * time.Second))
+		if got := <-answers; got.status != http.StatusServiceUnavailable || len(x.Runs()) > 0 {
+			t.Errorf("request from before the pause: %v, %d runs", got, len(x.Runs()))
+		}
+	})
+}
+
+// Guards against tokens that are lost with requests that were never sent.
+func TestTokensOfUnsentRequestsReturn(t *testing.T) {
+	runFleet(t, []string{"a1"}, func(f *fleet) {
+		f.configureAccounts(1, limited(0.2, 1))
+		time.Sleep(15 * time.Second) // Two tokens accrue after the registration has been seen for 3 s.
+		for range 30 {
+			if got := f.callQuota("e0"); got.status == http.StatusTooManyRequests {
+				t.Errorf("request to a service without a target: %v", got)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a limit that an owner does not lower with the version in force.
+func TestLoweredQuotaTakesEffect(t *testing.T) {
+	runFleet(t, []string{"a1", "b1"}, func(f *fleet) {
+		f.configureAccounts(1, limited(100, 100))
+		f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Slots, x.ServiceTime = 100, time.Millisecond })
+		time.Sleep(ownershipTime)
+		f.configureAccounts(2, limited(4, 4))
+		settle()
+		time.Sleep(5 * time.Second)
+		var sent []time.Time
+		for range 500 {
+			if f.callQuota("e0").status == http.StatusOK {
+				sent = append(sent, time.Now())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if n, bound := worstWindow(sent), 46; n > bound || len(sent) < 36 {
+			t.Errorf("%d requests sent, %d in the worst window, want at most %d", len(sent), n, bound)
+		}
+	})
+}
+
+// Measures the bytes of a call, which docs/CAPACITY.md states.
+func TestBytesOfACall(t *testing.T) {
+	runFleet(t, []string{"a1", "a1"}, func(f *fleet) {
+		f.configureAccounts(1, limited(50, 50))
+		f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Slots, x.ServiceTime = 100, time.Millisecond })
+		time.Sleep(ownershipTime)
+		asking := "e0"
+		if f.metric("e0", "quota.owned") == 1 {
+			asking = "e1"
+		}
+		bytes := func() int { return f.metric(asking, "peer.sent") + f.metric(asking, "peer.received") }
+		const interval = 20 * time.Second
+		began := bytes()
+		time.Sleep(interval)
+		atRest := bytes() - began
+		began, calls := bytes(), f.metric(asking, "quota.calls")
+		requests := 0
+		for end := time.Now().Add(interval); time.Now().Before(end); requests++ {
+			f.callQuota(asking)
+			time.Sleep(500 * time.Millisecond)
+		}
+		calls = f.metric(asking, "quota.calls") - calls
+		perCall := (bytes() - began - atRest) / max(calls, 1)
+		t.Logf("%d requests, %d calls of %d bytes", requests, calls, perCall)
+		if perCall > 200 {
+			t.Errorf("a call has %d bytes", perCall)
+		}
+	})
+}
+
+// Guards against a connection for each call, connections that stay open without use, and calls that go on without requests.
+func TestConnectionsToOwnersAreSharedAndClosed(t *testing.T) {
+	runFleet(t, []string{"a1", "b1"}, func(f *fleet) {
+		f.configureAccounts(1, limited(3, 3))
+		f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Slots, x.ServiceTime = 100, time.Millisecond })
+		time.Sleep(ownershipTime)
+		for range 50 {
+			f.callQuota("e0")
+			time.Sleep(200 * time.Millisecond)
+		}
+		if n := f.metric("e0", "quota.connections"); n != 1 {
+			t.Errorf("%d connections to one owner", n)
+		}
+		time.Sleep(time.Second)
+		calls := f.metric("e0", "quota.calls")
+		time.Sleep(15 * time.Second)
+		if after := f.metric("e0", "quota.calls"); after != calls || calls == 0 {
+			t.Errorf("%d calls, and %d without requests", calls, after-calls)
+		}
+		if n := f.metric("e0", "quota.connections"); n != 0 {
+			t.Errorf("%d connections are open without use", n)
+		}
+	})
+}
--- a/internal/steer/quota/purse.go
+++ b/internal/steer/quota/purse.go
@@ -97,15 +97,17 @@
 	return n
 }
 
-// Want returns how many tokens to request for the waiting requests and in advance, 0 for none.
+// Want returns how many tokens to request for the waiting requests, which have not taken those that are left, and in advance; 0 for
+// none.
 func (p *Purse) Want(waiting int, lifetime, now time.Duration) int {
+	unmet := max(0, waiting-p.Tokens(now))
 	expected := p.Demand(now) * lifetime.Seconds()
 	if expected < minExpected {
-		return waiting
+		return unmet
 	}
-	left := p.Tokens(now + renewLead)
-	if waiting == 0 && float64(left) >= max(1, expected*renewPart) {
+	left := max(0, p.Tokens(now+renewLead)-waiting)
+	if unmet == 0 && float64(left) >= max(1, expected*renewPart) {
 		return 0
 	}
-	return waiting + max(0, min(maxPrefetch, int(math.Ceil(expected*prefetchPart)))-left)
+	return unmet + max(0, min(maxPrefetch, int(math.Ceil(expected*prefetchPart)))-left)
 }
