internal/steer/quota: owners know that their registration lasted

An entry that lapsed 1.8 s after it registered could own accounts for that long while another one, which had read before and after, never heard of it.

--- a/internal/steer/quota/worst_test.go
+++ b/internal/steer/quota/worst_test.go
@@ -20,6 +20,8 @@
 	step     = 100 * time.Millisecond
 	leaseTTL = 3 * time.Second
 	account  = "small"
+	// grantAge is how long before its registration was written an entry's lease may have been granted.
+	grantAge = 1200 * time.Millisecond
 )
 
 // content is what the store holds from a time on.
@@ -78,7 +80,7 @@
 
 func (f *fleet) register(e *entry) {
 	e.tenure.Suspend(f.now)
-	e.renewed = f.now
+	e.renewed = f.now - grantAge
 	e.listed = true
 	f.write(func(c *content) {
 		c.members = append(slices.DeleteFunc(slices.Clone(c.members), func(m quota.Member) bool { return m.Name == e.Name }), e.Member)
@@ -296,3 +298,38 @@
 		}
 	})
 }
+
+// Guards against a second owner that another one never hears of: it was registered and lapsed between two reads of the other one,
+// and owns until it has not heard of its own end for the allowed time.
+func TestUnseenRegistrationOwnsNothing(t *testing.T) {
+	f := newFleet(quota.Limit{Rate: 20, Burst: 20}, 2, 1)
+	wait := func(d time.Duration) {
+		for range d / step {
+			f.tick(true)
+		}
+	}
+	wait(6 * time.Second)
+	first, other := f.entries[0], f.entries[1]
+	if other.bucket != nil {
+		first, other = other, first
+	}
+	if first.bucket == nil {
+		t.Fatal("nobody owns the account")
+	}
+	first.down = true
+	wait(10 * time.Second)
+	if other.bucket == nil {
+		t.Fatal("nobody owns the account after the end of its owner")
+	}
+	other.deaf = true
+	f.restart(first)
+	first.mute = true
+	wait(leaseTTL - grantAge - step)
+	first.deaf = true
+	wait(2 * step)
+	other.deaf = false
+	wait(6 * time.Second)
+	if f.overlap != "" {
+		t.Error(f.overlap)
+	}
+}
