internal/site/mirror: the confirmed age of the replica

Follower.ConfirmedAge bounds the time since the mirror held everything that the store had acknowledged. Calls to the store confirm the moment at which they began; answers of peers confirm the moment they were made less the age that the peer states, and peers state how long they held the call. RequireConfirmation(bound) makes the follower hold calls open for 0.5 s at most and ask peers from an age of 2 s on; with 0 nothing changes.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -93,7 +93,7 @@
 	e.server = inbound.New(e, func(err error) {
 		e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.OpenConnections())
 	})
-	e.follower = mirror.NewFollower(e.mirror, e.deps.Store, (*peerSelector)(e), d.Events, e.applyChanges)
+	e.follower = mirror.NewFollower(e.mirror, e.deps.Store, (*peerSelector)(e), d.Events, d.Uptime, e.applyChanges)
 	e.registerGauges()
 	return e, nil
 }
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -32,6 +32,9 @@
 		Revision uint64 `json:"revision"`
 		Whole    bool   `json:"whole,omitempty"` // Whole is set when the items are a snapshot of all keys.
 		Age      int64  `json:"age"`             // Age is the time in milliseconds since the peer last heard from the store.
+		// Confirmed is the peer's confirmed age in milliseconds, rounded up; nil when the peer does not state it.
+		Confirmed *int64 `json:"confirmed,omitempty"`
+		Held      int64  `json:"held,omitempty"` // Held is how long the peer held the call open, in milliseconds, rounded down.
 	}
 	changedItem struct {
 		Key      string `json:"key"`
@@ -93,14 +96,18 @@
 }
 
 func (e *Edge) handleChanges(ctx context.Context, request changesRequest) (any, error) {
+	received := e.deps.Uptime()
 	if request.Wait > 0 {
 		e.waitForChange(ctx, request.After, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
 	}
+	// Both are determined before the changes are read, so that the answer holds all that its confirmed age promises.
+	held := (e.deps.Uptime() - received).Milliseconds()
+	confirmed := e.follower.ConfirmedAge().Milliseconds() + 1
 	answer, err := e.peerAnswers.changesAfter(e.mirror, request.After)
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
-	answer.Age = e.follower.Age().Milliseconds()
+	answer.Age, answer.Confirmed, answer.Held = e.follower.Age().Milliseconds(), &confirmed, held
 	return answer, nil
 }
 
@@ -208,7 +215,14 @@
 	if err != nil {
 		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
-	return mirror.Batch{Items: items, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}, nil
+	b := mirror.Batch{
+		Items: items, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond,
+		Held: time.Duration(a.Held) * time.Millisecond, Unconfirmed: a.Confirmed == nil,
+	}
+	if a.Confirmed != nil {
+		b.ConfirmedAge = time.Duration(*a.Confirmed) * time.Millisecond
+	}
+	return b, nil
 }
 
 // call calls a method of the peer and connects to it first if there is no connection.
--- /dev/null
+++ b/internal/site/mirror/confirm.go
@@ -0,0 +1,54 @@
+package mirror
+
+import "time"
+
+const (
+	// neverConfirmed is the confirmed age at the start: longer than any bound.
+	neverConfirmed = 100 * 365 * 24 * time.Hour
+	// strictWait is how long the store or a reader holds a call open where RequireConfirmation is set.
+	strictWait = 500 * time.Millisecond
+	// maxConfirmedAge is the confirmed age from which an entry asks its peers where RequireConfirmation is set.
+	maxConfirmedAge = 2 * time.Second
+)
+
+// RequireConfirmation makes the follower keep its confirmed age low, for a deployment in which requests are refused once
+// the age approaches the bound. A bound of 0 changes nothing. It must be called before Run.
+func (f *Follower) RequireConfirmation(bound time.Duration) { f.bound = bound }
+
+// ConfirmedAge returns an upper bound of the time since a moment at which the mirror held everything that the
+// store had acknowledged. Only reads of changes confirm this, not answers to other calls. The age counts time during
+// which the machine was suspended; before the first confirmation it is longer than any bound.
+func (f *Follower) ConfirmedAge() time.Duration {
+	// The confirmation is read first: one that is made after the clock was read would give an age below 0.
+	confirmed := time.Duration(f.confirmed.Load())
+	return f.uptime() - confirmed
+}
+
+// confirm records what the batch of a call that began at the given uptime confirms. The source made the batch no
+// earlier than the time for which it held the call after that.
+func (f *Follower) confirm(b Batch, began time.Duration) {
+	if b.Unconfirmed {
+		return
+	}
+	held := min(max(b.Held, 0), f.uptime()-began)
+	at := int64(began + held - min(max(b.ConfirmedAge, 0), neverConfirmed))
+	for {
+		last := f.confirmed.Load()
+		if at <= last || f.confirmed.CompareAndSwap(last, at) {
+			return
+		}
+	}
+}
+
+// lacksConfirmation reports whether the confirmed age is one at which another source must be asked.
+func (f *Follower) lacksConfirmation(age time.Duration) bool {
+	return f.bound > 0 && age >= min(maxConfirmedAge, f.bound*2/5)
+}
+
+// limitWait returns how long a source may hold a call open that it would hold for the given time.
+func (f *Follower) limitWait(wait time.Duration) time.Duration {
+	if f.bound > 0 {
+		return min(wait, strictWait)
+	}
+	return wait
+}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -79,6 +79,10 @@
 	onChange  func([]Item)
 	recovered chan struct{} // recovered has an element once the store answers again after a pause.
 
+	uptime    func() time.Duration // uptime is the time of a monotonic clock that advances while the machine is suspended.
+	confirmed atomic.Int64         // confirmed is the uptime of the last confirmation, in nanoseconds; see ConfirmedAge.
+	bound     time.Duration        // bound is the bound of RequireConfirmation; 0 for none.
+
 	mu        sync.Mutex   // mu is held while a batch is applied.
 	lastHeard atomic.Int64 // lastHeard is when the store last answered, in nanoseconds since start.
 	lastRead  atomic.Int64 // lastRead is when the changes were last read, from the store or a reader, in nanoseconds since start.
@@ -90,10 +94,14 @@
 	failures int
 }
 
-// NewFollower returns a follower that calls onChange, from one goroutine at a
-// time, with the changed items of each batch.
-func NewFollower(m *Mirror, store Source, peers Peers, events *event.Log, onChange func([]Item)) *Follower {
-	return &Follower{mirror: m, store: store, peers: peers, events: events, onChange: onChange, start: time.Now(), recovered: make(chan struct{}, 1)}
+// NewFollower returns a follower that calls onChange, from one goroutine at a time, with the changed items of each
+// batch. uptime returns the time of a monotonic clock that advances while the machine is suspended.
+func NewFollower(m *Mirror, store Source, peers Peers, events *event.Log, uptime func() time.Duration, onChange func([]Item)) *Follower {
+	f := &Follower{
+		mirror: m, store: store, peers: peers, events: events, uptime: uptime, onChange: onChange, start: time.Now(), recovered: make(chan struct{}, 1),
+	}
+	f.confirmed.Store(int64(uptime() - neverConfirmed))
+	return f
 }
 
 // RecordStoreAnswer records that the store has answered another call of this entry. After a
@@ -132,9 +140,6 @@
 	return f.heardAge()
 }
 
-// ConfirmedAge returns an upper bound of the time since the mirror held everything that the store had acknowledged.
-func (f *Follower) ConfirmedAge() time.Duration { return f.Age() }
-
 // heardAge returns how long ago the store last answered any call.
 func (f *Follower) heardAge() time.Duration {
 	return time.Since(f.start) - time.Duration(f.lastHeard.Load())
@@ -148,12 +153,14 @@
 	running.Wait()
 }
 
-// applyBatch applies a batch to the mirror before the next call requests the changes after it. It drops a
-// snapshot that is older than the mirror, which a peer may have updated meanwhile: it
+// applyBatch applies the batch of a call that began at the given uptime, before the next call requests the changes
+// after it. It drops a snapshot that is older than the mirror, which a peer may have updated meanwhile: it
 // may contain keys that were removed since.
-func (f *Follower) applyBatch(b Batch) {
+func (f *Follower) applyBatch(b Batch, began time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// The confirmation follows the change, so that the age is never younger than what onChange has made visible.
+	defer f.confirm(b, began)
 	if b.Snapshot && b.Revision < f.mirror.Revision() {
 		return
 	}
@@ -181,6 +188,7 @@
 			}
 		}
 		storeRead = began
+		callBegan := f.uptime()
 		b, err := f.pollStore(ctx)
 		if errors.Is(err, errStoreRecovered) {
 			readerRetryAt = time.Time{} // The reader recovers at the same time, and every entry would read the store itself.
@@ -194,7 +202,7 @@
 		}
 		f.failures = 0
 		f.recordRead(b)
-		f.applyBatch(b)
+		f.applyBatch(b, callBegan)
 		sleep(ctx, minCallInterval-time.Since(began))
 	}
 }
@@ -216,13 +224,15 @@
 	if reader.Source == nil || after == 0 {
 		return noReader
 	}
-	bounded, cancel := context.WithTimeout(ctx, reader.Wait+readerGrace)
+	wait := f.limitWait(reader.Wait)
+	bounded, cancel := context.WithTimeout(ctx, wait+readerGrace)
 	defer cancel()
-	b, err := reader.Source.Changes(bounded, after, reader.Wait)
+	began := f.uptime()
+	b, err := reader.Source.Changes(bounded, after, wait)
 	if ctx.Err() != nil {
 		return readerFresh
 	}
-	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait
+	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait || f.lacksConfirmation(b.ConfirmedAge)
 	if err != nil || b.Revision < after || stale && f.Age() < OutageAfter {
 		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after)
 	}
@@ -230,11 +240,11 @@
 	case err != nil || b.Revision < after:
 		return readerLost
 	case stale:
-		f.applyBatch(b)
+		f.applyBatch(b, began)
 		return readerStale
 	}
 	f.recordRead(b)
-	f.applyBatch(b)
+	f.applyBatch(b, began)
 	return readerFresh
 }
 
@@ -252,7 +262,8 @@
 
 func (f *Follower) pollStore(ctx context.Context) (Batch, error) {
 	after := f.mirror.Revision()
-	limit := watchWait + watchGrace
+	wait := f.limitWait(watchWait)
+	limit := wait + watchGrace
 	if after == 0 {
 		limit = min(firstReadTimeout<<min(f.failures, 8), maxFirstReadTimeout)
 	}
@@ -271,7 +282,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	b, err := f.store.Changes(ctx, after, watchWait)
+	b, err := f.store.Changes(ctx, after, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errStoreRecovered) {
 		return Batch{}, errStoreRecovered
 	}
@@ -316,7 +327,7 @@
 		} else {
 			sleep(ctx, startPeerInterval)
 		}
-		if f.Age() < StaleAfter && f.mirror.Revision() > 0 {
+		if f.Age() < StaleAfter && f.mirror.Revision() > 0 && !f.lacksConfirmation(f.ConfirmedAge()) {
 			continue
 		}
 		p := f.peers.Peer()
@@ -325,17 +336,20 @@
 		}
 		after := f.mirror.Revision()
 		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
+		began := f.uptime()
 		b, err := p.Changes(bounded, after, 0)
 		cancel()
 		if err != nil {
 			f.events.Log(event.PeerSilent, "error", err, "after", after)
 			continue
 		}
-		if b.Revision <= after {
+		if b.Revision < after {
 			continue
 		}
-		f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Snapshot)
-		f.applyBatch(b)
+		if b.Revision > after {
+			f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Snapshot)
+		}
+		f.applyBatch(b, began)
 	}
 }
 
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -79,12 +79,18 @@
 	return r.peer
 }
 
+// sinceTestStart returns a clock that begins above 0 and never stops.
+func sinceTestStart() func() time.Duration {
+	start := time.Now().Add(-time.Hour)
+	return func() time.Duration { return time.Since(start) }
+}
+
 // runFollower runs a follower in simulated time; f calls at to wait until a time since the start.
 func runFollower(t *testing.T, store mirror.Source, peers fakePeers, f func(m *mirror.Mirror, at func(time.Duration))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New()
-		follower := mirror.NewFollower(m, store, peers, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(m, store, peers, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -170,7 +176,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, reader := &fakeSource{revision: 1}, &fakeSource{revision: 1}
 		m := mirror.New()
-		follower := mirror.NewFollower(m, store, fakePeers{reader: reader}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(m, store, fakePeers{reader: reader}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -270,7 +276,7 @@
 	store := &fakeSource{revision: 1}
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New()
-		follower := mirror.NewFollower(m, store, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(m, store, fakePeers{}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -296,7 +302,7 @@
 // for the given time after its end.
 func TestOutageLastsUntilAWindowAfterRecovery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := mirror.NewFollower(mirror.New(), &fakeSource{}, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		f := mirror.NewFollower(mirror.New(), &fakeSource{}, fakePeers{}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		const window = 2 * time.Second
 		for i, c := range []struct {
 			pause time.Duration // pause is the time without an answer from the store.
@@ -327,7 +333,7 @@
 func TestAnswersToOtherCallsDoNotHideMissedChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeSource{revision: 1}
-		follower := mirror.NewFollower(mirror.New(), store, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(mirror.New(), store, fakePeers{}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{}, 2)
 		go func() { follower.Run(ctx); done <- struct{}{} }()
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -21,6 +21,12 @@
 	Snapshot bool   // Snapshot is set when the batch is a snapshot of all keys: a key that it lacks has been removed.
 	// Age is the time since the source last had an answer from the store; 0 for the store itself.
 	Age time.Duration
+	// ConfirmedAge is the source's Follower.ConfirmedAge when it made the batch; 0 for the store itself.
+	ConfirmedAge time.Duration
+	// Held is how long the source had held the call when it determined ConfirmedAge; 0 for the store, which does not state it.
+	Held time.Duration
+	// Unconfirmed is set when the batch may lack what the store had acknowledged before the call, as a stale read may.
+	Unconfirmed bool
 }
 
 // Mirror is a replica of the store's keys; it is safe for concurrent use.
