platform, internal/site/mirror, internal/entry/edge: a store that is restored from an older copy

What an entry knew stays known until it is written again, for 10 s at most; targets that left are recognized by start and sequence, targets and entries that the copy lacks stay in use for a lapse. An entry that lost its own registration registers again at once. Only the readers read the store anew.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -38,6 +38,8 @@
 	formerEntries  map[string]formerEntry // formerEntries holds entries whose registration has recently ended; they may still be running.
 	// registeredSince is when this entry's own registration was first read from the store; zero while it is missing.
 	registeredSince time.Time
+	hold            eraHold
+	lostOwn         bool // lostOwn is set when this entry's own registration was removed, until it is taken.
 }
 
 func newViewBuilder(keys Keys, events *event.Log, self census.Entry, regionCount int, recentOutage func() bool) *viewBuilder {
@@ -45,7 +47,7 @@
 		keys: keys, events: events, self: self, regionCount: regionCount, recentOutage: recentOutage,
 		targets: make(map[string]*targetState), services: make(map[string]*serviceTargets), dirtyServices: make(map[string]bool),
 		evacuatedZones: make(map[string]bool), entries: make(map[string]census.Entry), formerEntries: make(map[string]formerEntry),
-		invalidItems: make(map[string]string),
+		invalidItems: make(map[string]string), hold: newEraHold(),
 	}
 }
 
@@ -57,7 +59,9 @@
 			versions = append(versions, it)
 			continue
 		}
-		b.logInvalid(it, b.applyItem(it, now))
+		if !b.holdBack(it, now) {
+			b.logInvalid(it, b.applyItem(it, now))
+		}
 	}
 	// Only the last valid configuration of a batch counts, so earlier ones aren't decoded.
 	for _, it := range slices.Backward(versions) {
@@ -83,6 +87,7 @@
 
 func (b *viewBuilder) applyItem(it mirror.Item, now time.Time) error {
 	if zone, ok := b.keys.EvacuatedZone(it.Key); ok {
+		b.hold.recordKey(it, now)
 		b.applyEvacuation(zone, it, now)
 		return nil
 	}
@@ -90,6 +95,7 @@
 		return b.applyTarget(id, it, now)
 	}
 	if name, ok := b.keys.EntryName(it.Key); ok {
+		b.hold.recordKey(it, now)
 		return b.applyEntry(name, it, now)
 	}
 	return nil
@@ -153,6 +159,10 @@
 	if err != nil {
 		return err
 	}
+	if b.hold.isOutdated(old, t, now) {
+		b.hold.outdated++
+		return nil
+	}
 	if old != nil {
 		b.dirtyServices[old.target.Service()] = true
 	}
@@ -170,18 +180,19 @@
 	lapseWindow = 2 * time.Second
 )
 
-// applyTargetRemoval handles the end of a target's registration. Around an outage it
-// may have lapsed only because targets could not renew it: then the target and
+// applyTargetRemoval handles the end of a target's registration. Around an outage, or after the store was restored, it
+// may have lapsed only because targets could not renew it or the store has lost it: then the target and
 // its state are kept for lapseGrace.
 func (b *viewBuilder) applyTargetRemoval(id string, it mirror.Item, now time.Time) {
 	old := b.targets[id]
 	switch {
 	case old == nil:
-	case b.recentOutage() && !old.isLeaving() && old.usableUntil.IsZero():
+	case (b.recentOutage() || b.hold.active(now)) && !old.isLeaving() && old.usableUntil.IsZero():
 		b.targets[id] = old.copyWith(func(s *targetState) { s.usableUntil = now.Add(lapseGrace) })
 		b.dirtyServices[old.target.Service()] = true
 		b.events.Log(event.TargetLapsed, "target", id, "service", old.target.Service(), "revision", it.Revision, "for", lapseGrace)
 	case old.usableUntil.IsZero():
+		b.hold.recordFormer(old.target, now)
 		b.removeTarget(id, it.Revision, now)
 	}
 }
@@ -227,6 +238,9 @@
 // nextState returns the state of a registered target. State observed before a restart under the same id is discarded.
 func (b *viewBuilder) nextState(old *targetState, t target.Target, it mirror.Item, now time.Time) *targetState {
 	if old == nil || restarted(old.target, t) {
+		if old != nil {
+			b.hold.recordFormer(old.target, now)
+		}
 		b.events.Log(event.TargetJoined, "target", t.ID(), "service", t.Service(), "zone", t.Zone(),
 			"cold", t.ColdUntil().Sub(now), "revision", it.Revision)
 		return &targetState{
@@ -255,6 +269,7 @@
 	if it.Removed {
 		if name == b.self.Name {
 			b.registeredSince = time.Time{}
+			b.lostOwn = known
 		}
 		if known {
 			delete(b.entries, name)
--- a/internal/entry/edge/counted.go
+++ b/internal/entry/edge/counted.go
@@ -18,7 +18,7 @@
 }
 
 // Changes counts and forwards a read of changes.
-func (c countingStore) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (c countingStore) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c.calls.Inc(1)
 	return c.Store.Changes(ctx, after, wait)
 }
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -41,6 +41,7 @@
 	stopping atomic.Bool
 	// configured is closed when the first configuration has been applied.
 	configured  chan struct{}
+	renewNow    chan struct{}     // renewNow has an element when the entry is to register again at once.
 	callBacklog *backlog.Listener // callBacklog accepts from the listener for callers.
 	accepted    chan struct{}     // accepted is closed when no further caller's connection is accepted.
 	refusing    atomic.Bool       // refusing is set when new requests are refused during the graceful shutdown.
@@ -72,7 +73,7 @@
 func New(s Settings, d Dependencies) (*Edge, error) {
 	e := &Edge{
 		settings: s, deps: d, events: d.Events, mirror: mirror.New(), retryBudgets: make(map[string]*spend.Budget),
-		affinity: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}), accepted: make(chan struct{}),
+		affinity: placement.NewMemory(), meters: newMeters(), started: time.Now(), configured: make(chan struct{}), renewNow: make(chan struct{}, 1), accepted: make(chan struct{}),
 		self: census.Entry{Name: s.Name, Zone: s.Zone, Region: s.Region, Call: s.CallAddress, Peer: s.PeerAddress, Strength: s.Strength},
 	}
 	if err := e.listen(); err != nil {
@@ -143,21 +144,27 @@
 	e.builderMu.Lock()
 	defer e.builderMu.Unlock()
 	now := time.Now()
+	at, previous := e.mirror.Position(), e.builder.hold.era
+	e.builder.enterEra(at.Era, now)
 	e.builder.apply(items, now)
-	v := e.builder.buildView(e.mirror.Revision(), now)
+	e.builder.leaveFirstRead(previous, at.Revision)
+	v := e.builder.buildView(at.Revision, now)
 	first := v.book != nil && e.view.Load().book == nil
 	e.view.Store(v)
+	e.renewAfterLoss(now)
 	if first {
 		e.events.Log(event.Serving, "version", v.book.Version(), "revision", v.revision, "after", time.Since(e.started))
 		close(e.configured)
 	}
 }
 
-// removeLapsed publishes a view without the targets that have not registered again in time after an outage.
+// removeLapsed publishes a view without the targets that have not registered again in time after an outage, and with
+// what was kept back after a restoration of the store.
 func (e *Edge) removeLapsed(now time.Time) {
 	e.builderMu.Lock()
 	defer e.builderMu.Unlock()
-	if e.builder.removeLapsed(now) {
+	lapsed := e.builder.removeLapsed(now)
+	if e.builder.releaseHeld(now) || lapsed {
 		e.view.Store(e.builder.buildView(e.mirror.Revision(), now))
 	}
 }
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -43,6 +43,8 @@
 		t := time.NewTimer(interval*9/10 + rand.N(interval/5))
 		select {
 		case <-t.C:
+		case <-e.renewNow:
+			lease = 0 // The store may have granted the number of the lost lease to another entry.
 		case <-stop.Done():
 		case <-ctx.Done():
 		}
@@ -64,6 +66,7 @@
 func (e *Edge) renewOrGrant(ctx context.Context, lease uint64) (uint64, bool) {
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
+	defer func() { e.follower.RecordEra(e.deps.Store.Era()) }()
 	if lease != 0 {
 		err := e.renewLease(ctx, lease)
 		if err == nil || e.deps.Store.LeaseEnded(err) {
@@ -146,6 +149,17 @@
 	}
 }
 
+// renewAfterLoss makes the entry register again at once when the store has lost its registration by a restoration.
+func (e *Edge) renewAfterLoss(now time.Time) {
+	if e.builder.lostOwn && e.builder.hold.active(now) {
+		select {
+		case e.renewNow <- struct{}{}:
+		default:
+		}
+	}
+	e.builder.lostOwn = false
+}
+
 // isRegistered reports whether the current view contains the entry's own registration.
 func (e *Edge) isRegistered() bool {
 	for _, o := range e.view.Load().registeredNames {
--- a/internal/entry/edge/pack.go
+++ b/internal/entry/edge/pack.go
@@ -16,15 +16,15 @@
 // its own link. It is safe for concurrent use.
 type answerCache struct {
 	mu        sync.Mutex
-	lastAfter uint64
+	lastAfter mirror.Position
 	last      changesAnswer
 }
 
-// changesAfter returns the compressed changes of the mirror after the revision.
-func (c *answerCache) changesAfter(m *mirror.Mirror, after uint64) (changesAnswer, error) {
+// changesAfter returns the compressed changes of the mirror after the position.
+func (c *answerCache) changesAfter(m *mirror.Mirror, after mirror.Position) (changesAnswer, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.last.Revision > 0 && c.lastAfter == after && c.last.Revision == m.Revision() {
+	if c.last.Revision > 0 && c.lastAfter == after && (mirror.Position{Era: c.last.Era, Revision: c.last.Revision}) == m.Position() {
 		return c.last, nil
 	}
 	b := m.Since(after)
@@ -32,7 +32,7 @@
 	if err != nil {
 		return changesAnswer{}, err
 	}
-	c.lastAfter, c.last = after, changesAnswer{Packed: packed, Revision: b.Revision, Whole: b.Snapshot}
+	c.lastAfter, c.last = after, changesAnswer{Packed: packed, Era: b.Era, Revision: b.Revision, Whole: b.Snapshot}
 	return c.last, nil
 }
 
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	methodChanges = "changes" // methodChanges requests the changes after a revision.
+	methodChanges = "changes" // methodChanges requests the changes after a position.
 	methodCold    = "cold"    // methodCold informs a peer of a cold target.
 )
 
@@ -25,10 +25,13 @@
 type (
 	changesRequest struct {
 		After uint64 `json:"after"`
-		Wait  int64  `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
+		// Era is the era of the revision After, 0 when the store states none; nil in the calls of earlier releases, which know no eras.
+		Era  *uint64 `json:"era,omitempty"`
+		Wait int64   `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
 	}
 	changesAnswer struct {
 		Packed   []byte `json:"packed,omitempty"` // Packed is the compressed JSON of the changed items.
+		Era      uint64 `json:"era,omitempty"`    // Era is the era of the revisions; 0 when the store states none.
 		Revision uint64 `json:"revision"`
 		Whole    bool   `json:"whole,omitempty"` // Whole is set when the items are a snapshot of all keys.
 		Age      int64  `json:"age"`             // Age is the time in milliseconds since the peer last heard from the store.
@@ -97,13 +100,18 @@
 
 func (e *Edge) handleChanges(ctx context.Context, request changesRequest) (any, error) {
 	received := e.deps.Uptime()
+	after := mirror.Position{Era: e.mirror.Position().Era, Revision: request.After}
+	if request.Era != nil {
+		after.Era = *request.Era
+		e.follower.RecordEra(after.Era)
+	}
 	if request.Wait > 0 {
-		e.waitForChange(ctx, request.After, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
+		e.waitForChange(ctx, after, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
 	}
 	// Both are determined before the changes are read, so that the answer holds all that its confirmed age promises.
 	held := (e.deps.Uptime() - received).Milliseconds()
 	confirmed := e.follower.ConfirmedAge().Milliseconds() + 1
-	answer, err := e.peerAnswers.changesAfter(e.mirror, request.After)
+	answer, err := e.peerAnswers.changesAfter(e.mirror, after)
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
@@ -111,9 +119,9 @@
 	return answer, nil
 }
 
-// waitForChange waits for a change after the revision. An entry that reads the store
+// waitForChange waits for a change after the position. An entry that reads the store
 // for others stops waiting once it has not heard from the store for mirror.StaleAfter, so that the caller notices.
-func (e *Edge) waitForChange(ctx context.Context, after uint64, wait time.Duration) {
+func (e *Edge) waitForChange(ctx context.Context, after mirror.Position, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	changed := e.mirror.ChangedAfter(after)
@@ -205,10 +213,10 @@
 	}
 }
 
-// Changes requests the changes after a revision; the peer holds the call open until there are any or the wait has passed.
-func (p *peer) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+// Changes requests the changes after a position; the peer holds the call open until there are any or the wait has passed.
+func (p *peer) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	var a changesAnswer
-	if err := p.call(ctx, methodChanges, changesRequest{After: after, Wait: wait.Milliseconds()}, &a); err != nil {
+	if err := p.call(ctx, methodChanges, changesRequest{After: after.Revision, Era: &after.Era, Wait: wait.Milliseconds()}, &a); err != nil {
 		return mirror.Batch{}, err
 	}
 	items, err := decompressItems(a.Packed)
@@ -216,7 +224,7 @@
 		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
 	b := mirror.Batch{
-		Items: items, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond,
+		Items: items, Era: a.Era, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond,
 		Held: time.Duration(a.Held) * time.Millisecond, Unconfirmed: a.Confirmed == nil,
 	}
 	if a.Confirmed != nil {
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -46,6 +46,8 @@
 	Put(ctx context.Context, key string, value []byte, lease uint64) error
 	// LeaseEnded reports whether the error means that the lease has ended.
 	LeaseEnded(err error) bool
+	// Era returns the newest era of the store that an answer has stated; 0 for none.
+	Era() uint64
 }
 
 // Keys classifies the keys of the store and decodes their values.
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -19,6 +19,8 @@
 	ReloadIgnored    Number = 2015
 	ReaderLeft       Number = 2016
 	RenewalFailed    Number = 2017
+	EraChanged       Number = 2020
+	EraSettled       Number = 2021
 )
 
 var configuration = []Definition{
@@ -39,4 +41,6 @@
 	{ReloadIgnored, "reload-ignored", "a reload was requested; settings are only read at startup", "restart the entry to change its settings"},
 	{ReaderLeft, "reader-left", "the entry that reads the key-value service on behalf of this one failed or has lost contact with it; this one reads it directly for a while", "none; check that entry if it repeats"},
 	{RenewalFailed, "renewal-failed", "the entry's registration could not be created or renewed; it is retried within a second", "check the platform if it persists"},
+	{EraChanged, "era-changed", "the key-value service was restored from an older copy and everything was read anew; what was known before stays in use until it is written again, at most for 10 s", "write again what operators have written since the copy was made"},
+	{EraSettled, "era-settled", "the time after a restoration of the key-value service is over in which earlier knowledge stays in use; what was not written again is as the service has it", "none"},
 }
--- a/internal/site/mirror/confirm.go
+++ b/internal/site/mirror/confirm.go
@@ -16,7 +16,7 @@
 func (f *Follower) RequireConfirmation(bound time.Duration) { f.bound = bound }
 
 // ConfirmedAge returns an upper bound of the time since a moment at which the mirror held everything that the
-// store had acknowledged. Only reads of changes confirm this, not answers to other calls. The age counts time during
+// store had acknowledged. Only reads of changes in the newest known era of the store confirm this, not answers to other calls. The age counts time during
 // which the machine was suspended; before the first confirmation it is longer than any bound.
 func (f *Follower) ConfirmedAge() time.Duration {
 	// The confirmation is read first: one that is made after the clock was read would give an age below 0.
@@ -27,7 +27,7 @@
 // confirm records what the batch of a call that began at the given uptime confirms. The source made the batch no
 // earlier than the time for which it held the call after that.
 func (f *Follower) confirm(b Batch, began time.Duration) {
-	if b.Unconfirmed {
+	if b.Unconfirmed || b.Era < f.newestEra.Load() {
 		return
 	}
 	held := min(max(b.Held, 0), f.uptime()-began)
--- a/internal/site/mirror/confirm_test.go
+++ b/internal/site/mirror/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,11 +23,12 @@
 	clock    func() time.Duration
 	jumped   time.Duration
 	store    storeModel
-	acked    []time.Duration // acked holds when each revision was acknowledged.
-	lag      uint64          // lag is by how many revisions a stale read is behind.
-	silent   []bool          // silent is set for the entries to which the store does not answer.
-	frozen   []bool          // frozen is set for the entries that answer nobody.
-	delay    []time.Duration // delay is how long each message to or from an entry takes.
+	acked    [][]time.Duration // acked holds when each revision of each era was acknowledged.
+	calls    []int             // calls counts the calls to the store by entry.
+	lag      uint64            // lag is by how many revisions a stale read is behind.
+	silent   []bool            // silent is set for the entries to which the store does not answer.
+	frozen   []bool            // frozen is set for the entries that answer nobody.
+	delay    []time.Duration   // delay is how long each message to or from an entry takes.
 	mirrors  []*mirror.Mirror
 	entries  []*mirror.Follower
 	peerOf   []int // peerOf is the entry that each entry asks while the store does not answer.
@@ -47,11 +49,16 @@
 	entry int
 }
 
-func (o siteStore) Changes(ctx context.Context, after uint64, wait time.Duration) (b mirror.Batch, err error) {
+func (o siteStore) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (b mirror.Batch, err error) {
 	s := o.s
 	var delay time.Duration
-	s.locked(func() { delay = s.delay[o.entry] })
+	s.locked(func() {
+		delay = s.delay[o.entry]
+		s.calls[o.entry]++
+	})
 	time.Sleep(delay)
+	moved := false // A call that is held open does not see a restoration; the next one does.
+	s.locked(func() { moved = after.Era != s.store.era() })
 	for until := time.Now().Add(wait); ; time.Sleep(20 * time.Millisecond) {
 		answered, silent := false, false
 		s.locked(func() {
@@ -59,10 +66,10 @@
 			revision := s.store.revision()
 			switch {
 			case silent:
-			case after == 0:
+			case after.Revision == 0:
 				b, answered = s.store.snapshot(revision-min(s.lag, revision-1)), true
 				b.Unconfirmed = true
-			case revision > after || !time.Now().Before(until):
+			case moved || revision > after.Revision || !time.Now().Before(until):
 				b, answered = s.store.changes(after), true
 			}
 		})
@@ -84,7 +91,7 @@
 	entry int
 }
 
-func (o sitePeer) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (o sitePeer) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	s := o.s
 	var delay time.Duration
 	var frozen bool
@@ -134,6 +141,7 @@
 	s := &site{
 		clock: func() time.Duration { return time.Since(start) }, silent: make([]bool, n), frozen: make([]bool, n), delay: make([]time.Duration, n),
 		mirrors: make([]*mirror.Mirror, n), entries: make([]*mirror.Follower, n), peerOf: make([]int, n), readerOf: make([]int, n),
+		calls: make([]int, n), acked: make([][]time.Duration, 1),
 	}
 	s.write(item("key", 1))
 	for i := range n {
@@ -153,24 +161,42 @@
 func (s *site) write(it mirror.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	it.Revision = s.store.revision() + 1
-	s.store.history, s.acked = append(s.store.history, it), append(s.acked, s.clock()+s.jumped)
+	it.Revision, it.Value = s.store.revision()+1, fmt.Append(nil, s.store.era())
+	era := s.store.era()
+	s.store.history, s.acked[era] = append(s.store.history, it), append(s.acked[era], s.clock()+s.jumped)
+}
+
+// restore restores the store from a copy that lacks the last writes; the site must be locked.
+func (s *site) restore(lost int) {
+	era, revision := s.store.era(), max(1, int(s.store.revision())-lost)
+	s.store.restore(uint64(revision))
+	s.acked = append(s.acked, slices.Clone(s.acked[era][:revision]))
 }
 
-// check returns an error when an entry lacks something that was acknowledged before the moment that it states.
+// check returns an error when an entry lacks something that was acknowledged in the era of its mirror, or in a later one,
+// before the moment that it states.
 func (s *site) check(i int) error {
 	moment := s.uptime() - s.entries[i].ConfirmedAge()
-	has := s.mirrors[i].Revision()
+	has := s.mirrors[i].Position()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for at, acked := range s.acked {
-		if uint64(at+1) > has && acked < moment {
-			return fmt.Errorf("entry %d states the moment %v and lacks revision %d of %v", i, moment, at+1, acked)
+	for era := has.Era; era <= s.store.era(); era++ {
+		for at, acked := range s.acked[era] {
+			known := era == has.Era && uint64(at+1) <= has.Revision || era > has.Era && s.takenOver(era, at)
+			if !known && acked < moment {
+				return fmt.Errorf("entry %d states the moment %v at %v and lacks revision %d of era %d of %v", i, moment, has, at+1, era, acked)
+			}
 		}
 	}
 	return nil
 }
 
+// takenOver reports whether a write of the era was made in an earlier one.
+func (s *site) takenOver(era uint64, at int) bool {
+	before := s.acked[era-1]
+	return at < len(before) && before[at] == s.acked[era][at]
+}
+
 // run runs all entries until f returns.
 func (s *site) run(f func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -196,7 +222,7 @@
 	steps := make([]siteStep, rapid.IntRange(5, 60).Draw(r, "steps"))
 	for i := range steps {
 		steps[i] = siteStep{
-			rapid.IntRange(0, siteEntries-1).Draw(r, "entry"), rapid.IntRange(0, 5).Draw(r, "kind"),
+			rapid.IntRange(0, siteEntries-1).Draw(r, "entry"), rapid.IntRange(0, 6).Draw(r, "kind"),
 			time.Duration(rapid.IntRange(0, 900).Draw(r, "amount")) * time.Millisecond,
 		}
 	}
@@ -217,11 +243,14 @@
 		s.jumped += 5 * p.amount
 	case 5:
 		s.peerOf[i] = int(p.amount/time.Millisecond) % siteEntries
+	case 6:
+		s.restore(int(p.amount / (100 * time.Millisecond)))
 	}
 }
 
 // Guards against a confirmed age that is younger than the truth: through slow answers, calls that a peer held, pauses
-// and suspensions, chains of readers, peers that are behind, and a first read that may be stale. A request would then
+// and suspensions, chains of readers, peers that are behind, a first read that may be stale, and a store
+// that is restored from older copies. A request would then
 // run with a key that was revoked long before.
 func TestConfirmedAgeIsNeverTooYoung(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- /dev/null
+++ b/internal/site/mirror/era_test.go
@@ -0,0 +1,88 @@
+package mirror_test
+
+import (
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"tamarackspool/internal/site/mirror"
+)
+
+// Guards against an entry that stays in an earlier era of the store for good, once all disturbances are over.
+func TestEntriesReachTheNewestEra(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		steps := drawSteps(r)
+		lost := rapid.IntRange(0, 30).Draw(r, "lost")
+		grown := rapid.IntRange(0, 60).Draw(r, "grown")
+		failed := -1
+		var at mirror.Position
+		synctest.Test(t, func(*testing.T) {
+			s := newSite(siteEntries, 0)
+			s.run(func() {
+				for _, p := range steps {
+					s.take(p)
+					s.write(item("key", 0))
+					time.Sleep(p.amount)
+				}
+				s.locked(func() {
+					s.restore(lost)
+					for i := range siteEntries {
+						s.silent[i], s.frozen[i], s.delay[i] = false, false, 0
+					}
+				})
+				for range grown {
+					s.write(item("other", 0))
+				}
+				time.Sleep(20 * time.Second)
+				at = mirror.Position{Era: s.store.era(), Revision: s.store.revision()}
+				for i, m := range s.mirrors {
+					if m.Position() != at || !maps.Equal(liveState(m), s.store.stateAt(at)) {
+						failed = i
+					}
+				}
+			})
+		})
+		if failed >= 0 {
+			r.Fatalf("entry %d is not at %v", failed, at)
+		}
+	})
+}
+
+// Guards against a burst of calls to the store, and against a late read, when every entry learns of a new era from
+// the answer to a renewal: only the reader may read the store, at once, although its call is held open.
+func TestOnlyTheReaderReadsANewEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const entries = 20
+		s := newSite(entries, 0)
+		for i := 1; i < entries; i++ {
+			s.readerOf[i] = 0
+		}
+		s.run(func() {
+			time.Sleep(5100 * time.Millisecond)
+			before := make([]int, entries)
+			s.locked(func() {
+				s.restore(0)
+				copy(before, s.calls)
+			})
+			for _, e := range s.entries {
+				e.RecordEra(1)
+			}
+			time.Sleep(100 * time.Millisecond)
+			s.locked(func() {
+				for i := range entries {
+					if n := s.calls[i] - before[i]; i > 0 && n > 0 || n > 2 {
+						t.Errorf("entry %d called the store %d times", i, n)
+					}
+				}
+			})
+			for i, m := range s.mirrors {
+				if m.Position().Era != 1 {
+					t.Errorf("entry %d is at %v 0.1 s after the first answer of the era", i, m.Position())
+				}
+			}
+		})
+	})
+}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -11,10 +11,10 @@
 	"tamarackspool/internal/record/event"
 )
 
-// Source provides the changes after a revision; revision 0 requests all keys.
+// Source provides the changes after a position; revision 0 requests all keys.
 type Source interface {
-	// Changes returns the changes after a revision and waits up to the given time for the first.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// Changes returns the changes after a position and waits up to the given time for the first.
+	Changes(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
 
 // Peers chooses the other entries to read from.
@@ -36,7 +36,7 @@
 const (
 	watchWait           = 2 * time.Second         // watchWait is how long the store holds a long poll open; a dead connection is noticed soon after.
 	watchGrace          = 800 * time.Millisecond  // watchGrace is how long an answer may take beyond watchWait, which covers two round trips between regions and a slow store.
-	firstReadTimeout    = 2500 * time.Millisecond // firstReadTimeout bounds the first read of all keys; it doubles with each failure.
+	firstReadTimeout    = 2500 * time.Millisecond // firstReadTimeout bounds the first read of all keys in an era; it doubles with each failure.
 	maxFirstReadTimeout = 20 * time.Second        // maxFirstReadTimeout bounds the doubled timeout.
 	minCallInterval     = 250 * time.Millisecond  // minCallInterval is the least time between the starts of two calls, because the store counts every call.
 	retryDelay          = 500 * time.Millisecond  // retryDelay is the delay after a failed call, before jitter.
@@ -83,6 +83,8 @@
 	confirmed atomic.Int64         // confirmed is the uptime of the last confirmation, in nanoseconds; see ConfirmedAge.
 	bound     time.Duration        // bound is the bound of RequireConfirmation; 0 for none.
 
+	newestEra atomic.Uint64 // newestEra is the newest era of the store that any answer has shown.
+
 	mu        sync.Mutex   // mu is held while a batch is applied.
 	lastHeard atomic.Int64 // lastHeard is when the store last answered, in nanoseconds since start.
 	lastRead  atomic.Int64 // lastRead is when the changes were last read, from the store or a reader, in nanoseconds since start.
@@ -157,14 +159,19 @@
 // after it. It drops a snapshot that is older than the mirror, which a peer may have updated meanwhile: it
 // may contain keys that were removed since.
 func (f *Follower) applyBatch(b Batch, began time.Duration) {
+	defer f.RecordEra(b.Era)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.mirror.Position()
+	if b.Era < before.Era || b.Era > before.Era && !b.Snapshot && before.Revision > 0 {
+		return
+	}
 	// The confirmation follows the change, so that the age is never younger than what onChange has made visible.
 	defer f.confirm(b, began)
-	if b.Snapshot && b.Revision < f.mirror.Revision() {
+	if b.Snapshot && b.Position().Before(before) {
 		return
 	}
-	if items := f.mirror.Apply(b); len(items) > 0 {
+	if items := f.mirror.Apply(b); len(items) > 0 || b.Era > before.Era {
 		f.onChange(items)
 	}
 }
@@ -219,9 +226,9 @@
 
 // pollReader reads from the entry that reads the store for this one.
 func (f *Follower) pollReader(ctx context.Context) readerState {
-	after := f.mirror.Revision()
+	after := f.mirror.Position()
 	reader := f.peers.Reader()
-	if reader.Source == nil || after == 0 {
+	if reader.Source == nil || after.Revision == 0 {
 		return noReader
 	}
 	wait := f.limitWait(reader.Wait)
@@ -233,11 +240,13 @@
 		return readerFresh
 	}
 	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait || f.lacksConfirmation(b.ConfirmedAge)
-	if err != nil || b.Revision < after || stale && f.Age() < OutageAfter {
-		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after)
+	// An answer of another era that is no snapshot cannot be applied, and the next one would be the same.
+	unusable := b.Position().Before(after) || b.Era > after.Era && !b.Snapshot
+	if err != nil || unusable || stale && f.Age() < OutageAfter {
+		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after.Revision, "era", b.Era)
 	}
 	switch {
-	case err != nil || b.Revision < after:
+	case err != nil || unusable:
 		return readerLost
 	case stale:
 		f.applyBatch(b, began)
@@ -261,10 +270,10 @@
 }
 
 func (f *Follower) pollStore(ctx context.Context) (Batch, error) {
-	after := f.mirror.Revision()
+	after := f.mirror.Position()
 	wait := f.limitWait(watchWait)
 	limit := wait + watchGrace
-	if after == 0 {
+	if after.Revision == 0 || after.Era < f.newestEra.Load() {
 		limit = min(firstReadTimeout<<min(f.failures, 8), maxFirstReadTimeout)
 	}
 	select {
@@ -334,20 +343,20 @@
 		if p == nil {
 			continue
 		}
-		after := f.mirror.Revision()
+		after := f.mirror.Position()
 		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
 		began := f.uptime()
 		b, err := p.Changes(bounded, after, 0)
 		cancel()
 		if err != nil {
-			f.events.Log(event.PeerSilent, "error", err, "after", after)
+			f.events.Log(event.PeerSilent, "error", err, "after", after.Revision)
 			continue
 		}
-		if b.Revision < after {
+		if b.Position().Before(after) {
 			continue
 		}
-		if b.Revision > after {
-			f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Snapshot)
+		if after.Before(b.Position()) {
+			f.events.Log(event.PeerRead, "after", after.Revision, "revision", b.Revision, "items", len(b.Items), "whole", b.Snapshot, "era", b.Era)
 		}
 		f.applyBatch(b, began)
 	}
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -28,7 +28,7 @@
 
 func (w *fakeSource) callCount() int { w.mu.Lock(); defer w.mu.Unlock(); return w.calls }
 
-func (w *fakeSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (w *fakeSource) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	w.set(func(w *fakeSource) { w.calls++ })
 	for until := time.Now().Add(wait); ; {
 		w.mu.Lock()
@@ -42,10 +42,10 @@
 			return mirror.Batch{}, ctx.Err()
 		case fails:
 			return mirror.Batch{}, errors.New("refused")
-		case revision > after:
+		case revision > after.Revision:
 			return mirror.Batch{Items: []mirror.Item{item("key", revision)}, Revision: revision, Age: age}, nil
 		case !time.Now().Before(until):
-			return mirror.Batch{Revision: after, Age: age}, nil
+			return mirror.Batch{Revision: after.Revision, Age: age}, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -54,8 +54,8 @@
 // staleSource is a source whose first answer is slow and contains a key that has been removed meanwhile.
 type staleSource struct{ fakeSource }
 
-func (p *staleSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
-	if after > 0 {
+func (p *staleSource) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
+	if after.Revision > 0 {
 		return p.fakeSource.Changes(ctx, after, wait)
 	}
 	time.Sleep(time.Second)
@@ -237,7 +237,7 @@
 	store, peer := &staleSource{fakeSource: fakeSource{revision: 4}}, &fakeSource{revision: 4}
 	runFollower(t, store, fakePeers{peer: peer}, func(m *mirror.Mirror, at func(time.Duration)) {
 		at(3 * time.Second)
-		if got := m.Since(0); got.Revision != 4 || len(got.Items) != 1 || got.Items[0].Key != "key" {
+		if got := m.Since(mirror.Position{}); got.Revision != 4 || len(got.Items) != 1 || got.Items[0].Key != "key" {
 			t.Errorf("%v, want only the key at revision 4", got)
 		}
 	})
@@ -246,8 +246,8 @@
 // slowSource is a source whose first answer takes long, as that of a store with many readers does.
 type slowSource struct{ fakeSource }
 
-func (h *slowSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
-	if after > 0 {
+func (h *slowSource) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
+	if after.Revision > 0 {
 		return h.fakeSource.Changes(ctx, after, wait)
 	}
 	h.set(func(w *fakeSource) { w.calls++ })
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"bytes"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,9 +16,23 @@
 	Removed  bool
 }
 
-// Batch is the set of changes after a revision, as a source provides it.
+// Position is a state of the store. Revisions are ordered within an era only: a store that is restored from an older copy
+// begins a new era, in which it assigns revisions a second time.
+type Position struct {
+	Era      uint64 // Era counts the restorations of the store; 0 when the store states none.
+	Revision uint64
+}
+
+// Before reports whether the position is earlier than the other one.
+func (p Position) Before(o Position) bool {
+	return p.Era < o.Era || p.Era == o.Era && p.Revision < o.Revision
+}
+
+// Batch is the set of changes after a position, as a source provides it. A batch that is not a snapshot is of the same era
+// as the position.
 type Batch struct {
 	Items    []Item
+	Era      uint64 // Era is the era of the revisions; 0 when the store states none.
 	Revision uint64 // Revision is the revision up to which the batch is complete.
 	Snapshot bool   // Snapshot is set when the batch is a snapshot of all keys: a key that it lacks has been removed.
 	// Age is the time since the source last had an answer from the store; 0 for the store itself.
@@ -32,6 +48,7 @@
 // Mirror is a replica of the store's keys; it is safe for concurrent use.
 type Mirror struct {
 	mu           sync.Mutex
+	era          uint64
 	items        map[string]Item // items includes removed keys, so that peers learn of the removal.
 	revision     uint64
 	removalFloor uint64 // removalFloor is the revision up to which removals may not be known: that of the last snapshot, or of a removal no longer kept.
@@ -59,11 +76,29 @@
 	return m.revision
 }
 
+// Position returns the era of the mirror and the revision up to which it is complete.
+func (m *Mirror) Position() Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Position{m.era, m.revision}
+}
+
+// Position returns the position up to which the batch is complete.
+func (b *Batch) Position() Position { return Position{b.Era, b.Revision} }
+
 // Apply applies the items of the batch that are newer than the mirror's and returns them, with the
-// removals that follow from a snapshot.
+// removals that follow from a snapshot. A batch of an earlier era changes nothing. A snapshot of a later era replaces the
+// content; other batches of a later era change nothing, as they lack what changed before them.
 func (m *Mirror) Apply(b Batch) []Item {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if b.Era < m.era || b.Era > m.era && !b.Snapshot && m.revision > 0 {
+		return nil
+	}
+	if b.Era > m.era && m.revision > 0 {
+		return m.replace(b)
+	}
+	m.era = b.Era
 	var changed []Item
 	for _, it := range b.Items {
 		old, ok := m.items[it.Key]
@@ -80,18 +115,48 @@
 	}
 	m.revision = max(m.revision, b.Revision)
 	if len(changed) > 0 {
-		close(m.changed)
-		m.changed = make(chan struct{})
+		m.wakePeers()
 	}
 	return changed
 }
 
+// replace replaces the content by a snapshot of a later era. It returns the items that differ and the removals
+// of the keys that the snapshot lacks.
+func (m *Mirror) replace(b Batch) []Item {
+	old := m.items
+	m.items = make(map[string]Item, len(b.Items))
+	m.removals = nil
+	var changed []Item
+	for _, it := range b.Items {
+		before, ok := old[it.Key]
+		if !ok || before.Removed || before.Revision != it.Revision || !bytes.Equal(before.Value, it.Value) {
+			changed = append(changed, it)
+		}
+		m.items[it.Key] = it
+	}
+	for _, key := range slices.Sorted(maps.Keys(old)) {
+		if _, ok := m.items[key]; !ok && !old[key].Removed {
+			changed = append(changed, Item{Key: key, Revision: b.Revision, Removed: true})
+		}
+	}
+	// Nothing is known of removals before the snapshot, so peers that are behind it get a snapshot too.
+	m.era, m.revision, m.removalFloor, m.lastChange = b.Era, b.Revision, b.Revision, b.Revision
+	m.wakePeers()
+	return changed
+}
+
+func (m *Mirror) wakePeers() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // ChangedAfter returns a channel that is closed when an item changes after the
-// revision; it is closed already if one has or may have been removed.
-func (m *Mirror) ChangedAfter(after uint64) <-chan struct{} {
+// position; it is closed already if one has or may have been removed. A position of a later era
+// waits for the next change.
+func (m *Mirror) ChangedAfter(after Position) <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.lastChange > after || m.removalFloor > after {
+	if after.Era < m.era || after.Era == m.era && (m.lastChange > after.Revision || m.removalFloor > after.Revision) {
 		done := make(chan struct{})
 		close(done)
 		return done
@@ -137,14 +202,19 @@
 	return changed
 }
 
-// Since returns the changes after the revision, or a snapshot of all keys when removals
-// after it may not be known or the revision is 0.
-func (m *Mirror) Since(revision uint64) Batch {
+// Since returns the changes after the position, or a snapshot of all keys when removals
+// after it may not be known, it is of an earlier era or its revision is 0. It returns no items
+// for a position of a later era.
+func (m *Mirror) Since(after Position) Batch {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	b := Batch{Revision: m.revision, Snapshot: revision < m.removalFloor || revision == 0}
+	b := Batch{Era: m.era, Revision: m.revision}
+	if after.Era > m.era && after.Revision > 0 {
+		return b
+	}
+	b.Snapshot = after.Era < m.era || after.Revision < m.removalFloor || after.Revision == 0
 	for _, it := range m.items {
-		if b.Snapshot && it.Removed || !b.Snapshot && it.Revision <= revision {
+		if b.Snapshot && it.Removed || !b.Snapshot && it.Revision <= after.Revision {
 			continue
 		}
 		b.Items = append(b.Items, it)
--- a/internal/site/mirror/mirror_test.go
+++ b/internal/site/mirror/mirror_test.go
@@ -58,12 +58,12 @@
 			}
 			from.Apply(mirror.Batch{Items: []mirror.Item{change}, Revision: revision})
 			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
-				to.Apply(from.Since(to.Revision()))
+				to.Apply(from.Since(to.Position()))
 			}
 		}
-		to.Apply(from.Since(to.Revision()))
+		to.Apply(from.Since(to.Position()))
 		got := make(map[string]uint64)
-		for _, it := range to.Since(0).Items {
+		for _, it := range to.Since(mirror.Position{}).Items {
 			got[it.Key] = it.Revision
 		}
 		if fmt.Sprint(got) != fmt.Sprint(live) {
@@ -80,10 +80,10 @@
 		m.Apply(mirror.Batch{Items: []mirror.Item{item(key, 2*i+1)}, Revision: 2*i + 1})
 		m.Apply(mirror.Batch{Items: []mirror.Item{removal(key, 2*i+2)}, Revision: 2*i + 2})
 	}
-	if b := m.Since(10); !b.Snapshot {
+	if b := m.Since(mirror.Position{Revision: 10}); !b.Snapshot {
 		t.Error("the batch after a revision before dropped removals is not a snapshot")
 	}
-	if b := m.Since(1190); b.Snapshot || len(b.Items) != 5 {
+	if b := m.Since(mirror.Position{Revision: 1190}); b.Snapshot || len(b.Items) != 5 {
 		t.Errorf("batch after a recent revision: snapshot %v, %d items, want 5 removals", b.Snapshot, len(b.Items))
 	}
 }
@@ -93,11 +93,11 @@
 	m := mirror.New()
 	m.Apply(mirror.Batch{Items: []mirror.Item{item("a", 3)}, Revision: 7})
 	select {
-	case <-m.ChangedAfter(2):
+	case <-m.ChangedAfter(mirror.Position{Revision: 2}):
 	default:
 		t.Error("a change after revision 2 is not signaled")
 	}
-	wait := m.ChangedAfter(7)
+	wait := m.ChangedAfter(mirror.Position{Revision: 7})
 	m.Apply(mirror.Batch{Revision: 8})
 	select {
 	case <-wait:
