--- a/cmd/tamaracksoak/main.go
+++ b/cmd/tamaracksoak/main.go
@@ -31,8 +31,9 @@
 	Seed    uint64        `help:"Seed of the schedule; 0 takes one from the time and prints it." default:"0"`
 	For     time.Duration `help:"How long to run, from 20s to 1h." default:"60s"`
 	Nodes   int           `help:"Number of entries, from 2 to 300." default:"6"`
-	Break   string        `help:"Promise to break on purpose: whole, once, not-run, drain, stop, version, recovery, repeats, leave or pause."`
+	Break   string        `help:"Promise to break on purpose: whole, once, not-run, drain, stop, version, recovery, repeats, leave, pause or restore."`
 	Program string        `help:"Program of the entry; built from this module when empty."`
+	Restore bool          `help:"Restore the store from an older copy at the start of the schedule."`
 	Cost    bool          `help:"Measure what control costs the entries, without callers and disturbances."`
 	Targets int           `help:"Number of registered targets of such a measurement, up to 5000." default:"0"`
 	Notes   bool          `help:"Print each step of the schedule."`
@@ -52,7 +53,7 @@
 	if err == nil {
 		_, err = parser.Parse(args)
 	}
-	s := world.Settings{Program: f.Program, Seed: f.Seed, Duration: f.For, Entries: f.Nodes, BreakPromise: f.Break, Targets: f.Targets}
+	s := world.Settings{Program: f.Program, Seed: f.Seed, Duration: f.For, Entries: f.Nodes, BreakPromise: f.Break, Restore: f.Restore, Targets: f.Targets}
 	if err == nil {
 		err = s.Check()
 	}
--- a/internal/entry/edge/era_test.go
+++ b/internal/entry/edge/era_test.go
@@ -178,6 +178,8 @@
 		reads := f.store.Calls("/v1/kv-range") + f.store.Calls("/v1/kv-watch")
 		grants := f.store.Calls("/v1/kv-lease")
 		f.store.Restore()
+		f.failStoreFor("10.2.0.7", platformtest.Reset)
+		time.AfterFunc(1800*time.Millisecond, func() { f.store.SetFault(platformtest.None) })
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
 			for i := range 5 {
--- a/internal/entry/edge/hold.go
+++ b/internal/entry/edge/hold.go
@@ -28,7 +28,7 @@
 	// pending holds items of the first read that contradict what was known, until they are applied or the key is written again.
 	pending  map[string]pendingItem
 	held     int                            // held is the number of items that the hold has kept pending.
-	written  int                            // written is the number of those whose key was written again.
+	changed  int                            // changed is the number of those whose key has changed in the new era.
 	outdated int                            // outdated is the number of registrations of targets that were dropped as outdated.
 	set      map[string]uint64              // set holds the revision of each evacuation and entry that is registered.
 	ended    map[string]endedKey            // ended holds evacuations and entries whose key was removed.
@@ -122,7 +122,7 @@
 	if h.entering {
 		h.forget(now)
 		h.until = now.Add(eraHoldTime)
-		h.held, h.written, h.outdated = len(h.pending), 0, 0
+		h.held, h.changed, h.outdated = len(h.pending), 0, 0
 	}
 	h.era = max(h.era, era)
 }
@@ -154,7 +154,7 @@
 	}
 	if waiting {
 		delete(h.pending, it.Key)
-		h.written++
+		h.changed++
 	}
 	return false
 }
@@ -189,7 +189,7 @@
 		}
 	}
 	if !h.until.IsZero() && !h.active(now) && len(h.pending) == 0 {
-		b.events.Log(event.EraSettled, "era", h.era, "kept", h.held, "written-again", h.written, "outdated", h.outdated)
+		b.events.Log(event.EraSettled, "era", h.era, "kept", h.held, "changed", h.changed, "outdated", h.outdated)
 		h.until = time.Time{}
 	}
 	return changed
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -29,10 +29,12 @@
 
 // keepRegistered keeps the entry registered until ctx or stop ends, then revokes its lease.
 func (e *Edge) keepRegistered(ctx, stop context.Context) {
-	var lease uint64
+	var lease, leaseEra uint64 // leaseEra is the era of the store in which the lease was granted.
 	for ctx.Err() == nil && stop.Err() == nil {
-		var ok bool
-		lease, ok = e.renewOrGrant(ctx, lease)
+		current, ok := e.renewOrGrant(ctx, lease)
+		if current != lease {
+			lease, leaseEra = current, e.deps.Store.Era()
+		}
 		interval := readerRenewInterval
 		if e.view.Load().hasReader {
 			interval = renewInterval
@@ -44,7 +46,9 @@
 		select {
 		case <-t.C:
 		case <-e.renewNow:
-			lease = 0 // The store may have granted the number of the lost lease to another entry.
+			if leaseEra < e.deps.Store.Era() {
+				lease = 0 // The store may have granted the number of the lost lease to another entry.
+			}
 		case <-stop.Done():
 		case <-ctx.Done():
 		}
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -21,12 +21,13 @@
 	Recovery Promise = "recovery" // Recovery: callers are served again within seconds of the last disturbance.
 	Leave    Promise = "leave"    // Leave: a target that announced in an answer that it is leaving gets nothing more from the entry that passed the answer on.
 	Pause    Promise = "pause"    // Pause: a target that asked an entry for a pause gets at most a few requests from it until the end.
+	Restore  Promise = "restore"  // Restore: what was in force before the store was restored from an older copy stays in force until it is written again.
 	Repeats  Promise = "repeats"  // Repeats: the repeats, which are the retries of all entries together, stay within the retry budget of each service.
 )
 
 // Promises returns all promises.
 func Promises() []Promise {
-	return []Promise{Whole, Once, NotRun, Drain, Stop, Version, Recovery, Repeats, Leave, Pause}
+	return []Promise{Whole, Once, NotRun, Drain, Stop, Version, Recovery, Repeats, Leave, Pause, Restore}
 }
 
 // Attempt is one request and its result as the caller saw them.
@@ -99,6 +100,7 @@
 	// interruptions holds, by the address of an entry or the id of a target, when the entry did not run or the target was cut off.
 	interruptions map[string][]interval
 	announcements []Announcement
+	restorations  []Restoration
 }
 
 // New returns an empty ledger.
@@ -170,6 +172,7 @@
 	}
 	found = append(found, l.checkRepeats(arrivals)...)
 	found = append(found, l.checkAnnouncements(arrivals)...)
+	found = append(found, l.checkRestorations(runs)...)
 	return append(found, l.checkRecovery()...)
 }
 
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -24,6 +24,9 @@
 	end := time.Now().Add(w.s.Duration - settleTime - recoveryTime)
 	var steps sync.WaitGroup
 	defer steps.Wait()
+	if w.s.Restore || w.s.BreakPromise == string(ledger.Restore) {
+		w.drill(ctx)
+	}
 	for planned := true; time.Now().Before(end) && ctx.Err() == nil; planned = !planned {
 		until := time.Now().Add(phaseTime)
 		for time.Now().Before(until) && ctx.Err() == nil {
@@ -40,6 +43,9 @@
 		}
 		// The limits of the promises apply to planned work only some time after a fault.
 		pause(ctx, phaseTime)
+		if time.Now().Add(drillTime).Before(end) && ctx.Err() == nil {
+			w.drill(ctx)
+		}
 	}
 	if w.s.BreakPromise == string(ledger.Recovery) {
 		w.store.SetFault(platformtest.Silent)
@@ -114,11 +120,16 @@
 		w.note("no new target: %v", err)
 		return
 	}
+	w.drain(t, w.s.BreakPromise != string(ledger.Drain))
+}
+
+// drain makes a target begin to drain, and say so in its registration if it registers that.
+func (w *World) drain(t *target, registers bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t.draining = true
 	w.ledger.AddDrain(t.ID, time.Now())
-	if w.s.BreakPromise != string(ledger.Drain) {
+	if registers {
 		t.Register(w.store, "draining", 0)
 	}
 }
--- a/internal/soak/world/settings.go
+++ b/internal/soak/world/settings.go
@@ -16,6 +16,7 @@
 	Duration     time.Duration // Duration is the duration of the soak.
 	Entries      int           // Entries is the number of entries.
 	BreakPromise string        // BreakPromise is the promise to break on purpose; empty for none.
+	Restore      bool          // Restore restores the store from an older copy at the start of the schedule.
 	Targets      int           // Targets is the number of registered targets of a cost measurement.
 	ScheduleLog  io.Writer     // ScheduleLog gets a line for each step of the schedule.
 }
--- a/internal/soak/world/world.go
+++ b/internal/soak/world/world.go
@@ -62,6 +62,7 @@
 		s: s, random: rand.New(rand.NewPCG(s.Seed, 0x736f616b)), ledger: ledger.New(), store: platformtest.NewStore(), movingService: "s1",
 	}
 	w.store.SetPageSize(storePageSize)
+	w.store.SetEra(1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -110,14 +111,24 @@
 // configure writes the next version of the configuration, in which the service runs the moving rule.
 func (w *World) configure(service string) {
 	w.version += 1 + w.random.IntN(3)
+	w.writeVersion(service)
+}
+
+// writeVersion writes the configuration of the current version, in which the service runs the moving rule.
+func (w *World) writeVersion(service string) {
 	w.movingService = service
 	w.ledger.AddVersion(service, time.Now())
 	if w.s.BreakPromise == string(ledger.Version) && w.version > 5 {
 		return
 	}
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes the configuration of the current version.
+func (w *World) writeConfiguration() {
 	w.store.Configure(w.version, []platformtest.Rule{
 		{Prefix: "/r/", Kind: "safe", Service: "s1", Timeout: 3 * time.Second},
-		{Prefix: movingPrefix, Kind: "safe", Service: service, Timeout: 3 * time.Second},
+		{Prefix: movingPrefix, Kind: "safe", Service: w.movingService, Timeout: 3 * time.Second},
 		{Prefix: "/o/", Kind: "unsafe", Service: "s2", Timeout: 3 * time.Second},
 		{Prefix: "/u/", Kind: "upload", Service: "s3", Timeout: 3 * time.Second},
 	}, []string{"s1", "s2", "s3"})
--- a/internal/soak/world/world_test.go
+++ b/internal/soak/world/world_test.go
@@ -64,10 +64,20 @@
 	}
 }
 
+// Guards against entries that go back to an older configuration or to a draining target when the store is restored from
+// an older copy.
+func TestNothingRevertsWhenTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
+	r := soak(t, t.Context(), world.Settings{Seed: 6, Restore: true})
+	if len(r.Violations) > 0 || r.Served < 500 {
+		t.Errorf("%d requests served, %v\n%s", r.Served, r.Violations, strings.Join(r.Lines, "\n"))
+	}
+}
+
 // Guards against a soak that doesn't detect a broken promise.
 func TestBrokenPromisesAreFound(t *testing.T) {
 	t.Parallel()
-	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery, ledger.Repeats, ledger.Leave, ledger.Pause} {
+	for _, p := range []ledger.Promise{ledger.Whole, ledger.Once, ledger.NotRun, ledger.Recovery, ledger.Repeats, ledger.Leave, ledger.Pause, ledger.Restore} {
 		t.Run(string(p), func(t *testing.T) {
 			t.Parallel()
 			r := soak(t, t.Context(), world.Settings{Seed: 3, BreakPromise: string(p)})
