--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -239,7 +239,8 @@
 	if ctx.Err() != nil {
 		return readerFresh
 	}
-	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait || f.lacksConfirmation(b.ConfirmedAge)
+	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait ||
+		f.lacksConfirmation(b.ConfirmedAge-time.Duration(reader.Hops)*strictWait)
 	// An answer of another era that is no snapshot cannot be applied, and the next one would be the same.
 	unusable := b.Position().Before(after) || b.Era > after.Era && !b.Snapshot
 	if err != nil || unusable || stale && f.Age() < OutageAfter {
