internal/entry/edge, internal/site/mirror: entries pass on a configuration that the store has lost

An entry that is restarted after the store was restored learned the older configuration only, with keys that were revoked, until it was written again. Entries now state the version of their configuration in calls for changes; one that keeps a newer version through a restoration adds it to its answer.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -111,9 +111,13 @@
 		return err
 	}
 	if b.book != nil && next.Version() <= b.book.Version() {
+		if next.Version() == b.book.Version() && it.Revision > 0 {
+			b.hold.recordConfiguration(it)
+		}
 		return nil
 	}
 	b.book = next
+	b.hold.recordConfiguration(it)
 	b.events.Log(event.VersionAdopted, "version", next.Version(), "revision", it.Revision, "rules", next.RuleCount())
 	return nil
 }
--- a/internal/entry/edge/era_test.go
+++ b/internal/entry/edge/era_test.go
@@ -202,6 +202,29 @@
 	})
 }
 
+// Guards against an entry that goes by the older configuration, with keys that were revoked, because it was restarted or
+// cut off when the newer one was written, and learns only the copy from the restored store.
+func TestOtherEntriesPassOnTheConfigurationThatTheStoreHasLost(t *testing.T) {
+	runFleet(t, []string{"a1", "a1", "a1"}, func(f *fleet) {
+		prepareDrill(f)
+		f.stop("e1")
+		f.store.Restore()
+		time.Sleep(time.Second)
+		f.start("e1", "a1")
+		time.Sleep(1500 * time.Millisecond)
+		if got := f.call("e1", "GET", "/r/"); strings.HasPrefix(got.body, "t6") || got.status != http.StatusOK {
+			t.Errorf("%v, want the configuration that e0 and e2 keep", got)
+		}
+		f.configure(3, rule("read", "/r/", "safe", `,"service":"s2"`))
+		settle()
+		for i := range 3 {
+			if got := f.call(fmt.Sprint("e", i), "GET", "/r/"); !strings.HasPrefix(got.body, "t6") {
+				t.Errorf("e%d: %v, want the next configuration", i, got)
+			}
+		}
+	})
+}
+
 // Guards against an entry that mistakes a store without eras for a restored one.
 func TestStoreWithoutErasIsFollowedAsBefore(t *testing.T) {
 	runFleet(t, []string{"a1", "b1"}, func(f *fleet) {
--- a/internal/entry/edge/hold.go
+++ b/internal/entry/edge/hold.go
@@ -27,12 +27,15 @@
 	until    time.Time // until is the end of the hold; zero without one.
 	// pending holds items of the first read that contradict what was known, until they are applied or the key is written again.
 	pending  map[string]pendingItem
-	held     int                            // held is the number of items that the hold has kept pending.
-	changed  int                            // changed is the number of those whose key has changed in the new era.
-	outdated int                            // outdated is the number of registrations of targets that were dropped as outdated.
-	set      map[string]uint64              // set holds the revision of each evacuation and entry that is registered.
-	ended    map[string]endedKey            // ended holds evacuations and entries whose key was removed.
-	former   map[notice.Incarnation]endedAt // former holds incarnations of targets that have ended.
+	held     int                 // held is the number of items that the hold has kept pending.
+	changed  int                 // changed is the number of those whose key has changed in the new era.
+	outdated int                 // outdated is the number of registrations of targets that were dropped as outdated.
+	set      map[string]uint64   // set holds the revision of each evacuation and entry that is registered.
+	ended    map[string]endedKey // ended holds evacuations and entries whose key was removed.
+	// configuration is the item of the configuration in force; configurationEra is the era in which it was last read.
+	configuration    mirror.Item
+	configurationEra uint64
+	former           map[notice.Incarnation]endedAt // former holds incarnations of targets that have ended.
 }
 
 // pendingItem is an item that is applied at a time.
@@ -76,6 +79,27 @@
 	}
 }
 
+// recordConfiguration records the item of the configuration in force.
+func (h *eraHold) recordConfiguration(it mirror.Item) {
+	h.configuration, h.configurationEra = it, h.era
+}
+
+// keptConfiguration returns the configuration in force if it is newer than the asker's version and was not written again
+// in the asker's era of the store or in this entry's. The store has lost it, and the asker may never have known it.
+func (e *Edge) keptConfiguration(era, version uint64) []mirror.Item {
+	e.builderMu.Lock()
+	defer e.builderMu.Unlock()
+	h, current := &e.builder.hold, e.builder.book
+	lost := h.active(time.Now()) && h.configurationEra < h.era || h.configurationEra < era
+	if !lost || current == nil || current.Version() <= version {
+		return nil
+	}
+	return []mirror.Item{{Key: h.configuration.Key, Value: h.configuration.Value}}
+}
+
+// version returns the version of the configuration in force; 0 for none.
+func (e *Edge) version() uint64 { return uint64(configurationVersion(e.view.Load())) }
+
 // recordFormer records the end of an incarnation of a target.
 func (h *eraHold) recordFormer(t target.Target, now time.Time) {
 	if len(h.former) >= maxFormerTargets {
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -26,8 +26,10 @@
 	changesRequest struct {
 		After uint64 `json:"after"`
 		// Era is the era of the revision After, 0 when the store states none; nil in the calls of earlier releases, which know no eras.
-		Era  *uint64 `json:"era,omitempty"`
-		Wait int64   `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
+		Era *uint64 `json:"era,omitempty"`
+		// Version is the version of the asker's configuration, 0 for none.
+		Version uint64 `json:"version,omitempty"`
+		Wait    int64  `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
 	}
 	changesAnswer struct {
 		Packed   []byte `json:"packed,omitempty"` // Packed is the compressed JSON of the changed items.
@@ -37,6 +39,7 @@
 		Age      int64  `json:"age"`             // Age is the time in milliseconds since the peer last heard from the store.
 		// Confirmed is the peer's confirmed age in milliseconds, rounded up; nil when the peer does not state it.
 		Confirmed *int64 `json:"confirmed,omitempty"`
+		Kept      []byte `json:"kept,omitempty"` // Kept is the compressed JSON of the items that the peer keeps of an earlier era.
 		Held      int64  `json:"held,omitempty"` // Held is how long the peer held the call open, in milliseconds, rounded down.
 	}
 	changedItem struct {
@@ -115,6 +118,11 @@
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
+	if request.Era != nil {
+		if answer.Kept, err = compressItems(e.keptConfiguration(after.Era, request.Version)); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		}
+	}
 	answer.Age, answer.Confirmed, answer.Held = e.follower.Age().Milliseconds(), &confirmed, held
 	return answer, nil
 }
@@ -167,7 +175,7 @@
 	if len(addresses) == 0 {
 		return nil
 	}
-	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, closeAfterCall: true}
+	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, closeAfterCall: true, version: (*Edge)(p).version}
 }
 
 const (
@@ -189,7 +197,7 @@
 		if p.readerPeer != nil {
 			p.readerPeer.close()
 		}
-		p.readerPeer = &peer{address: chosen.Entry.Peer, dial: p.dialPeer}
+		p.readerPeer = &peer{address: chosen.Entry.Peer, dial: p.dialPeer, version: (*Edge)(p).version}
 	}
 	wait := readerWait
 	if chosen.LargeRegion {
@@ -204,6 +212,8 @@
 	dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	closeAfterCall bool // closeAfterCall closes the connection after each call.
 	conn           *jsonrpc2.Conn
+	// version returns the version of this entry's configuration; nil where the peer is not asked for changes.
+	version func() uint64
 }
 
 func (p *peer) close() {
@@ -216,16 +226,18 @@
 // Changes requests the changes after a position; the peer holds the call open until there are any or the wait has passed.
 func (p *peer) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	var a changesAnswer
-	if err := p.call(ctx, methodChanges, changesRequest{After: after.Revision, Era: &after.Era, Wait: wait.Milliseconds()}, &a); err != nil {
+	request := changesRequest{After: after.Revision, Era: &after.Era, Wait: wait.Milliseconds(), Version: p.version()}
+	if err := p.call(ctx, methodChanges, request, &a); err != nil {
 		return mirror.Batch{}, err
 	}
 	items, err := decompressItems(a.Packed)
-	if err != nil {
+	kept, keptErr := decompressItems(a.Kept)
+	if err = errors.Join(err, keptErr); err != nil {
 		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
 	b := mirror.Batch{
 		Items: items, Era: a.Era, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond,
-		Held: time.Duration(a.Held) * time.Millisecond, Unconfirmed: a.Confirmed == nil,
+		Held: time.Duration(a.Held) * time.Millisecond, Kept: kept, Unconfirmed: a.Confirmed == nil,
 	}
 	if a.Confirmed != nil {
 		b.ConfirmedAge = time.Duration(*a.Confirmed) * time.Millisecond
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -84,6 +84,7 @@
 	bound     time.Duration        // bound is the bound of RequireConfirmation; 0 for none.
 
 	newestEra atomic.Uint64 // newestEra is the newest era of the store that any answer has shown.
+	eraSeen   atomic.Int64  // eraSeen is when newestEra was first shown, in nanoseconds since start.
 
 	mu        sync.Mutex   // mu is held while a batch is applied.
 	lastHeard atomic.Int64 // lastHeard is when the store last answered, in nanoseconds since start.
@@ -239,6 +240,7 @@
 	if ctx.Err() != nil {
 		return readerFresh
 	}
+	f.applyKept(b)
 	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait ||
 		f.lacksConfirmation(b.ConfirmedAge-time.Duration(reader.Hops)*strictWait)
 	// An answer of another era that is no snapshot cannot be applied, and the next one would be the same.
@@ -337,7 +339,7 @@
 		} else {
 			sleep(ctx, startPeerInterval)
 		}
-		if f.Age() < StaleAfter && f.mirror.Revision() > 0 && !f.lacksConfirmation(f.ConfirmedAge()) {
+		if f.Age() < StaleAfter && f.mirror.Revision() > 0 && !f.lacksConfirmation(f.ConfirmedAge()) && !f.mayLackKept() {
 			continue
 		}
 		p := f.peers.Peer()
@@ -353,6 +355,7 @@
 			f.events.Log(event.PeerSilent, "error", err, "after", after.Revision)
 			continue
 		}
+		f.applyKept(b)
 		if b.Position().Before(after) {
 			continue
 		}
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -43,6 +43,9 @@
 	Held time.Duration
 	// Unconfirmed is set when the batch may lack what the store had acknowledged before the call, as a stale read may.
 	Unconfirmed bool
+	// Kept holds items of an earlier era that the source still goes by, although its content lacks them. They have
+	// revision 0 and are no changes of the content.
+	Kept []Item
 }
 
 // Mirror is a replica of the store's keys; it is safe for concurrent use.
