--- a/internal/entry/edge/account.go
+++ b/internal/entry/edge/account.go
@@ -32,6 +32,7 @@
 
 func (e *Edge) initKeyChecks() {
 	e.keyChecks.bound = credential.NewBound(e.settings.RevokeBound)
+	e.follower.RequireConfirmation(e.settings.RevokeBound)
 	e.keyChecks.unauthorized = metrics.NewRegisteredCounter("request.unauthorized", e.meters.registry)
 	e.keyChecks.staleRefusals = metrics.NewRegisteredCounter("request.keys-stale", e.meters.registry)
 }
--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -41,6 +41,8 @@
 	registeredSince time.Time
 	roster          quota.Roster
 	uptime          func() time.Duration // uptime returns the time of a clock that advances while the machine is suspended.
+	hold            eraHold
+	lostOwn         bool // lostOwn is set when this entry's own registration was removed, until it is taken.
 }
 
 func newViewBuilder(keys Keys, events *event.Log, self census.Entry, regionCount int, recentOutage func() bool) *viewBuilder {
@@ -48,7 +50,7 @@
 		keys: keys, events: events, self: self, regionCount: regionCount, recentOutage: recentOutage,
 		targets: make(map[string]*targetState), services: make(map[string]*serviceTargets), dirtyServices: make(map[string]bool),
 		evacuatedZones: make(map[string]bool), entries: make(map[string]census.Entry), formerEntries: make(map[string]formerEntry),
-		invalidItems: make(map[string]string),
+		invalidItems: make(map[string]string), hold: newEraHold(),
 	}
 }
 
@@ -60,7 +62,9 @@
 			versions = append(versions, it)
 			continue
 		}
-		b.logInvalid(it, b.applyItem(it, now))
+		if !b.holdBack(it, now) {
+			b.logInvalid(it, b.applyItem(it, now))
+		}
 	}
 	// Only the last valid configuration of a batch counts, so earlier ones aren't decoded.
 	for _, it := range slices.Backward(versions) {
@@ -86,6 +90,7 @@
 
 func (b *viewBuilder) applyItem(it mirror.Item, now time.Time) error {
 	if zone, ok := b.keys.EvacuatedZone(it.Key); ok {
+		b.hold.recordKey(it, now)
 		b.applyEvacuation(zone, it, now)
 		return nil
 	}
@@ -93,6 +98,7 @@
 		return b.applyTarget(id, it, now)
 	}
 	if name, ok := b.keys.EntryName(it.Key); ok {
+		b.hold.recordKey(it, now)
 		return b.applyEntry(name, it, now)
 	}
 	return nil
@@ -108,9 +114,13 @@
 		return err
 	}
 	if b.book != nil && next.Version() <= b.book.Version() {
+		if next.Version() == b.book.Version() && it.Revision > 0 {
+			b.hold.recordConfiguration(it)
+		}
 		return nil
 	}
 	b.book = next
+	b.hold.recordConfiguration(it)
 	b.events.Log(event.VersionAdopted, "version", next.Version(), "revision", it.Revision, "rules", next.RuleCount())
 	return nil
 }
@@ -156,6 +166,10 @@
 	if err != nil {
 		return err
 	}
+	if b.hold.isOutdated(old, t, now) {
+		b.hold.outdated++
+		return nil
+	}
 	if old != nil {
 		b.dirtyServices[old.target.Service()] = true
 	}
@@ -173,18 +187,19 @@
 	lapseWindow = 2 * time.Second
 )
 
-// applyTargetRemoval handles the end of a target's registration. Around an outage it
-// may have lapsed only because targets could not renew it: then the target and
+// applyTargetRemoval handles the end of a target's registration. Around an outage, or after the store was restored, it
+// may have lapsed only because targets could not renew it or the store has lost it: then the target and
 // its state are kept for lapseGrace.
 func (b *viewBuilder) applyTargetRemoval(id string, it mirror.Item, now time.Time) {
 	old := b.targets[id]
 	switch {
 	case old == nil:
-	case b.recentOutage() && !old.isLeaving() && old.usableUntil.IsZero():
+	case (b.recentOutage() || b.hold.active(now)) && !old.isLeaving() && old.usableUntil.IsZero():
 		b.targets[id] = old.copyWith(func(s *targetState) { s.usableUntil = now.Add(lapseGrace) })
 		b.dirtyServices[old.target.Service()] = true
 		b.events.Log(event.TargetLapsed, "target", id, "service", old.target.Service(), "revision", it.Revision, "for", lapseGrace)
 	case old.usableUntil.IsZero():
+		b.hold.recordFormer(old.target, now)
 		b.removeTarget(id, it.Revision, now)
 	}
 }
@@ -230,6 +245,9 @@
 // nextState returns the state of a registered target. State observed before a restart under the same id is discarded.
 func (b *viewBuilder) nextState(old *targetState, t target.Target, it mirror.Item, now time.Time) *targetState {
 	if old == nil || restarted(old.target, t) {
+		if old != nil {
+			b.hold.recordFormer(old.target, now)
+		}
 		b.events.Log(event.TargetJoined, "target", t.ID(), "service", t.Service(), "zone", t.Zone(),
 			"cold", t.ColdUntil().Sub(now), "revision", it.Revision)
 		return &targetState{
@@ -258,6 +276,7 @@
 	if it.Removed {
 		if name == b.self.Name {
 			b.registeredSince = time.Time{}
+			b.lostOwn = known
 		}
 		if known {
 			delete(b.entries, name)
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	methodChanges = "changes" // methodChanges requests the changes after a revision.
+	methodChanges = "changes" // methodChanges requests the changes after a position.
 	methodCold    = "cold"    // methodCold informs a peer of a cold target.
 )
 
@@ -25,13 +25,22 @@
 type (
 	changesRequest struct {
 		After uint64 `json:"after"`
-		Wait  int64  `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
+		// Era is the era of the revision After, 0 when the store states none; nil in the calls of earlier releases, which know no eras.
+		Era *uint64 `json:"era,omitempty"`
+		// Version is the version of the asker's configuration, 0 for none.
+		Version uint64 `json:"version,omitempty"`
+		Wait    int64  `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
 	}
 	changesAnswer struct {
 		Packed   []byte `json:"packed,omitempty"` // Packed is the compressed JSON of the changed items.
+		Era      uint64 `json:"era,omitempty"`    // Era is the era of the revisions; 0 when the store states none.
 		Revision uint64 `json:"revision"`
 		Whole    bool   `json:"whole,omitempty"` // Whole is set when the items are a snapshot of all keys.
 		Age      int64  `json:"age"`             // Age is the time in milliseconds since the peer last heard from the store.
+		// Confirmed is the peer's confirmed age in milliseconds, rounded up; nil when the peer does not state it.
+		Confirmed *int64 `json:"confirmed,omitempty"`
+		Kept      []byte `json:"kept,omitempty"` // Kept is the compressed JSON of the items that the peer keeps of an earlier era.
+		Held      int64  `json:"held,omitempty"` // Held is how long the peer held the call open, in milliseconds, rounded down.
 	}
 	changedItem struct {
 		Key      string `json:"key"`
@@ -99,20 +108,34 @@
 }
 
 func (e *Edge) handleChanges(ctx context.Context, request changesRequest) (any, error) {
+	received := e.deps.Uptime()
+	after := mirror.Position{Era: e.mirror.Position().Era, Revision: request.After}
+	if request.Era != nil {
+		after.Era = *request.Era
+		e.follower.RecordEra(after.Era)
+	}
 	if request.Wait > 0 {
-		e.waitForChange(ctx, request.After, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
+		e.waitForChange(ctx, after, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
 	}
-	answer, err := e.peerAnswers.changesAfter(e.mirror, request.After)
+	// Both are determined before the changes are read, so that the answer holds all that its confirmed age promises.
+	held := (e.deps.Uptime() - received).Milliseconds()
+	confirmed := e.follower.ConfirmedAge().Milliseconds() + 1
+	answer, err := e.peerAnswers.changesAfter(e.mirror, after)
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
-	answer.Age = e.follower.Age().Milliseconds()
+	if request.Era != nil {
+		if answer.Kept, err = compressItems(e.keptConfiguration(after.Era, request.Version)); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		}
+	}
+	answer.Age, answer.Confirmed, answer.Held = e.follower.Age().Milliseconds(), &confirmed, held
 	return answer, nil
 }
 
-// waitForChange waits for a change after the revision. An entry that reads the store
+// waitForChange waits for a change after the position. An entry that reads the store
 // for others stops waiting once it has not heard from the store for mirror.StaleAfter, so that the caller notices.
-func (e *Edge) waitForChange(ctx context.Context, after uint64, wait time.Duration) {
+func (e *Edge) waitForChange(ctx context.Context, after mirror.Position, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	changed := e.mirror.ChangedAfter(after)
@@ -158,7 +181,7 @@
 	if len(addresses) == 0 {
 		return nil
 	}
-	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, closeAfterCall: true}
+	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, closeAfterCall: true, version: (*Edge)(p).version}
 }
 
 const (
@@ -180,7 +203,7 @@
 		if p.readerPeer != nil {
 			p.readerPeer.close()
 		}
-		p.readerPeer = &peer{address: chosen.Entry.Peer, dial: p.dialPeer}
+		p.readerPeer = &peer{address: chosen.Entry.Peer, dial: p.dialPeer, version: (*Edge)(p).version}
 	}
 	wait := readerWait
 	if chosen.LargeRegion {
@@ -195,6 +218,8 @@
 	dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	closeAfterCall bool // closeAfterCall closes the connection after each call.
 	conn           *jsonrpc2.Conn
+	// version returns the version of this entry's configuration; nil where the peer is not asked for changes.
+	version func() uint64
 }
 
 func (p *peer) close() {
@@ -204,17 +229,26 @@
 	}
 }
 
-// Changes requests the changes after a revision; the peer holds the call open until there are any or the wait has passed.
-func (p *peer) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+// Changes requests the changes after a position; the peer holds the call open until there are any or the wait has passed.
+func (p *peer) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	var a changesAnswer
-	if err := p.call(ctx, methodChanges, changesRequest{After: after, Wait: wait.Milliseconds()}, &a); err != nil {
+	request := changesRequest{After: after.Revision, Era: &after.Era, Wait: wait.Milliseconds(), Version: p.version()}
+	if err := p.call(ctx, methodChanges, request, &a); err != nil {
 		return mirror.Batch{}, err
 	}
 	items, err := decompressItems(a.Packed)
-	if err != nil {
+	kept, keptErr := decompressItems(a.Kept)
+	if err = errors.Join(err, keptErr); err != nil {
 		return mirror.Batch{}, fmt.Errorf("edge: peer %s: %w", p.address, err)
 	}
-	return mirror.Batch{Items: items, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond}, nil
+	b := mirror.Batch{
+		Items: items, Era: a.Era, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond,
+		Held: time.Duration(a.Held) * time.Millisecond, Kept: kept, Unconfirmed: a.Confirmed == nil,
+	}
+	if a.Confirmed != nil {
+		b.ConfirmedAge = time.Duration(*a.Confirmed) * time.Millisecond
+	}
+	return b, nil
 }
 
 // call calls a method of the peer and connects to it first if there is no connection.
--- a/internal/entry/edge/quotaowner.go
+++ b/internal/entry/edge/quotaowner.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"tamarackspool/internal/record/event"
@@ -125,3 +126,17 @@
 	b.roster = b.roster.Next(members, b.self.Name, b.uptime())
 	return b.roster
 }
+
+// quotaConfirmation is the bound for which the follower keeps its confirmed age low where accounts have quotas: owners stop
+// granting at quota.Exclusion, and with watches that are held open for 2 s the age rises to 4 s.
+const quotaConfirmation = 5 * time.Second
+
+// requireConfirmation makes the follower confirm its knowledge often enough for the version in force.
+func (e *Edge) requireConfirmation(v *view) {
+	if e.settings.RevokeBound > 0 || v.book == nil {
+		return
+	}
+	if slices.ContainsFunc(v.book.AccountNames(), func(name string) bool { return v.accountLimit(name).Limited() }) {
+		e.follower.RequireConfirmation(quotaConfirmation)
+	}
+}
--- a/internal/record/event/configuration.go
+++ b/internal/record/event/configuration.go
@@ -21,6 +21,8 @@
 	RenewalFailed    Number = 2017
 	KeysStale        Number = 2018
 	KeysFresh        Number = 2019
+	EraChanged       Number = 2020
+	EraSettled       Number = 2021
 )
 
 var configuration = []Definition{
@@ -43,4 +45,6 @@
 	{RenewalFailed, "renewal-failed", "the entry's registration could not be created or renewed; it is retried within a second", "check the platform if it persists"},
 	{KeysStale, "keys-stale", "this entry's copy of the callers' keys is too old for the bound on revoked keys; requests that need a key are refused", "check the key-value service and the network of the VM"},
 	{KeysFresh, "keys-fresh", "this entry's copy of the callers' keys is fresh again", "none"},
+	{EraChanged, "era-changed", "the key-value service was restored from an older copy and everything was read anew; what was known before stays in use until it is written again, at most for 10 s", "write again what operators have written since the copy was made"},
+	{EraSettled, "era-settled", "the time after a restoration of the key-value service is over in which earlier knowledge stays in use; what was not written again is as the service has it", "none"},
 }
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -11,10 +11,10 @@
 	"tamarackspool/internal/record/event"
 )
 
-// Source provides the changes after a revision; revision 0 requests all keys.
+// Source provides the changes after a position; revision 0 requests all keys.
 type Source interface {
-	// Changes returns the changes after a revision and waits up to the given time for the first.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
+	// Changes returns the changes after a position and waits up to the given time for the first.
+	Changes(ctx context.Context, after Position, wait time.Duration) (Batch, error)
 }
 
 // Peers chooses the other entries to read from.
@@ -36,7 +36,7 @@
 const (
 	watchWait           = 2 * time.Second         // watchWait is how long the store holds a long poll open; a dead connection is noticed soon after.
 	watchGrace          = 800 * time.Millisecond  // watchGrace is how long an answer may take beyond watchWait, which covers two round trips between regions and a slow store.
-	firstReadTimeout    = 2500 * time.Millisecond // firstReadTimeout bounds the first read of all keys; it doubles with each failure.
+	firstReadTimeout    = 2500 * time.Millisecond // firstReadTimeout bounds the first read of all keys in an era; it doubles with each failure.
 	maxFirstReadTimeout = 20 * time.Second        // maxFirstReadTimeout bounds the doubled timeout.
 	minCallInterval     = 250 * time.Millisecond  // minCallInterval is the least time between the starts of two calls, because the store counts every call.
 	retryDelay          = 500 * time.Millisecond  // retryDelay is the delay after a failed call, before jitter.
@@ -79,6 +79,13 @@
 	onChange  func([]Item)
 	recovered chan struct{} // recovered has an element once the store answers again after a pause.
 
+	uptime    func() time.Duration // uptime is the time of a monotonic clock that advances while the machine is suspended.
+	confirmed atomic.Int64         // confirmed is the uptime of the last confirmation, in nanoseconds; see ConfirmedAge.
+	bound     atomic.Int64         // bound is the bound of RequireConfirmation, in nanoseconds; 0 for none.
+
+	newestEra atomic.Uint64 // newestEra is the newest era of the store that any answer has shown.
+	eraSeen   atomic.Int64  // eraSeen is when newestEra was first shown, in nanoseconds since start.
+
 	mu        sync.Mutex   // mu is held while a batch is applied.
 	lastHeard atomic.Int64 // lastHeard is when the store last answered, in nanoseconds since start.
 	lastRead  atomic.Int64 // lastRead is when the changes were last read, from the store or a reader, in nanoseconds since start.
@@ -90,10 +97,14 @@
 	failures int
 }
 
-// NewFollower returns a follower that calls onChange, from one goroutine at a
-// time, with the changed items of each batch.
-func NewFollower(m *Mirror, store Source, peers Peers, events *event.Log, onChange func([]Item)) *Follower {
-	return &Follower{mirror: m, store: store, peers: peers, events: events, onChange: onChange, start: time.Now(), recovered: make(chan struct{}, 1)}
+// NewFollower returns a follower that calls onChange, from one goroutine at a time, with the changed items of each
+// batch. uptime returns the time of a monotonic clock that advances while the machine is suspended.
+func NewFollower(m *Mirror, store Source, peers Peers, events *event.Log, uptime func() time.Duration, onChange func([]Item)) *Follower {
+	f := &Follower{
+		mirror: m, store: store, peers: peers, events: events, uptime: uptime, onChange: onChange, start: time.Now(), recovered: make(chan struct{}, 1),
+	}
+	f.confirmed.Store(int64(uptime() - neverConfirmed))
+	return f
 }
 
 // RecordStoreAnswer records that the store has answered another call of this entry. After a
@@ -132,9 +143,6 @@
 	return f.heardAge()
 }
 
-// ConfirmedAge returns an upper bound of the time since the mirror held everything that the store had acknowledged.
-func (f *Follower) ConfirmedAge() time.Duration { return f.Age() }
-
 // heardAge returns how long ago the store last answered any call.
 func (f *Follower) heardAge() time.Duration {
 	return time.Since(f.start) - time.Duration(f.lastHeard.Load())
@@ -148,16 +156,23 @@
 	running.Wait()
 }
 
-// applyBatch applies a batch to the mirror before the next call requests the changes after it. It drops a
-// snapshot that is older than the mirror, which a peer may have updated meanwhile: it
+// applyBatch applies the batch of a call that began at the given uptime, before the next call requests the changes
+// after it. It drops a snapshot that is older than the mirror, which a peer may have updated meanwhile: it
 // may contain keys that were removed since.
-func (f *Follower) applyBatch(b Batch) {
+func (f *Follower) applyBatch(b Batch, began time.Duration) {
+	defer f.RecordEra(b.Era)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if b.Snapshot && b.Revision < f.mirror.Revision() {
+	before := f.mirror.Position()
+	if b.Era < before.Era || b.Era > before.Era && !b.Snapshot && before.Revision > 0 {
 		return
 	}
-	if items := f.mirror.Apply(b); len(items) > 0 {
+	// The confirmation follows the change, so that the age is never younger than what onChange has made visible.
+	defer f.confirm(b, began)
+	if b.Snapshot && b.Position().Before(before) {
+		return
+	}
+	if items := f.mirror.Apply(b); len(items) > 0 || b.Era > before.Era {
 		f.onChange(items)
 	}
 }
@@ -181,6 +196,7 @@
 			}
 		}
 		storeRead = began
+		callBegan := f.uptime()
 		b, err := f.pollStore(ctx)
 		if errors.Is(err, errStoreRecovered) {
 			readerRetryAt = time.Time{} // The reader recovers at the same time, and every entry would read the store itself.
@@ -194,7 +210,7 @@
 		}
 		f.failures = 0
 		f.recordRead(b)
-		f.applyBatch(b)
+		f.applyBatch(b, callBegan)
 		sleep(ctx, minCallInterval-time.Since(began))
 	}
 }
@@ -211,30 +227,36 @@
 
 // pollReader reads from the entry that reads the store for this one.
 func (f *Follower) pollReader(ctx context.Context) readerState {
-	after := f.mirror.Revision()
+	after := f.mirror.Position()
 	reader := f.peers.Reader()
-	if reader.Source == nil || after == 0 {
+	if reader.Source == nil || after.Revision == 0 {
 		return noReader
 	}
-	bounded, cancel := context.WithTimeout(ctx, reader.Wait+readerGrace)
+	wait := f.limitWait(reader.Wait)
+	bounded, cancel := context.WithTimeout(ctx, wait+readerGrace)
 	defer cancel()
-	b, err := reader.Source.Changes(bounded, after, reader.Wait)
+	began := f.uptime()
+	b, err := reader.Source.Changes(bounded, after, wait)
 	if ctx.Err() != nil {
 		return readerFresh
 	}
-	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait
-	if err != nil || b.Revision < after || stale && f.Age() < OutageAfter {
-		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after)
+	f.applyKept(b)
+	stale := b.Age > StaleAfter+time.Duration(reader.Hops)*reader.Wait ||
+		f.lacksConfirmation(b.ConfirmedAge-time.Duration(reader.Hops)*strictWait)
+	// An answer of another era that is no snapshot cannot be applied, and the next one would be the same.
+	unusable := b.Position().Before(after) || b.Era > after.Era && !b.Snapshot
+	if err != nil || unusable || stale && f.Age() < OutageAfter {
+		f.events.Log(event.ReaderLeft, "error", err, "age", b.Age, "revision", b.Revision, "after", after.Revision, "era", b.Era)
 	}
 	switch {
-	case err != nil || b.Revision < after:
+	case err != nil || unusable:
 		return readerLost
 	case stale:
-		f.applyBatch(b)
+		f.applyBatch(b, began)
 		return readerStale
 	}
 	f.recordRead(b)
-	f.applyBatch(b)
+	f.applyBatch(b, began)
 	return readerFresh
 }
 
@@ -251,9 +273,10 @@
 }
 
 func (f *Follower) pollStore(ctx context.Context) (Batch, error) {
-	after := f.mirror.Revision()
-	limit := watchWait + watchGrace
-	if after == 0 {
+	after := f.mirror.Position()
+	wait := f.limitWait(watchWait)
+	limit := wait + watchGrace
+	if after.Revision == 0 || after.Era < f.newestEra.Load() {
 		limit = min(firstReadTimeout<<min(f.failures, 8), maxFirstReadTimeout)
 	}
 	select {
@@ -271,7 +294,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	b, err := f.store.Changes(ctx, after, watchWait)
+	b, err := f.store.Changes(ctx, after, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errStoreRecovered) {
 		return Batch{}, errStoreRecovered
 	}
@@ -316,26 +339,30 @@
 		} else {
 			sleep(ctx, startPeerInterval)
 		}
-		if f.Age() < StaleAfter && f.mirror.Revision() > 0 {
+		if f.Age() < StaleAfter && f.mirror.Revision() > 0 && !f.lacksConfirmation(f.ConfirmedAge()) && !f.mayLackKept() {
 			continue
 		}
 		p := f.peers.Peer()
 		if p == nil {
 			continue
 		}
-		after := f.mirror.Revision()
+		after := f.mirror.Position()
 		bounded, cancel := context.WithTimeout(ctx, peerTimeout)
+		began := f.uptime()
 		b, err := p.Changes(bounded, after, 0)
 		cancel()
 		if err != nil {
-			f.events.Log(event.PeerSilent, "error", err, "after", after)
+			f.events.Log(event.PeerSilent, "error", err, "after", after.Revision)
 			continue
 		}
-		if b.Revision <= after {
+		f.applyKept(b)
+		if b.Position().Before(after) {
 			continue
 		}
-		f.events.Log(event.PeerRead, "after", after, "revision", b.Revision, "items", len(b.Items), "whole", b.Snapshot)
-		f.applyBatch(b)
+		if after.Before(b.Position()) {
+			f.events.Log(event.PeerRead, "after", after.Revision, "revision", b.Revision, "items", len(b.Items), "whole", b.Snapshot, "era", b.Era)
+		}
+		f.applyBatch(b, began)
 	}
 }
 
--- a/internal/site/mirror/follower_test.go
+++ b/internal/site/mirror/follower_test.go
@@ -28,7 +28,7 @@
 
 func (w *fakeSource) callCount() int { w.mu.Lock(); defer w.mu.Unlock(); return w.calls }
 
-func (w *fakeSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (w *fakeSource) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	w.set(func(w *fakeSource) { w.calls++ })
 	for until := time.Now().Add(wait); ; {
 		w.mu.Lock()
@@ -42,10 +42,10 @@
 			return mirror.Batch{}, ctx.Err()
 		case fails:
 			return mirror.Batch{}, errors.New("refused")
-		case revision > after:
+		case revision > after.Revision:
 			return mirror.Batch{Items: []mirror.Item{item("key", revision)}, Revision: revision, Age: age}, nil
 		case !time.Now().Before(until):
-			return mirror.Batch{Revision: after, Age: age}, nil
+			return mirror.Batch{Revision: after.Revision, Age: age}, nil
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -54,8 +54,8 @@
 // staleSource is a source whose first answer is slow and contains a key that has been removed meanwhile.
 type staleSource struct{ fakeSource }
 
-func (p *staleSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
-	if after > 0 {
+func (p *staleSource) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
+	if after.Revision > 0 {
 		return p.fakeSource.Changes(ctx, after, wait)
 	}
 	time.Sleep(time.Second)
@@ -79,12 +79,18 @@
 	return r.peer
 }
 
+// sinceTestStart returns a clock that begins above 0 and never stops.
+func sinceTestStart() func() time.Duration {
+	start := time.Now().Add(-time.Hour)
+	return func() time.Duration { return time.Since(start) }
+}
+
 // runFollower runs a follower in simulated time; f calls at to wait until a time since the start.
 func runFollower(t *testing.T, store mirror.Source, peers fakePeers, f func(m *mirror.Mirror, at func(time.Duration))) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New()
-		follower := mirror.NewFollower(m, store, peers, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(m, store, peers, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -170,7 +176,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, reader := &fakeSource{revision: 1}, &fakeSource{revision: 1}
 		m := mirror.New()
-		follower := mirror.NewFollower(m, store, fakePeers{reader: reader}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(m, store, fakePeers{reader: reader}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -231,7 +237,7 @@
 	store, peer := &staleSource{fakeSource: fakeSource{revision: 4}}, &fakeSource{revision: 4}
 	runFollower(t, store, fakePeers{peer: peer}, func(m *mirror.Mirror, at func(time.Duration)) {
 		at(3 * time.Second)
-		if got := m.Since(0); got.Revision != 4 || len(got.Items) != 1 || got.Items[0].Key != "key" {
+		if got := m.Since(mirror.Position{}); got.Revision != 4 || len(got.Items) != 1 || got.Items[0].Key != "key" {
 			t.Errorf("%v, want only the key at revision 4", got)
 		}
 	})
@@ -240,8 +246,8 @@
 // slowSource is a source whose first answer takes long, as that of a store with many readers does.
 type slowSource struct{ fakeSource }
 
-func (h *slowSource) Changes(ctx context.Context, after uint64, wait time.Duration) (mirror.Batch, error) {
-	if after > 0 {
+func (h *slowSource) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
+	if after.Revision > 0 {
 		return h.fakeSource.Changes(ctx, after, wait)
 	}
 	h.set(func(w *fakeSource) { w.calls++ })
@@ -270,7 +276,7 @@
 	store := &fakeSource{revision: 1}
 	synctest.Test(t, func(t *testing.T) {
 		m := mirror.New()
-		follower := mirror.NewFollower(m, store, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(m, store, fakePeers{}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -296,7 +302,7 @@
 // for the given time after its end.
 func TestOutageLastsUntilAWindowAfterRecovery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := mirror.NewFollower(mirror.New(), &fakeSource{}, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		f := mirror.NewFollower(mirror.New(), &fakeSource{}, fakePeers{}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		const window = 2 * time.Second
 		for i, c := range []struct {
 			pause time.Duration // pause is the time without an answer from the store.
@@ -327,7 +333,7 @@
 func TestAnswersToOtherCallsDoNotHideMissedChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeSource{revision: 1}
-		follower := mirror.NewFollower(mirror.New(), store, fakePeers{}, event.New(log.NewNopLogger()), func([]mirror.Item) {})
+		follower := mirror.NewFollower(mirror.New(), store, fakePeers{}, event.New(log.NewNopLogger()), sinceTestStart(), func([]mirror.Item) {})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{}, 2)
 		go func() { follower.Run(ctx); done <- struct{}{} }()
