--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -25,9 +25,10 @@
 type (
 	changesRequest struct {
 		After uint64 `json:"after"`
-		// Era is the era of the revision After, 0 when the store states none; nil in the calls of earlier releases, which know no eras.
-		Era *uint64 `json:"era,omitempty"`
-		// Version is the version of the asker's configuration, 0 for none.
+		// Era is the era of the revision After. It is 0 when the asker knows none, also in the calls of earlier releases; the
+		// revision is then taken for one of the peer's era.
+		Era uint64 `json:"era,omitempty"`
+		// Version is the version of the asker's configuration; 0 for none, or when the asker knows no era.
 		Version uint64 `json:"version,omitempty"`
 		Wait    int64  `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
 	}
@@ -104,8 +105,8 @@
 func (e *Edge) handleChanges(ctx context.Context, request changesRequest) (any, error) {
 	received := e.deps.Uptime()
 	after := mirror.Position{Era: e.mirror.Position().Era, Revision: request.After}
-	if request.Era != nil {
-		after.Era = *request.Era
+	if request.Era > 0 {
+		after.Era = request.Era
 		e.follower.RecordEra(after.Era)
 	}
 	if request.Wait > 0 {
@@ -118,7 +119,7 @@
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
-	if request.Era != nil {
+	if request.Era > 0 {
 		if answer.Kept, err = compressItems(e.keptConfiguration(after.Era, request.Version)); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 		}
@@ -226,7 +227,10 @@
 // Changes requests the changes after a position; the peer holds the call open until there are any or the wait has passed.
 func (p *peer) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	var a changesAnswer
-	request := changesRequest{After: after.Revision, Era: &after.Era, Wait: wait.Milliseconds(), Version: p.version()}
+	request := changesRequest{After: after.Revision, Era: after.Era, Wait: wait.Milliseconds()}
+	if after.Era > 0 {
+		request.Version = p.version()
+	}
 	if err := p.call(ctx, methodChanges, request, &a); err != nil {
 		return mirror.Batch{}, err
 	}
--- a/internal/site/mirror/era_test.go
+++ b/internal/site/mirror/era_test.go
@@ -1,13 +1,17 @@
 package mirror_test
 
 import (
+	"context"
 	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-kit/log"
 	"pgregory.net/rapid"
 
+	"tamarackspool/internal/record/event"
 	"tamarackspool/internal/site/mirror"
 )
 
@@ -86,3 +90,60 @@
 		})
 	})
 }
+
+// keepingPeer is a peer that keeps an item which the store has lost; it counts the calls.
+type keepingPeer struct {
+	mu    sync.Mutex
+	calls int
+}
+
+func (p *keepingPeer) Changes(_ context.Context, after mirror.Position, _ time.Duration) (mirror.Batch, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	return mirror.Batch{Era: after.Era, Revision: after.Revision, Kept: []mirror.Item{{Key: "lost"}}}, nil
+}
+
+func (p *keepingPeer) Reader() mirror.Reader { return mirror.Reader{} }
+
+func (p *keepingPeer) Peer() mirror.Source { return p }
+
+// Guards against an entry that reads the store itself and goes by an older configuration than its peers after a restart,
+// where keys are revoked strictly, and against calls to peers elsewhere.
+func TestPeersAreAskedForWhatTheStoreHasLost(t *testing.T) {
+	for _, c := range []struct {
+		era         uint64
+		bound       time.Duration
+		least, most int // least and most bound the calls to peers.
+	}{
+		{1, 5 * time.Second, 3, 12},
+		{1, 0, 0, 0},
+		{0, 5 * time.Second, 0, 1}, // The first read confirms nothing, so that one peer is asked.
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSite(1, 0)
+			s.locked(func() {
+				for range c.era {
+					s.restore(0)
+				}
+			})
+			m, p, kept := mirror.New(), new(keepingPeer), false
+			f := mirror.NewFollower(m, siteStore{s, 0}, p, event.New(log.NewNopLogger()), s.uptime, func(items []mirror.Item) {
+				kept = kept || items[0].Key == "lost"
+			})
+			f.RequireConfirmation(c.bound)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); f.Run(ctx) }()
+			for range 20 {
+				time.Sleep(time.Second)
+				f.RecordStoreAnswer() // The entry's renewals are answered.
+			}
+			cancel()
+			<-done
+			if kept != (p.calls > 0) || p.calls < c.least || p.calls > c.most || len(m.Since(mirror.Position{}).Items) != 1 {
+				t.Errorf("era %d, bound %v: kept %v, %d calls to peers", c.era, c.bound, kept, p.calls)
+			}
+		})
+	}
+}
