--- a/internal/entry/edge/hold.go
+++ b/internal/entry/edge/hold.go
@@ -218,3 +218,9 @@
 	}
 	return changed
 }
+
+// registerEraGauges registers the metrics of the store's era and of the confirmed age.
+func (e *Edge) registerEraGauges() {
+	e.meters.registerGauge("store.confirmed-age-ms", func() int64 { return e.follower.ConfirmedAge().Milliseconds() })
+	e.meters.registerGauge("store.era", func() int64 { return int64(e.mirror.Position().Era) })
+}
--- a/internal/entry/edge/metrics.go
+++ b/internal/entry/edge/metrics.go
@@ -156,6 +156,7 @@
 	} {
 		e.meters.registerGauge(name, value)
 	}
+	e.registerEraGauges()
 }
 
 func configurationVersion(v *view) int64 {
