--- a/internal/entry/edge/hold.go
+++ b/internal/entry/edge/hold.go
@@ -97,8 +97,18 @@
 	return []mirror.Item{{Key: h.configuration.Key, Value: h.configuration.Value}}
 }
 
-// version returns the version of the configuration in force; 0 for none.
-func (e *Edge) version() uint64 { return uint64(configurationVersion(e.view.Load())) }
+// statedVersion returns the version of the configuration in force for calls to peers, as long as they may keep a newer one:
+// after the start and after a restoration of the store; else 0.
+func (e *Edge) statedVersion() uint64 {
+	now := time.Now()
+	e.builderMu.Lock()
+	defer e.builderMu.Unlock()
+	h := &e.builder.hold
+	if e.builder.book == nil || h.era == 0 || !h.active(now) && now.Sub(e.started) >= eraHoldTime {
+		return 0
+	}
+	return e.builder.book.Version()
+}
 
 // recordFormer records the end of an incarnation of a target.
 func (h *eraHold) recordFormer(t target.Target, now time.Time) {
--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -28,7 +28,8 @@
 		// Era is the era of the revision After. It is 0 when the asker knows none, also in the calls of earlier releases; the
 		// revision is then taken for one of the peer's era.
 		Era uint64 `json:"era,omitempty"`
-		// Version is the version of the asker's configuration; 0 for none, or when the asker knows no era.
+		// Version is the version of the asker's configuration, which it states only while peers may keep a newer one that the
+		// store has lost; 0 for none.
 		Version uint64 `json:"version,omitempty"`
 		Wait    int64  `json:"wait"` // Wait is the longest time in milliseconds to hold the call open for a change.
 	}
@@ -38,10 +39,10 @@
 		Revision uint64 `json:"revision"`
 		Whole    bool   `json:"whole,omitempty"` // Whole is set when the items are a snapshot of all keys.
 		Age      int64  `json:"age"`             // Age is the time in milliseconds since the peer last heard from the store.
-		// Confirmed is the peer's confirmed age in milliseconds, rounded up; nil when the peer does not state it.
+		// Confirmed is the peer's confirmed age less the time for which it held the call open, in milliseconds, rounded up; nil
+		// when the peer does not state it. One number for both keeps the answers short.
 		Confirmed *int64 `json:"confirmed,omitempty"`
 		Kept      []byte `json:"kept,omitempty"` // Kept is the compressed JSON of the items that the peer keeps of an earlier era.
-		Held      int64  `json:"held,omitempty"` // Held is how long the peer held the call open, in milliseconds, rounded down.
 	}
 	changedItem struct {
 		Key      string `json:"key"`
@@ -113,18 +114,18 @@
 		e.waitForChange(ctx, after, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
 	}
 	// Both are determined before the changes are read, so that the answer holds all that its confirmed age promises.
-	held := (e.deps.Uptime() - received).Milliseconds()
-	confirmed := e.follower.ConfirmedAge().Milliseconds() + 1
+	held := e.deps.Uptime() - received
+	confirmed := (e.follower.ConfirmedAge() - held).Milliseconds() + 1
 	answer, err := e.peerAnswers.changesAfter(e.mirror, after)
 	if err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 	}
-	if request.Era > 0 {
+	if request.Version > 0 {
 		if answer.Kept, err = compressItems(e.keptConfiguration(after.Era, request.Version)); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 		}
 	}
-	answer.Age, answer.Confirmed, answer.Held = e.follower.Age().Milliseconds(), &confirmed, held
+	answer.Age, answer.Confirmed = e.follower.Age().Milliseconds(), &confirmed
 	return answer, nil
 }
 
@@ -176,7 +177,7 @@
 	if len(addresses) == 0 {
 		return nil
 	}
-	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, closeAfterCall: true, version: (*Edge)(p).version}
+	return &peer{address: addresses[rand.N(len(addresses))], dial: p.dialPeer, closeAfterCall: true, version: (*Edge)(p).statedVersion}
 }
 
 const (
@@ -198,7 +199,7 @@
 		if p.readerPeer != nil {
 			p.readerPeer.close()
 		}
-		p.readerPeer = &peer{address: chosen.Entry.Peer, dial: p.dialPeer, version: (*Edge)(p).version}
+		p.readerPeer = &peer{address: chosen.Entry.Peer, dial: p.dialPeer, version: (*Edge)(p).statedVersion}
 	}
 	wait := readerWait
 	if chosen.LargeRegion {
@@ -213,7 +214,7 @@
 	dial           func(ctx context.Context, network, address string) (net.Conn, error)
 	closeAfterCall bool // closeAfterCall closes the connection after each call.
 	conn           *jsonrpc2.Conn
-	// version returns the version of this entry's configuration; nil where the peer is not asked for changes.
+	// version returns the version to state in calls for changes; nil where the peer is not asked for them.
 	version func() uint64
 }
 
@@ -227,10 +228,7 @@
 // Changes requests the changes after a position; the peer holds the call open until there are any or the wait has passed.
 func (p *peer) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	var a changesAnswer
-	request := changesRequest{After: after.Revision, Era: after.Era, Wait: wait.Milliseconds()}
-	if after.Era > 0 {
-		request.Version = p.version()
-	}
+	request := changesRequest{After: after.Revision, Era: after.Era, Wait: wait.Milliseconds(), Version: p.version()}
 	if err := p.call(ctx, methodChanges, request, &a); err != nil {
 		return mirror.Batch{}, err
 	}
@@ -241,10 +239,10 @@
 	}
 	b := mirror.Batch{
 		Items: items, Era: a.Era, Revision: a.Revision, Snapshot: a.Whole, Age: time.Duration(a.Age) * time.Millisecond,
-		Held: time.Duration(a.Held) * time.Millisecond, Kept: kept, Unconfirmed: a.Confirmed == nil,
+		Kept: kept, Unconfirmed: a.Confirmed == nil,
 	}
 	if a.Confirmed != nil {
-		b.ConfirmedAge = time.Duration(*a.Confirmed) * time.Millisecond
+		b.ConfirmedAge, b.Held = time.Duration(max(0, *a.Confirmed))*time.Millisecond, time.Duration(max(0, -*a.Confirmed))*time.Millisecond
 	}
 	return b, nil
 }
