internal/entry/edge, internal/steer/quota: owners go on after a restart and after an outage

Cause: after all entries were killed together, or after the store had been away for 3 s, no entry granted tokens for the 3 s in which another owner could have been active, so that accounts with a quota were refused on every entry. Change: a registration says when it was written, by the VM's uptime. A restarted entry that finds its earlier registration, written 9 s ago or more, and no end of a registration since, owns accounts at once. The first call after an old first read is not held open where keys or quotas are strict.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -42,7 +42,8 @@
 	roster          quota.Roster
 	uptime          func() time.Duration // uptime returns the time of a clock that advances while the machine is suspended.
 	hold            eraHold
-	lostOwn         bool // lostOwn is set when this entry's own registration was removed, until it is taken.
+	unseenEnds      uint64 // unseenEnds counts the ends of registrations that this entry had not seen.
+	lostOwn         bool   // lostOwn is set when this entry's own registration was removed, until it is taken.
 }
 
 func newViewBuilder(keys Keys, events *event.Log, self census.Entry, regionCount int, recentOutage func() bool) *viewBuilder {
@@ -278,6 +279,9 @@
 			b.registeredSince = time.Time{}
 			b.lostOwn = known
 		}
+		if !known {
+			b.unseenEnds++
+		}
 		if known {
 			delete(b.entries, name)
 			b.formerEntries[name] = formerEntry{old, now}
@@ -357,7 +361,7 @@
 		}
 	}
 	v.reader, v.hasReader = census.ReaderOf(v.entries, b.self)
-	v.roster = b.nextRoster(revision)
+	v.roster, v.unseenEnds = b.nextRoster(revision), b.unseenEnds
 	return v
 }
 
--- a/internal/entry/edge/lease.go
+++ b/internal/entry/edge/lease.go
@@ -29,6 +29,7 @@
 
 // keepRegistered keeps the entry registered until ctx or stop ends, then revokes its lease.
 func (e *Edge) keepRegistered(ctx, stop context.Context) {
+	e.resumeOwning(stop)
 	var lease, leaseEra uint64 // leaseEra is the era of the store in which the lease was granted.
 	for ctx.Err() == nil && stop.Err() == nil {
 		current, ok := e.renewOrGrant(ctx, lease)
@@ -175,9 +176,11 @@
 }
 
 func (e *Edge) putRegistration(ctx context.Context, lease uint64) bool {
-	e.suspendOwning()
-	defer e.suspendOwning()
-	value, err := census.Encode(e.self)
+	if !e.takeResumed() {
+		e.suspendOwning()
+		defer e.suspendOwning()
+	}
+	value, err := census.Encode(e.registration())
 	if err == nil {
 		err = e.deps.Store.Put(ctx, e.deps.Keys.EntryKey(e.settings.Name), value, lease)
 	}
--- a/internal/entry/edge/quotaowner.go
+++ b/internal/entry/edge/quotaowner.go
@@ -58,8 +58,11 @@
 
 // holdsTenure reports whether this entry may own accounts, and discards its buckets when it may not; quotas.mu is held.
 func (e *Edge) holdsTenure() bool {
+	// The age is read first: what it counts as confirmed is in the mirror and in the view by then.
+	age := e.follower.ConfirmedAge()
 	now := e.deps.Uptime()
-	if e.quotas.tenure.Holds(e.follower.ConfirmedAge(), now) {
+	gap := e.quotas.gap.check(e.removalFloor(), e.view.Load().unseenEnds, now)
+	if e.quotas.tenure.Holds(age, now, gap) {
 		return true
 	}
 	clear(e.quotas.owned)
@@ -73,6 +76,15 @@
 	e.quotas.tenure.Suspend(e.deps.Uptime())
 }
 
+// takeResumed reports whether the tenure of an earlier process goes on through this registration, the first of the process.
+func (e *Edge) takeResumed() bool {
+	e.quotas.mu.Lock()
+	defer e.quotas.mu.Unlock()
+	resumed := e.quotas.resumed
+	e.quotas.resumed = false
+	return resumed
+}
+
 // tickQuotas checks this entry's right to own accounts. From time to time it creates the buckets of the accounts that the entry
 // owns, which begin to accrue then, and discards what is no longer used.
 func (e *Edge) tickQuotas() {
--- /dev/null
+++ b/internal/entry/edge/resume_test.go
@@ -0,0 +1,62 @@
+package edge_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"tamarackspool/platform/platformtest"
+)
+
+// Guards against accounts without owners for several seconds after all entries were killed together, and against an entry
+// that goes on owning accounts after a restart although another one may have become their owner meanwhile.
+func TestOwnersGoOnAfterARestart(t *testing.T) {
+	const uptime = time.Hour // uptime is that of the VMs at the start of the test.
+	for name, c := range map[string]struct {
+		age    time.Duration // age is that of the registrations of the earlier processes.
+		change func(f *fleet)
+		goesOn bool
+	}{
+		"registered for long": {20 * time.Second, func(*fleet) {}, true},
+		"registered lately":   {5 * time.Second, func(*fleet) {}, false},
+		"another one ended":   {20 * time.Second, func(f *fleet) { f.store.Set("entries/e9", "{}"); f.store.Remove("entries/e9") }, false},
+		"history discarded":   {20 * time.Second, func(f *fleet) { f.store.Set("other", "x"); f.store.Set("other", "y"); f.store.Compact() }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, nil, func(f *fleet) {
+				zones := []string{"a1", "a2", "b1"}
+				f.configureAccounts(1, limited(20, 20))
+				f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Slots, x.ServiceTime = 100, time.Millisecond })
+				for i, zone := range zones {
+					f.store.Set(fmt.Sprint("entries/e", i), fmt.Sprintf(`{"name":"e%d","zone":%q,"region":%q,"call":%q,"peer":%q,"strength":1,"since":%d}`,
+						i, zone, regions[zone], address(i+1, 80), address(i+1, 83), (uptime-c.age).Milliseconds()))
+				}
+				c.change(f)
+				began := time.Now()
+				for i, zone := range zones {
+					f.start(fmt.Sprint("e", i), zone)
+				}
+				var sent []time.Time
+				served := 0
+				for time.Since(began) < 12*time.Second {
+					for i := range zones {
+						if f.callQuota(fmt.Sprint("e", i)).status == http.StatusOK {
+							sent = append(sent, time.Now())
+							if time.Since(began) < 2*time.Second {
+								served++
+							}
+						}
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				if (served > 0) != c.goesOn {
+					t.Errorf("%d requests sent in the first 2 s", served)
+				}
+				if n, bound := worstWindow(sent), int((20*5+20)*1.1+20); n > bound || len(sent) == 0 {
+					t.Errorf("%d requests in a window, want at most %d", n, bound)
+				}
+			})
+		})
+	}
+}
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -42,6 +42,11 @@
 	MemoryLimit    int64 // MemoryLimit is the limit of the process in bytes.
 }
 
+// keepsAccounts reports whether the deployment's settings hold terms for client accounts.
+func (s *Settings) keepsAccounts() bool {
+	return s.RevokeBound > 0 || s.QuotaTolerance.Over > 0 || s.QuotaTolerance.Slack > 0
+}
+
 // Store is the client of the platform's key-value store.
 type Store interface {
 	mirror.Source
--- a/internal/entry/edge/view.go
+++ b/internal/entry/edge/view.go
@@ -77,6 +77,7 @@
 	revision        uint64
 	reader          census.Reader // reader is the entry that reads the store for this one.
 	hasReader       bool          // hasReader is false when this entry reads the store itself.
+	unseenEnds      uint64        // unseenEnds counts the ends of entries' registrations that this entry had not seen.
 	roster          quota.Roster  // roster holds the entries that may own accounts.
 }
 
--- a/internal/site/census/census.go
+++ b/internal/site/census/census.go
@@ -19,6 +19,8 @@
 	Leaving bool   // Leaving is set once the entry has begun its graceful shutdown.
 	// Strength is the traffic capacity of the entry in Mbit/s, limited by its link and its processor.
 	Strength float64
+	// Since is when the call that wrote the registration began, in milliseconds of the VM's uptime; 0 when it isn't stated.
+	Since int64
 }
 
 // storedEntry is the JSON form of an entry in the store.
@@ -31,6 +33,7 @@
 	Leaving bool   `json:"leaving,omitempty"`
 	// Strength is optional; an entry without one counts with minStrength.
 	Strength float64 `json:"strength,omitempty"`
+	Since    int64   `json:"since,omitempty"`
 }
 
 // Encode returns the JSON form of an entry for the store.
@@ -56,6 +59,8 @@
 		return Entry{}, fmt.Errorf("census: entry %q is registered under another name", name)
 	case r.Name == "" || r.Zone == "" || r.Region == "":
 		return Entry{}, fmt.Errorf("census: entry %q lacks a name, a zone or a region", name)
+	case r.Since < 0:
+		return Entry{}, fmt.Errorf("census: entry %q was registered before its VM started", name)
 	case r.Strength < 0 || r.Strength > maxStrength:
 		return Entry{}, fmt.Errorf("census: the strength of entry %q is out of range", name)
 	}
--- a/internal/site/mirror/confirm.go
+++ b/internal/site/mirror/confirm.go
@@ -52,3 +52,12 @@
 	}
 	return wait
 }
+
+// limitFirstWait returns how long a source may hold a call open: not at all before the first confirmation where
+// RequireConfirmation is set, because the first read may be old and requests are refused until a call confirms it.
+func (f *Follower) limitFirstWait(wait time.Duration) time.Duration {
+	if f.bound.Load() > 0 && f.ConfirmedAge() >= neverConfirmed {
+		return 0
+	}
+	return wait
+}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -232,7 +232,7 @@
 	if reader.Source == nil || after.Revision == 0 {
 		return noReader
 	}
-	wait := f.limitWait(reader.Wait)
+	wait := f.limitFirstWait(f.limitWait(reader.Wait))
 	bounded, cancel := context.WithTimeout(ctx, wait+readerGrace)
 	defer cancel()
 	began := f.uptime()
@@ -274,7 +274,7 @@
 
 func (f *Follower) pollStore(ctx context.Context) (Batch, error) {
 	after := f.mirror.Position()
-	wait := f.limitWait(watchWait)
+	wait := f.limitFirstWait(f.limitWait(watchWait))
 	limit := wait + watchGrace
 	if after.Revision == 0 || after.Era < f.newestEra.Load() {
 		limit = min(firstReadTimeout<<min(f.failures, 8), maxFirstReadTimeout)
--- a/internal/site/mirror/mirror.go
+++ b/internal/site/mirror/mirror.go
@@ -153,6 +153,21 @@
 	m.changed = make(chan struct{})
 }
 
+// Item returns the item of a key, or its removal, and whether the mirror has one.
+func (m *Mirror) Item(key string) (Item, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	it, ok := m.items[key]
+	return it, ok
+}
+
+// RemovalFloor returns the revision up to which removals may not be known; it changes with each snapshot.
+func (m *Mirror) RemovalFloor() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.removalFloor
+}
+
 // ChangedAfter returns a channel that is closed when an item changes after the
 // position; it is closed already if one has or may have been removed. A position of a later era
 // waits for the next change.
--- a/internal/steer/quota/roster.go
+++ b/internal/steer/quota/roster.go
@@ -81,6 +81,21 @@
 	return next
 }
 
+// WithLongRegistered returns the roster with the entry as one that has been registered for long; see Tenure.Resume.
+func (r Roster) WithLongRegistered(name string, now time.Duration) Roster {
+	next := Roster{known: r.known}
+	for _, list := range r.regions {
+		list = slices.Clone(list)
+		for i := range list {
+			if list[i].Name == name && list[i].ended == 0 {
+				list[i].seen = now - Exclusion
+			}
+		}
+		next.regions = append(next.regions, list)
+	}
+	return next
+}
+
 // counts reports whether the entry may still own accounts.
 func (g *registration) counts(now time.Duration) bool {
 	return g.ended == 0 || now-g.ended < Exclusion
--- a/internal/steer/quota/worst_test.go
+++ b/internal/steer/quota/worst_test.go
@@ -153,7 +153,7 @@
 
 func (f *fleet) own(e *entry, take bool) {
 	key := quota.Key(account)
-	holds := e.tenure.Holds(f.now-e.confirmed, f.now)
+	holds := e.tenure.Holds(f.now-e.confirmed, f.now, true)
 	if !holds || !e.roster.Owns(e.Name, key, f.now) {
 		e.bucket = nil
 		return
