internal/steer/quota: a part of the burst as a rate, and shorter waits after restarts

Cause: an account at 1.35 times its rate was refused a quarter of its requests although every window of 5 s had room for all but a fiftieth of them, because its burst was used once. After all entries were killed together, owners waited for 4.5 s, as the store's history of 20 s did not reach back to their registrations. Change: the buckets keep a burst that covers random arrivals and grant the rest of it as a rate, at most 1.2 times that of the account; the sum over a window is unchanged. An entry whose earlier registration still exists waits from its first confirmed read, not from its new registration.

--- a/internal/entry/edge/resume.go
+++ b/internal/entry/edge/resume.go
@@ -39,9 +39,10 @@
 	return mirror.Position{Era: e.mirror.Position().Era, Revision: e.mirror.RemovalFloor()}
 }
 
-// resumeOwning lets a restarted entry own accounts at once if the registration of its earlier process shows that no
-// other entry can have become their owner. Without it all accounts would be without owners for quota.Exclusion after all
-// entries were killed together. It must be called before the entry registers.
+// resumeOwning lets a restarted entry own accounts again at once if the registration of its earlier process, and what the
+// store still has of the changes since, show that no other entry can have become their owner. If only the registration
+// is there, the entry need not wait until the others know of the new one. Without this all accounts would be without owners
+// for more than quota.Exclusion after all entries were killed together. It must be called before the entry registers.
 func (e *Edge) resumeOwning(ctx context.Context) {
 	if !e.settings.keepsAccounts() {
 		return
@@ -68,24 +69,27 @@
 	defer cancel()
 	after := mirror.Position{Era: e.mirror.Position().Era, Revision: item.Revision}
 	b, err := e.deps.Store.Changes(ctx, after, 0)
-	if err != nil || b.Snapshot || b.Era != after.Era || e.anyEntryEnded(b.Items) {
+	if err != nil || b.Era != after.Era {
 		return
 	}
-	e.resumeTenure(began)
-}
-
-// anyEntryEnded reports whether the items contain the end of a registration or another registration of this entry.
-func (e *Edge) anyEntryEnded(items []mirror.Item) bool {
-	for _, it := range items {
-		if name, ok := e.deps.Keys.EntryName(it.Key); ok && (it.Removed || name == e.settings.Name) {
-			return true
+	lasts, ended := !b.Snapshot, b.Snapshot
+	for _, it := range b.Items {
+		switch name, ok := e.deps.Keys.EntryName(it.Key); {
+		case !ok:
+		case name == e.settings.Name:
+			lasts = b.Snapshot && it.Revision == item.Revision
+		default:
+			ended = ended || it.Removed
 		}
 	}
-	return false
+	if lasts {
+		e.resumeTenure(began, !ended)
+	}
 }
 
-// resumeTenure lets this entry own accounts by what was confirmed at the given uptime.
-func (e *Edge) resumeTenure(confirmed time.Duration) {
+// resumeTenure lets this entry own accounts by what was confirmed at the given uptime; allKnown is set when no
+// registration has ended since this entry's was written.
+func (e *Edge) resumeTenure(confirmed time.Duration, allKnown bool) {
 	e.builderMu.Lock()
 	now := time.Now()
 	e.builder.roster = e.builder.roster.WithLongRegistered(e.settings.Name, e.deps.Uptime())
@@ -94,7 +98,7 @@
 	s := e.quotas
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tenure.Resume(confirmed)
+	s.tenure.Resume(confirmed, allKnown)
 	s.gap.check(e.removalFloor(), e.view.Load().unseenEnds, e.deps.Uptime())
 	s.gap.noticed = -gapMemory
 	s.resumed = true
--- a/internal/steer/quota/limit.go
+++ b/internal/steer/quota/limit.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limit is the quota of an account, or the share of it that one owner grants.
 type Limit struct {
@@ -53,10 +56,27 @@
 	return max(min(minLifetime, longest), time.Duration(seconds*float64(time.Second)))
 }
 
-// Widen returns the limit that the buckets of the owners grant: its burst has the usable excess that the lifetime leaves. A small
+const (
+	// maxRateFactor bounds the rate of the buckets in multiples of the account's rate.
+	maxRateFactor = 1.2
+	// minBucketTime is the time for which a bucket must hold what it accrues: owners are asked every quarter of a second.
+	minBucketTime = 300 * time.Millisecond
+	// spread is the burst that a bucket keeps, in standard deviations of the requests of a window that come at random.
+	spread = 2.5
+)
+
+// Widen returns the limit that the buckets of the owners grant. Its burst has the usable excess that the lifetime leaves: a small
 // account needs it, because a bucket that holds one token loses what it accrues until it is asked, and because the tokens that one
-// holder has are of no use to the others.
+// holder has are of no use to the others. A quota counts the requests of a window, so an account whose requests come evenly
+// may use its burst in each window: a part of the burst is granted as a higher rate. The sum over a window stays the same.
 func (t Tolerance) Widen(l Limit) Limit {
-	l.Burst += max(0, t.usable(l)-l.Rate*t.Lifetime(l).Seconds())
-	return l
+	life := t.Lifetime(l).Seconds()
+	l.Burst += max(0, t.usable(l)-l.Rate*life)
+	span := t.Window.Seconds() + life
+	least := max(maxRateFactor*l.Rate*minBucketTime.Seconds(), spread*math.Sqrt(l.Rate*t.Window.Seconds()))
+	if l.Burst <= least {
+		return l
+	}
+	rate := min(l.Rate+(l.Burst-least)/span, maxRateFactor*l.Rate)
+	return Limit{Rate: rate, Burst: l.Burst - (rate-l.Rate)*span}
 }
--- a/internal/steer/quota/tenure.go
+++ b/internal/steer/quota/tenure.go
@@ -6,6 +6,7 @@
 // zero value may not. It is not safe for concurrent use.
 type Tenure struct {
 	from      time.Duration // from is the moment at which the entry must still have been registered before it may own accounts.
+	notBefore time.Duration // notBefore is the time before which the entry may not own accounts.
 	confirmed time.Duration // confirmed is the latest moment at which the entry's knowledge was known to be complete.
 }
 
@@ -17,10 +18,16 @@
 // store may execute a write up to 6 s after the call, and every other owner knows of the registration Exclusion later.
 const LongRegistered = Exclusion + 6*time.Second
 
-// Resume lets the entry own accounts at once after a restart. The caller must know, by what was confirmed at the given
-// time, that the registration of the earlier process still existed and was at least LongRegistered old, and that no
-// registration of any entry had ended since it was written.
-func (t *Tenure) Resume(confirmed time.Duration) { *t = Tenure{confirmed: confirmed} }
+// Resume lets the entry own accounts after a restart. The caller must know, by what was confirmed at the given time, that
+// the registration of the earlier process still existed and was at least LongRegistered old. If all is known, no
+// registration of any entry had ended since it was written, and the entry may own accounts at once. Otherwise an entry
+// whose registration ended before the given time may own them until Exclusion after it.
+func (t *Tenure) Resume(confirmed time.Duration, allKnown bool) {
+	*t = Tenure{confirmed: confirmed}
+	if !allKnown {
+		t.notBefore = confirmed + Exclusion
+	}
+}
 
 // Holds reports whether the entry may own accounts; age is an upper bound of the time for which its knowledge of the
 // registrations is not confirmed. A bucket that was kept while it did not hold must be discarded. The argument gap is set
@@ -36,5 +43,5 @@
 		}
 		t.confirmed = at
 	}
-	return age < Exclusion && t.confirmed >= t.from
+	return age < Exclusion && t.confirmed >= t.from && now >= t.notBefore
 }
