--- a/internal/entry/edge/peer.go
+++ b/internal/entry/edge/peer.go
@@ -113,6 +113,7 @@
 	if request.Wait > 0 {
 		e.waitForChange(ctx, after, min(time.Duration(request.Wait)*time.Millisecond, maxChangesWait))
 	}
+	era := e.mirror.Position().Era
 	// Both are determined before the changes are read, so that the answer holds all that its confirmed age promises.
 	held := e.deps.Uptime() - received
 	confirmed := (e.follower.ConfirmedAge() - held).Milliseconds() + 1
@@ -126,6 +127,9 @@
 		}
 	}
 	answer.Age, answer.Confirmed = e.follower.Age().Milliseconds(), &confirmed
+	if answer.Era != era {
+		answer.Confirmed = nil // The confirmed age is that of the content of the earlier era.
+	}
 	return answer, nil
 }
 
--- a/internal/site/mirror/confirm.go
+++ b/internal/site/mirror/confirm.go
@@ -24,22 +24,33 @@
 	return f.uptime() - confirmed
 }
 
-// confirm records what the batch of a call that began at the given uptime confirms. The source made the batch no
-// earlier than the time for which it held the call after that.
-func (f *Follower) confirm(b Batch, began time.Duration) {
+// moment returns the uptime before which the batch of a call that began at the given uptime lacks nothing that was
+// acknowledged. The source made the batch no earlier than the time for which it held the call after that. An
+// unconfirmed batch returns a time that gives an age longer than any bound.
+func (f *Follower) moment(b Batch, began time.Duration) time.Duration {
 	if b.Unconfirmed || b.Era < f.newestEra.Load() {
-		return
+		return began - neverConfirmed
 	}
 	held := min(max(b.Held, 0), f.uptime()-began)
-	at := int64(began + held - min(max(b.ConfirmedAge, 0), neverConfirmed))
+	return began + held - min(max(b.ConfirmedAge, 0), neverConfirmed)
+}
+
+// confirm records that the mirror holds what was acknowledged before the given uptime.
+func (f *Follower) confirm(moment time.Duration) {
 	for {
 		last := f.confirmed.Load()
-		if at <= last || f.confirmed.CompareAndSwap(last, at) {
+		if int64(moment) <= last || f.confirmed.CompareAndSwap(last, int64(moment)) {
 			return
 		}
 	}
 }
 
+// withdraw limits the confirmation to the given uptime, before a snapshot of a later era replaces the mirror: the
+// snapshot may come from a stale read, and lack what an earlier confirmation covers.
+func (f *Follower) withdraw(moment time.Duration) {
+	f.confirmed.Store(min(f.confirmed.Load(), int64(moment)))
+}
+
 // lacksConfirmation reports whether the confirmed age is one at which another source must be asked.
 func (f *Follower) lacksConfirmation(age time.Duration) bool {
 	return f.bound > 0 && age >= min(maxConfirmedAge, f.bound*2/5)
--- a/internal/site/mirror/confirm_test.go
+++ b/internal/site/mirror/confirm_test.go
@@ -106,10 +106,11 @@
 	case <-s.mirrors[o.entry].ChangedAfter(after):
 	case <-time.After(wait):
 	}
+	era := s.mirrors[o.entry].Position().Era
 	held, age := s.uptime()-received, s.entries[o.entry].ConfirmedAge()
 	time.Sleep(delay) // The process is paused between its clock and its mirror.
 	b := s.mirrors[o.entry].Since(after)
-	b.Held, b.ConfirmedAge = held, age
+	b.Held, b.ConfirmedAge, b.Unconfirmed = held, age, b.Era != era
 	time.Sleep(delay)
 	return b, ctx.Err()
 }
@@ -176,8 +177,12 @@
 // check returns an error when an entry lacks something that was acknowledged in the era of its mirror, or in a later one,
 // before the moment that it states.
 func (s *site) check(i int) error {
+	era := s.mirrors[i].Position().Era
 	moment := s.uptime() - s.entries[i].ConfirmedAge()
 	has := s.mirrors[i].Position()
+	if has.Era != era {
+		return nil // The age is that of the content of the earlier era.
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for era := has.Era; era <= s.store.era(); era++ {
--- a/internal/site/mirror/era_test.go
+++ b/internal/site/mirror/era_test.go
@@ -147,3 +147,48 @@
 		})
 	}
 }
+
+// lateStore is a store whose first answer is a stale read in a later era, and which then is silent.
+type lateStore struct{}
+
+func (lateStore) Changes(ctx context.Context, after mirror.Position, _ time.Duration) (mirror.Batch, error) {
+	if after.Revision == 0 {
+		time.Sleep(time.Second)
+		return mirror.Batch{Items: []mirror.Item{item("key", 3)}, Era: 1, Revision: 3, Snapshot: true, Unconfirmed: true}, nil
+	}
+	<-ctx.Done()
+	return mirror.Batch{}, ctx.Err()
+}
+
+// formerPeer is a peer in the era before.
+type formerPeer struct{}
+
+func (formerPeer) Changes(context.Context, mirror.Position, time.Duration) (mirror.Batch, error) {
+	return mirror.Batch{Items: []mirror.Item{item("key", 9)}, Revision: 9, Snapshot: true}, nil
+}
+
+func (formerPeer) Reader() mirror.Reader { return mirror.Reader{} }
+
+func (p formerPeer) Peer() mirror.Source { return p }
+
+// Guards against a confirmed age from an earlier era that is kept although a stale read of a later one has replaced the
+// content: the stale read may lack what the age covers.
+func TestStaleReadOfALaterEraConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, start := mirror.New(), time.Now()
+		f := mirror.NewFollower(m, lateStore{}, formerPeer{}, event.New(log.NewNopLogger()), func() time.Duration { return time.Since(start) }, func([]mirror.Item) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(900 * time.Millisecond)
+		if age := f.ConfirmedAge(); m.Revision() != 9 || age > time.Second {
+			t.Errorf("revision %d, age %v, want the peer's", m.Revision(), age)
+		}
+		time.Sleep(600 * time.Millisecond)
+		if age := f.ConfirmedAge(); m.Revision() != 3 || age < time.Hour {
+			t.Errorf("revision %d, age %v, want the stale read's", m.Revision(), age)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/site/mirror/follower.go
+++ b/internal/site/mirror/follower.go
@@ -168,10 +168,14 @@
 		return
 	}
 	// The confirmation follows the change, so that the age is never younger than what onChange has made visible.
-	defer f.confirm(b, began)
+	moment := f.moment(b, began)
+	defer f.confirm(moment)
 	if b.Snapshot && b.Position().Before(before) {
 		return
 	}
+	if b.Era > before.Era {
+		f.withdraw(moment)
+	}
 	if items := f.mirror.Apply(b); len(items) > 0 || b.Era > before.Era {
 		f.onChange(items)
 	}
