internal/request/upstream, internal/request/inbound, internal/entry/edge: bounded memory of answers

An answer of up to 256 KB is read whole before any of it is passed on, so that it can be retried. With many callers that read slowly, or that pipeline requests, nothing bounded the sum. It is now counted against a quarter of the memory limit; beyond it, 16 KB of each answer are held and the rest is streamed.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -244,6 +244,7 @@
 		errors.As(err, &f)
 		return nil, f
 	}
+	q.held.add(a)
 	if load, ok := e.deps.Headers.TargetLoad(a.Header); ok {
 		s.gauge.RecordLoad(load.Running, load.Waiting, time.Now())
 	}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -94,6 +94,7 @@
 	e.builder.uptime = d.Uptime
 	e.view.Store(e.builder.buildView(0, e.started))
 	e.pool = upstream.New(d.Dial, e.noteClosedConnection)
+	e.pool.LimitHeldBytes(s.MemoryLimit / answerMemoryDivisor)
 	e.server = inbound.New(e, func(err error) {
 		e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.OpenConnections())
 	})
--- a/internal/entry/edge/metrics.go
+++ b/internal/entry/edge/metrics.go
@@ -147,6 +147,7 @@
 		"log.dropped":       e.deps.Dropped,
 		"peer.received":     e.peerTraffic.Received,
 		"peer.sent":         e.peerTraffic.Sent,
+		"pool.held":         e.pool.HeldBytes,
 		"pool.idle":         e.pool.Idle,
 		"pool.opened":       e.pool.Opened,
 		"store.age-ms":      func() int64 { return e.follower.Age().Milliseconds() },
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -40,13 +40,14 @@
 	key                placement.Key
 	deadline           time.Time // deadline is the earlier of the caller's and the rule's deadline.
 	triedTargets       []*targetState
-	lastSent           time.Time // lastSent is when the last attempt was made.
-	withheldByNotice   bool      // withheldByNotice is set when the target announced, after it was chosen, that it wants no requests.
-	paced              bool      // paced is set when the target was chosen although it is cold, because this entry paces it.
-	mayHaveRun         bool      // mayHaveRun is set when a target may have run the request.
-	proofs             int       // proofs counts the targets that have stated that they did not run the request.
-	candidateIndex     int       // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
-	firstCandidateLoad int       // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
+	lastSent           time.Time   // lastSent is when the last attempt was made.
+	withheldByNotice   bool        // withheldByNotice is set when the target announced, after it was chosen, that it wants no requests.
+	paced              bool        // paced is set when the target was chosen although it is cold, because this entry paces it.
+	mayHaveRun         bool        // mayHaveRun is set when a target may have run the request.
+	proofs             int         // proofs counts the targets that have stated that they did not run the request.
+	candidateIndex     int         // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
+	held               heldAnswers // held holds the targets' answers.
+	firstCandidateLoad int         // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
 }
 
 // Limits returns the limits for callers' requests from the current configuration.
@@ -103,7 +104,7 @@
 	}
 	defer e.returnToken(q)
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
-	a := e.forward(ctx, q)
+	a := q.held.releaseAfter(e.forward(ctx, q))
 	if a != nil && a.BodyRest != nil {
 		a.BodyRest = &cancelOnClose{ReadCloser: a.BodyRest, cancel: cancel}
 		return a
--- a/internal/request/inbound/answers.go
+++ b/internal/request/inbound/answers.go
@@ -49,6 +49,7 @@
 	if a == nil {
 		return false
 	}
+	defer a.release()
 	if a.BodyRest != nil {
 		defer a.BodyRest.Close() //nolint:errcheck // what was read of it has been written
 	}
@@ -91,7 +92,12 @@
 		return
 	}
 	go func() {
-		if a := <-e.answer; a != nil && a.BodyRest != nil {
+		a := <-e.answer
+		if a == nil {
+			return
+		}
+		a.release()
+		if a.BodyRest != nil {
 			_ = a.BodyRest.Close()
 		}
 	}()
--- a/internal/request/inbound/message.go
+++ b/internal/request/inbound/message.go
@@ -31,6 +31,15 @@
 	Length       int64         // Length is the length of Body and BodyRest together in bytes; negative when unknown.
 	Close        bool          // Close closes the connection after the answer.
 	OnWriteError func(error)   // OnWriteError is called when the answer could not be written completely; it may be nil.
+	Release      func()        // Release is called when Body is no longer used; it may be nil.
+}
+
+// release ends the use of Body.
+func (a *Answer) release() {
+	if a.Release != nil {
+		a.Release()
+	}
+	a.Body, a.Release = nil, nil
 }
 
 // Limits bounds the size of requests, in bytes, and the time in which they must arrive.
--- a/internal/request/inbound/writer.go
+++ b/internal/request/inbound/writer.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	if a.BodyRest != nil {
-		a.Body = nil // The rest may last long; what has been written need not be kept for it.
+		a.release() // The rest may last long; what has been written need not be kept for it.
 		if err := w.streamRest(a.BodyRest, chunked); err != nil {
 			return err
 		}
--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -51,10 +51,13 @@
 	Named       bool          // Named is set when the answer names the request.
 	Earlier     int           // Earlier is the number of requests that the connection had carried before this one.
 	SentWhole   bool          // SentWhole is set when the whole request had been written when the answer was complete.
+
+	release func() // release ends the count of the bytes held; it may be nil.
 }
 
 // Discard ends an answer that nobody reads to its end, with its connection if some of the body has not been read.
 func (a *Answer) Discard() {
+	a.Release()
 	if a.BodyRest != nil {
 		_ = a.BodyRest.Close()
 	}
@@ -245,7 +248,7 @@
 		if endsWithConnection(resp) {
 			resp.Body = &uploadBoundBody{resp.Body, request}
 		}
-		a, err := readAnswer(resp)
+		a, err := readAnswer(resp, c.held)
 		if err != nil {
 			return nil, false, readError(err)
 		}
@@ -265,27 +268,6 @@
 	return err
 }
 
-func readAnswer(resp *http.Response) (*Answer, error) {
-	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	var b bytes.Buffer
-	if resp.ContentLength > 0 {
-		b.Grow(int(min(resp.ContentLength, maxBufferedBody)) + bytes.MinRead)
-	}
-	n, err := io.Copy(&b, io.LimitReader(resp.Body, maxBufferedBody))
-	a.Body = b.Bytes()
-	if err != nil {
-		return nil, err
-	}
-	if n == maxBufferedBody {
-		a.BodyRest = resp.Body
-		return a, nil
-	}
-	if a.Length < 0 {
-		a.Length = n
-	}
-	return a, nil
-}
-
 // errHeadTooLong is returned by reads beyond maxHead.
 var errHeadTooLong = errors.New("answer head is too long")
 
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -21,11 +21,12 @@
 	expires   time.Time   // expires is the time after which the connection must not be used.
 	requests  int         // requests counts the requests that the connection has carried, the one in progress included.
 	sent      atomic.Bool // sent is set when bytes of the request in progress may have been sent.
+	held      *heldBytes  // held counts the bytes of the answers.
 	readLimit int         // readLimit is how many more bytes may be read; negative means no limit.
 }
 
-func newConn(address string, raw net.Conn) *conn {
-	c := &conn{address: address, raw: raw, readLimit: -1}
+func newConn(address string, raw net.Conn, held *heldBytes) *conn {
+	c := &conn{address: address, raw: raw, held: held, readLimit: -1}
 	c.br = bufio.NewReaderSize(headReader{c}, 4<<10)
 	return c
 }
--- a/internal/request/upstream/pool.go
+++ b/internal/request/upstream/pool.go
@@ -31,6 +31,7 @@
 // Pool keeps idle connections to targets for reuse and is safe for concurrent use.
 type Pool struct {
 	dial Dial
+	held heldBytes
 
 	mu             sync.Mutex
 	idle           map[string][]*conn // idle maps a target's address to its idle connections, the most recently used one last.
@@ -154,7 +155,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return newConn(address, raw), nil
+	return newConn(address, raw, &p.held), nil
 }
 
 // putIdle returns a connection without a request in progress to the pool, or closes it if the limit of idle connections to
