--- a/internal/steer/placement/placement.go
+++ b/internal/steer/placement/placement.go
@@ -55,14 +55,15 @@
 	return best
 }
 
-// MaxCandidates is the largest number of targets that an object may be placed on.
-const MaxCandidates = 3
+// MaxCandidates is the largest number of targets that an object may be placed on. Each one costs a cold run, which takes
+// as long as three others, and an object is requested some 50 times while a target keeps it.
+const MaxCandidates = 2
 
 // Order returns the indexes of the first MaxCandidates of n targets in order of
 // preference for the key, with -1 for each missing one; Best returns the first.
 func Order(k Key, n int, hash func(int) uint64, weight func(int) float64) [MaxCandidates]int {
 	var top [MaxCandidates]float64
-	order := [MaxCandidates]int{-1, -1, -1}
+	order := [MaxCandidates]int{-1, -1}
 	for i := range n {
 		w := weight(i)
 		if w <= 0 {
