--- a/internal/steer/spend/budget.go
+++ b/internal/steer/spend/budget.go
@@ -21,6 +21,17 @@
 	ttlBuckets = 60
 )
 
+// RetriesPerRequest returns how many retries one request pays for; 0 when none are allowed.
+func RetriesPerRequest(l Limits) float64 {
+	if l.Ratio <= 0 {
+		return 0
+	}
+	return 1 / math.Ceil(2/l.Ratio)
+}
+
+// TimeToLive returns how long a request can pay for a retry.
+func TimeToLive(l Limits) time.Duration { return l.Window / windowBuckets * ttlBuckets }
+
 // Budget is the retry budget of one service at one entry: requests that the
 // entry receives pay for the retries that it sends; see the package comment.
 // It is safe for concurrent use.
