internal/entry/edge: admission control where priorities differ or accounts exist

Change: forward asks admission control on arrival, after the choice of a target and before a retry; refusalDelay orders returns while targets reject requests.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -56,14 +56,22 @@
 		}
 		return e.refuse(q, reason, delay)
 	}
+	if refused := e.admitRequest(q, time.Now()); refused != nil {
+		return refused
+	}
 	for {
 		s := e.chooseTarget(q, time.Now())
 		if s == nil {
 			return giveUp("no target has capacity")
 		}
-		if sent > 0 && (e.stalled() || e.retryBudget(q.service).AvailableRetries(e.deps.Uptime()) == 0) {
-			e.noteRetry(q, s, false, sent, unsent)
-			return giveUp(retryBudgetExhausted)
+		if s = e.placeInTime(q, s, time.Now()); s == nil {
+			return giveUp(lateEverywhere)
+		}
+		if sent > 0 {
+			if reason := e.retryWithheld(q); reason != "" {
+				e.noteRetry(q, s, false, sent, unsent)
+				return giveUp(reason)
+			}
 		}
 		q.triedTargets = append(q.triedTargets, s)
 		a, f := e.sendAttempt(ctx, q, s, sent, unsent)
@@ -121,7 +129,7 @@
 	if sent+unsent == 0 {
 		return true
 	}
-	allowed := sent == 0 || !e.stalled() && e.retryBudget(q.service).TakeRetry(e.deps.Uptime())
+	allowed := sent == 0 || e.takeRetry(q)
 	e.noteRetry(q, s, allowed, sent, unsent)
 	return allowed
 }
@@ -167,7 +175,7 @@
 	if leastLoaded.Slots == 0 && !firstEnd.IsZero() {
 		return refusal.AfterPause(firstEnd.Sub(now)), true
 	}
-	return refusal.Around(refusal.RetryDelay(leastLoaded, q.rule.LatencyObjective())), false
+	return e.orderReturn(q, refusal.Around(refusal.RetryDelay(leastLoaded, q.rule.LatencyObjective())), now), false
 }
 
 func (e *Edge) noteFailure(q *requestState, s *targetState, f *upstream.Failure) {
@@ -192,6 +200,7 @@
 		return
 	}
 	s.gauge.RecordShed(now)
+	q.noteRejected(load.Waiting > 0 || load.Running >= s.target.Slots())
 }
 
 // finishCancelled answers a request whose deadline has passed, or returns nil when the caller has disconnected.
@@ -207,6 +216,7 @@
 			e.events.Log(event.TargetSlow, "id", q.id, "target", s.target.ID(), "waited", now.Sub(q.lastSent), "objective", q.rule.LatencyObjective(), "for", until.Sub(now))
 		}
 	}
+	q.noteAttempt(func(s *admittedService, now time.Time) { s.RecordTimeout(now) })
 	e.meters.countOutcome(q, outcomeTimedOut)
 	return inbound.EmptyAnswer(http.StatusGatewayTimeout)
 }
@@ -285,6 +295,7 @@
 	load, _ := e.deps.Headers.TargetLoad(a.Header)
 	e.events.Log(event.RequestAnswered, "id", q.id, "target", s.target.ID(), "status", a.Status, "after", time.Since(q.Arrived),
 		"running", load.Running, "waiting", load.Waiting, "slots", s.target.Slots(), "opened", a.ConnectTime)
+	q.noteServed(a.Status < http.StatusMultipleChoices && load.Waiting == 0)
 	e.meters.countOutcome(q, outcomeAnswered)
 	return &inbound.Answer{
 		Status: a.Status, Header: a.Header, Body: a.Body, BodyRest: a.BodyRest, Length: a.Length,
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -56,6 +56,7 @@
 	meters        *meters
 	peerAnswers   answerCache
 	healthChecks  healthChecks
+	admission     *admissionControl
 	zoneCoolings  zoneCoolings
 	// peerTraffic counts the bytes exchanged with other entries; dialPeer opens connections whose bytes it counts.
 	peerTraffic traffic.Meter
@@ -94,6 +95,7 @@
 		e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.OpenConnections())
 	})
 	e.follower = mirror.NewFollower(e.mirror, e.deps.Store, (*peerSelector)(e), d.Events, e.applyChanges)
+	e.admission = newAdmissionControl(s.RetryBudget, e.meters.registry)
 	e.registerGauges()
 	return e, nil
 }
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -45,6 +45,7 @@
 	proofs             int       // proofs counts the targets that have stated that they did not run the request.
 	candidateIndex     int       // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
 	firstCandidateLoad int       // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
+	admission          admissionState
 }
 
 // Limits returns the limits for callers' requests from the current configuration.
--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -14,6 +14,7 @@
 	RequestFailed    Number = 4011
 	RequestUnknown   Number = 4012
 	RequestShed      Number = 4013
+	RequestMoved     Number = 4017
 )
 
 var request = []Definition{
@@ -29,4 +30,5 @@
 	{RequestFailed, "request-failed", "a request ended without a complete response and may have run", "check the named target"},
 	{RequestUnknown, "request-unknown", "no rule of the adopted configuration matches the request", "compare the version with the newest committed one"},
 	{RequestShed, "request-shed", "a target confirmed that it has not run the request: it was at capacity, or another target has its address", "none; check the target's load in the line"},
+	{RequestMoved, "request-moved", "the chosen target is not expected to answer the request in time, so it goes to another of its object's targets", "none; add targets if it repeats"},
 }
