internal/steer/admission: sums that do not depend on the order of a map

Cause: the groups of requests were summed in the order of a map, so that decisions at a threshold could differ between runs.

--- a/internal/steer/admission/load_test.go
+++ b/internal/steer/admission/load_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -147,3 +148,29 @@
 		t.Errorf("%v; before: %v", after, before)
 	}
 }
+
+// Guards against small accounts at many entries that are starved by chance, and against a priority that is served less
+// often than a less urgent one: 24 accounts with three priorities ask for 2.5 times what they usually do.
+func TestManySmallAccountsAreServedByPriority(t *testing.T) {
+	var kinds []kind
+	for i := range 24 {
+		k := newAccount(fmt.Sprint("account-", i), 10)
+		k.request.Priority, k.peak = i%3, disturbed(2.5, 0.8)
+		kinds = append(kinds, k)
+	}
+	s := newScene(kinds...)
+	s.entries = 24
+	results := play(s, allDecisions)
+	var byPriority [3]result
+	for _, k := range kinds {
+		p := &byPriority[k.request.Priority]
+		p.sent, p.served = p.sent+results[k.name].sent, p.served+results[k.name].served
+	}
+	t.Logf("served by priority: %.3f, %.3f, %.3f", byPriority[0].share(), byPriority[1].share(), byPriority[2].share())
+	for i := range 2 {
+		if byPriority[i].share() < byPriority[i+1].share()-0.05 {
+			t.Errorf("priority %d: %.3f served, priority %d: %.3f", i, byPriority[i].share(), i+1, byPriority[i+1].share())
+		}
+	}
+	checkNoneStarved(t, results)
+}
--- a/internal/steer/admission/player_test.go
+++ b/internal/steer/admission/player_test.go
@@ -32,6 +32,9 @@
 	entries  int                             // entries is the number of entries that the callers use.
 }
 
+// rule returns the name of the rule that the kind's requests have.
+func (k *kind) rule() string { return fmt.Sprint("priority-", k.request.Priority) }
+
 // scene is a load on one service.
 type scene struct {
 	kinds                 []kind
@@ -231,7 +234,7 @@
 	if p.on.place {
 		candidates[0], candidates[picked] = candidates[picked], candidates[0]
 		order[0], order[picked] = order[picked], order[0]
-		d := e.service.Place(c.kind.name, candidates, c.deadline-p.now, p.clock())
+		d := e.service.Place(c.kind.rule(), candidates, c.deadline-p.now, p.clock())
 		if d.Candidate < 0 {
 			p.refuse(c, d.Wait)
 			return
@@ -331,7 +334,7 @@
 			c.cancel()
 			c.entry.service.RecordAnswer(p.clock())
 			if c.free {
-				c.entry.service.RecordWork(c.kind.name, c.isWarm, p.now-c.sentAt)
+				c.entry.service.RecordWork(c.kind.rule(), c.isWarm, p.now-c.sentAt)
 			}
 			r := p.results[c.kind.name]
 			r.served++
--- a/internal/steer/admission/retry.go
+++ b/internal/steer/admission/retry.go
@@ -28,10 +28,10 @@
 // that arriving requests pay for, within the time in which the available ones can be used.
 func (s *Service) reserve(priority int, now time.Time) float64 {
 	var urgent, all float64 // Requests per second.
-	for k, g := range s.groups {
+	for _, g := range s.groups {
 		rate := g.arrived.get(now, shareMemory) / shareMemory.Seconds()
 		all += rate
-		if k.priority < priority {
+		if g.priority < priority {
 			urgent += rate
 		}
 	}
@@ -45,14 +45,14 @@
 
 // overRetried reports whether the account has used its fair share of the retries while others of its priority ask for some.
 func (s *Service) overRetried(r Request, available int, now time.Time) bool {
-	own := s.groups[groupKey{r.Priority, r.Account}]
+	own := s.byKey[groupKey{r.Priority, r.Account}]
 	if own == nil {
 		return false
 	}
 	var demands []demand
 	capacity := float64(available)
-	for k, g := range s.groups {
-		if k.priority != r.Priority {
+	for _, g := range s.groups {
+		if g.priority != r.Priority {
 			continue
 		}
 		used := g.retried.get(now, s.limits.Horizon)
--- a/internal/steer/admission/service.go
+++ b/internal/steer/admission/service.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -35,7 +36,8 @@
 
 	mu        sync.Mutex
 	work      Work
-	groups    map[groupKey]*group
+	groups    []*group // groups is in the order of their first requests, so that sums don't depend on the order of a map.
+	byKey     map[groupKey]*group
 	lastSweep time.Time
 
 	answered counter // answered counts requests that a target answered.
@@ -52,6 +54,7 @@
 
 // group holds what is known of the recent requests of an account with one priority.
 type group struct {
+	groupKey
 	quota    float64
 	arrived  counter // arrived counts the requests that arrived.
 	admitted counter // admitted counts those of them that were admitted.
@@ -60,22 +63,24 @@
 }
 
 // New returns a service of which nothing is known yet.
-func New(l Limits) *Service { return &Service{limits: l, groups: make(map[groupKey]*group)} }
+func New(l Limits) *Service { return &Service{limits: l, byKey: make(map[groupKey]*group)} }
 
 func (s *Service) group(r Request, now time.Time) *group {
 	if now.Sub(s.lastSweep) > sweepInterval {
 		s.lastSweep = now
-		for k, g := range s.groups {
-			if g.arrived.get(now, shareMemory) < forgotten && g.retried.get(now, s.limits.Horizon) < forgotten {
-				delete(s.groups, k)
+		s.groups = slices.DeleteFunc(s.groups, func(g *group) bool {
+			idle := g.arrived.get(now, shareMemory) < forgotten && g.retried.get(now, s.limits.Horizon) < forgotten
+			if idle {
+				delete(s.byKey, g.groupKey)
 			}
-		}
+			return idle
+		})
 	}
 	k := groupKey{r.Priority, r.Account}
-	g := s.groups[k]
+	g := s.byKey[k]
 	if g == nil {
-		g = &group{}
-		s.groups[k] = g
+		g = &group{groupKey: k}
+		s.byKey[k], s.groups = g, append(s.groups, g)
 	}
 	g.quota = r.Quota
 	return g
--- a/internal/steer/admission/share.go
+++ b/internal/steer/admission/share.go
@@ -115,13 +115,13 @@
 	capacity := growth*s.answered.get(now, shareMemory) + allowance
 	var all, urgent, same, sameAdmitted float64
 	var demands []demand
-	for k, g := range s.groups {
+	for _, g := range s.groups {
 		amount := g.arrived.get(now, shareMemory)
 		all += amount
 		switch {
-		case k.priority < r.Priority:
+		case g.priority < r.Priority:
 			urgent += amount
-		case k.priority == r.Priority:
+		case g.priority == r.Priority:
 			same += amount
 			sameAdmitted += g.admitted.get(now, shareMemory)
 			if amount > forgotten {
