--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -49,6 +49,7 @@
 
 	mu            sync.Mutex
 	retryBudgets  map[string]*spend.Budget // retryBudgets is keyed by service.
+	admission     *admissionControl
 	splitSequence atomic.Uint64
 	paceFrom      atomic.Int64 // paceFrom is the uptime from which this entry may pace cold targets, in nanoseconds.
 	lastTick      atomic.Int64 // lastTick is the uptime at the last watchdog tick, in nanoseconds.
@@ -56,8 +57,8 @@
 	meters        *meters
 	peerAnswers   answerCache
 	healthChecks  healthChecks
-	admission     *admissionControl
 	zoneCoolings  zoneCoolings
+	keyChecks     keyChecks
 	// peerTraffic counts the bytes exchanged with other entries; dialPeer opens connections whose bytes it counts.
 	peerTraffic traffic.Meter
 	dialPeer    traffic.DialFunc
@@ -80,6 +81,7 @@
 		return nil, err
 	}
 	e.callBacklog = backlog.New(e.listeners.call)
+	e.admission = newAdmissionControl(s.RetryBudget, e.meters.registry)
 	// With port 0 the system chooses the port; the registration must name the chosen one.
 	e.self.Call, e.self.Peer = e.listeners.call.Addr().String(), e.listeners.peer.Addr().String()
 	e.deps.Store = countingStore{
@@ -95,8 +97,8 @@
 		e.events.Log(event.AcceptFailed, "error", err, "connections", e.server.OpenConnections())
 	})
 	e.follower = mirror.NewFollower(e.mirror, e.deps.Store, (*peerSelector)(e), d.Events, e.applyChanges)
-	e.admission = newAdmissionControl(s.RetryBudget, e.meters.registry)
 	e.registerGauges()
+	e.initKeyChecks()
 	return e, nil
 }
 
@@ -263,7 +265,7 @@
 
 func (e *Edge) nearestEntries(region, zone, caller string) []string {
 	entries := e.view.Load().entries
-	if e.stopping.Load() {
+	if e.stopping.Load() || e.keysStale() && len(entries) > 1 {
 		entries = withoutEntry(entries, e.settings.Name)
 	}
 	return census.NearestAddresses(entries, region, zone, caller, minLookupEntries)
@@ -294,6 +296,7 @@
 			e.pool.CloseExpired(now)
 			e.removeLapsed(now)
 			e.logEndedPauses(now)
+			e.keysStale()
 			if n := e.deps.Dropped(); n > dropped {
 				e.events.Log(event.LinesDropped, "lines", n-dropped, "since-start", n)
 				dropped = n
