--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -16,7 +16,7 @@
 	RequestShed      Number = 4013
 
 	RequestUnauthorized Number = 4014
-	RequestMoved     Number = 4017
+	RequestMoved        Number = 4017
 )
 
 var request = []Definition{
