--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -48,6 +48,7 @@
 	candidateIndex     int         // candidateIndex is the rank of the chosen target among the object's candidates, 0 for the preferred one.
 	held               heldAnswers // held holds the targets' answers.
 	firstCandidateLoad int         // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
+	admission          admissionState
 }
 
 // Limits returns the limits for callers' requests from the current configuration.
--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -18,6 +18,7 @@
 	RequestUnauthorized Number = 4014
 	QuotaExceeded       Number = 4015
 	QuotaUnreachable    Number = 4016
+	RequestMoved        Number = 4017
 )
 
 var request = []Definition{
@@ -36,4 +37,5 @@
 	{RequestUnauthorized, "request-unauthorized", "a request was answered 401 because its key selects no account; it has not run", "compare the version with the newest committed one if the caller's key should be valid"},
 	{QuotaExceeded, "quota-exceeded", "a request was answered 429 because its account has used its quota; it has not run", "none; raise the account's quota if it is meant to send more"},
 	{QuotaUnreachable, "quota-unreachable", "a request was refused because no owner of its account's quota can be reached; it has not run", "check the links of the VM and the key-value service if it repeats"},
+	{RequestMoved, "request-moved", "the chosen target is not expected to answer the request in time, so it goes to another of its object's targets", "none; add targets if it repeats"},
 }
