--- a/internal/entry/edge/admit.go
+++ b/internal/entry/edge/admit.go
@@ -56,9 +56,9 @@
 	wait    time.Duration // wait is the time before which no target is expected to answer the request in time.
 }
 
-func newAdmissionControl(l spend.Limits, r metrics.Registry) *admissionControl {
+func newAdmissionControl(l spend.Limits, overloadShare float64, r metrics.Registry) *admissionControl {
 	return &admissionControl{
-		limits:     admission.Limits{RetriesPerRequest: spend.RetriesPerRequest(l), Horizon: spend.TimeToLive(l)},
+		limits:     admission.Limits{RetriesPerRequest: spend.RetriesPerRequest(l), Horizon: spend.TimeToLive(l), OverloadShare: overloadShare},
 		services:   make(map[string]*admittedService),
 		overShare:  metrics.NewRegisteredCounter("admission.over-share", r),
 		lessUrgent: metrics.NewRegisteredCounter("admission.less-urgent", r),
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	e.callBacklog = backlog.New(e.listeners.call)
-	e.admission = newAdmissionControl(s.RetryBudget, e.meters.registry)
+	e.admission = newAdmissionControl(s.RetryBudget, s.OverloadShare, e.meters.registry)
 	// With port 0 the system chooses the port; the registration must name the chosen one.
 	e.self.Call, e.self.Peer = e.listeners.call.Addr().String(), e.listeners.peer.Addr().String()
 	e.deps.Store = countingStore{
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -39,6 +39,9 @@
 	RevokeBound time.Duration
 	// QuotaTolerance is by how much the requests of an account may exceed its quota, over all entries.
 	QuotaTolerance quota.Tolerance
+	// OverloadShare is the part of a service's attempts that must fail for lack of free slots before less urgent requests, and
+	// those of accounts beyond their fair share, are refused unsent; 0 for never.
+	OverloadShare float64
 	MemoryLimit    int64 // MemoryLimit is the limit of the process in bytes.
 }
 
--- a/internal/steer/admission/bench_test.go
+++ b/internal/steer/admission/bench_test.go
@@ -12,7 +12,7 @@
 func BenchmarkAdmit(b *testing.B) {
 	for name, overloaded := range map[string]bool{"calm": false, "overloaded": true} {
 		b.Run(name, func(b *testing.B) {
-			s := admission.New(admission.Limits{RetriesPerRequest: 0.1, Horizon: 6 * time.Second})
+			s := admission.New(admission.Limits{RetriesPerRequest: 0.1, Horizon: 6 * time.Second, OverloadShare: 0.1})
 			var requests []admission.Request
 			for i := range 82 {
 				requests = append(requests, admission.Request{Priority: i % 3, Account: fmt.Sprint(i), Quota: 10})
--- a/internal/steer/admission/player_test.go
+++ b/internal/steer/admission/player_test.go
@@ -155,7 +155,7 @@
 
 func (p *player) run() {
 	for range p.scene.entries {
-		e := &entry{service: admission.New(admission.Limits{RetriesPerRequest: 0.1, Horizon: 6 * time.Second}), budget: spend.NewBudget(spend.Limits{Ratio: 0.2, Window: 10 * time.Second}), seen: make([]sight, p.scene.targets)}
+		e := &entry{service: admission.New(admission.Limits{RetriesPerRequest: 0.1, Horizon: 6 * time.Second, OverloadShare: 0.1}), budget: spend.NewBudget(spend.Limits{Ratio: 0.2, Window: 10 * time.Second}), seen: make([]sight, p.scene.targets)}
 		for i := range e.seen {
 			e.seen[i].handled = make(map[int]time.Duration)
 		}
--- a/internal/steer/admission/service.go
+++ b/internal/steer/admission/service.go
@@ -24,10 +24,12 @@
 	Quota float64
 }
 
-// Limits are the terms of the service's retry budget.
+// Limits are the terms of the service's retry budget and of the refusal of requests before they are sent.
 type Limits struct {
 	RetriesPerRequest float64       // RetriesPerRequest is the number of retries that one request pays for.
 	Horizon           time.Duration // Horizon is how long a request in the budget pays for a retry.
+	// OverloadShare is the part of the attempts that must fail for lack of free slots before Admit refuses requests; 0 for never.
+	OverloadShare float64
 }
 
 // Service decides on the requests of one service at one entry. It is safe for concurrent use.
@@ -127,8 +129,6 @@
 const (
 	// minSigns is the weighted number of recent rejections from which on a service counts as short of capacity.
 	minSigns = 1.5
-	// overloadShare is the part of the attempts that must fail for lack of free slots before requests are refused unsent.
-	overloadShare = 0.1
 )
 
 // Short reports whether targets have recently rejected requests or let them time out.
@@ -145,7 +145,7 @@
 // overloaded reports whether a good part of the attempts fails because the targets have no free slots.
 func (s *Service) overloaded(now time.Time) bool {
 	o := s.overload.get(now, shortageMemory)
-	return o >= minSigns && o >= overloadShare*s.attempts.get(now, shortageMemory)
+	return s.limits.OverloadShare > 0 && o >= minSigns && o >= s.limits.OverloadShare*s.attempts.get(now, shortageMemory)
 }
 
 // ShedFraction returns the part of the recent attempts that targets rejected.
--- a/internal/steer/admission/share.go
+++ b/internal/steer/admission/share.go
@@ -78,7 +78,7 @@
 	// while the service is overloaded. The requirement is a quarter; the rest is for rejections of what was sent.
 	minServed = 0.4
 	// growth is the factor by which the requests sent may exceed those answered, so that free capacity is found again.
-	growth = 1.1
+	growth = 1.05
 	// allowance is the number of requests that an account may always send beyond its share.
 	allowance = 1
 )
