--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -42,7 +42,7 @@
 	// OverloadShare is the part of a service's attempts that must fail for lack of free slots before less urgent requests, and
 	// those of accounts beyond their fair share, are refused unsent; 0 for never.
 	OverloadShare float64
-	MemoryLimit    int64 // MemoryLimit is the limit of the process in bytes.
+	MemoryLimit   int64 // MemoryLimit is the limit of the process in bytes.
 }
 
 // keepsAccounts reports whether the deployment's settings hold terms for client accounts.
