internal/steer/quota: an owner goes on until a new entry may take its place

Cause: a new registration ended the ownership of the entry before it at once, while the new entry may own accounts only 3 s after it has registered. When 28 of 79 entries came back together, some accounts had no owner in any region for 4 s. Change: a new entry counts as a candidate only 3 s after the moment at which this entry's knowledge was last known to be complete without it, which is no later than its own start as an owner.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -40,6 +40,7 @@
 	// registeredSince is when this entry's own registration was first read from the store; zero while it is missing.
 	registeredSince time.Time
 	roster          quota.Roster
+	confirmed       func() time.Duration // confirmed returns the latest uptime at which the entry's knowledge was known to be complete.
 	uptime          func() time.Duration // uptime returns the time of a clock that advances while the machine is suspended.
 	hold            eraHold
 	unseenEnds      uint64 // unseenEnds counts the ends of registrations that this entry had not seen.
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -94,6 +94,7 @@
 	e.dialPeer = e.peerTraffic.WrapDial(d.Dial)
 	e.builder = newViewBuilder(d.Keys, d.Events, e.self, s.RegionCount, func() bool { return e.follower.RecentOutage(lapseWindow) })
 	e.builder.uptime = d.Uptime
+	e.builder.confirmed = func() time.Duration { return d.Uptime() - e.follower.ConfirmedAge() }
 	e.view.Store(e.builder.buildView(0, e.started))
 	e.pool = upstream.New(d.Dial, e.noteClosedConnection)
 	e.pool.LimitHeldBytes(s.MemoryLimit / answerMemoryDivisor)
--- a/internal/entry/edge/quotaowner.go
+++ b/internal/entry/edge/quotaowner.go
@@ -135,7 +135,7 @@
 			members = append(members, quota.Member{Name: o.Name, Region: o.Region, Address: o.Peer})
 		}
 	}
-	b.roster = b.roster.Next(members, b.self.Name, b.uptime())
+	b.roster = b.roster.Next(members, b.self.Name, b.confirmed(), b.uptime())
 	return b.roster
 }
 
--- a/internal/steer/quota/bench_test.go
+++ b/internal/steer/quota/bench_test.go
@@ -16,7 +16,7 @@
 			for i := range entries {
 				members = append(members, quota.Member{Name: fmt.Sprint("e", i), Region: fmt.Sprint("r", i%3)})
 			}
-			roster := quota.Roster{}.Next(members, "e0", 0)
+			roster := quota.Roster{}.Next(members, "e0", 0, 0)
 			key := quota.Key(account)
 			for b.Loop() {
 				if len(roster.Owners("r1", key, time.Hour)) != 3 {
--- a/internal/steer/quota/roster.go
+++ b/internal/steer/quota/roster.go
@@ -23,8 +23,11 @@
 type registration struct {
 	Member
 	hash  uint64
+	since time.Duration // since is a moment at which the member was not yet registered.
 	seen  time.Duration
 	ended time.Duration // ended is 0 while the member is registered.
+	// blocked is the time until which the member counts because of an earlier registration that has ended.
+	blocked time.Duration
 }
 
 // Roster is the set of entries that may own accounts, as one entry has seen them. It is immutable and safe for concurrent use; the
@@ -34,9 +37,10 @@
 	known   bool
 }
 
-// Next returns the roster after the set of members has been read at the given time. The members that the first roster has may
+// Next returns the roster after the set of members has been read at the given time. Members that are new have registered after
+// since, at which the earlier set was known to be complete. The members that the first roster has may
 // have been registered for long; it is assumed that they own accounts, except for the entry self.
-func (r Roster) Next(members []Member, self string, now time.Duration) Roster {
+func (r Roster) Next(members []Member, self string, since, now time.Duration) Roster {
 	old := make(map[string]registration)
 	for _, list := range r.regions {
 		for _, g := range list {
@@ -48,9 +52,16 @@
 		g, ok := old[m.Name]
 		delete(old, m.Name)
 		if !ok || g.ended != 0 || g.Region != m.Region {
-			g = registration{Member: m, hash: placement.HashName(m.Name), seen: now}
-			if !r.known && m.Name != self {
-				g.seen = now - Exclusion
+			blocked := time.Duration(0)
+			if ok && g.ended != 0 && g.Region == m.Region {
+				blocked = max(g.blocked, g.ended+Exclusion)
+			}
+			g = registration{Member: m, hash: placement.HashName(m.Name), since: since, seen: now, blocked: blocked}
+			if !r.known {
+				g.since = now - Exclusion
+				if m.Name != self {
+					g.seen = now - Exclusion
+				}
 			}
 		}
 		g.Address = m.Address
@@ -88,7 +99,7 @@
 		list = slices.Clone(list)
 		for i := range list {
 			if list[i].Name == name && list[i].ended == 0 {
-				list[i].seen = now - Exclusion
+				list[i].since, list[i].seen = now-Exclusion, now-Exclusion
 			}
 		}
 		next.regions = append(next.regions, list)
@@ -96,16 +107,21 @@
 	return next
 }
 
-// counts reports whether the entry may still own accounts.
-func (g *registration) counts(now time.Duration) bool {
+// lasts reports whether the entry is registered or may still own accounts.
+func (g *registration) lasts(now time.Duration) bool {
 	return g.ended == 0 || now-g.ended < Exclusion
 }
 
+// counts reports whether the entry may own accounts. A new one owns none for Exclusion, so that others own them until then.
+func (g *registration) counts(now time.Duration) bool {
+	return g.lasts(now) && (now-g.since >= Exclusion || now < g.blocked || g.ended != 0)
+}
+
 // Regions returns the number of regions in which an entry may own accounts.
 func (r Roster) Regions(now time.Duration) int {
 	n := 0
 	for _, list := range r.regions {
-		if slices.ContainsFunc(list, func(g registration) bool { return g.counts(now) }) {
+		if slices.ContainsFunc(list, func(g registration) bool { return g.lasts(now) }) {
 			n++
 		}
 	}
--- a/internal/steer/quota/worst_test.go
+++ b/internal/steer/quota/worst_test.go
@@ -144,10 +144,11 @@
 	if latest < 0 {
 		return
 	}
+	since := e.confirmed
 	e.confirmed = at
 	if latest != e.version {
 		e.version, e.limit = latest, f.store[latest].limit
-		e.roster = e.roster.Next(f.store[latest].members, e.Name, f.now)
+		e.roster = e.roster.Next(f.store[latest].members, e.Name, since, f.now)
 	}
 }
 
