--- a/cmd/tamarackedge/flags.go
+++ b/cmd/tamarackedge/flags.go
@@ -33,6 +33,7 @@
 	QuotaOver   float64 `help:"Part by which the requests of an account in this time may exceed its quota." default:"0"`
 	QuotaSlack  float64 `help:"Requests by which they may exceed it in addition." default:"0"`
 	Overload    float64 `help:"Part of a service's attempts that must fail for lack of free slots before less urgent requests, and those of accounts beyond their fair share, are refused unsent; 0 for never." default:"0"`
+	Hedge       float64 `help:"Part of a service's requests that may be sent to a second target while the first has not answered; 0 for none." default:"0"`
 	Link        float64 `help:"Bandwidth of this VM's link in Mbit/s." default:"1000"`
 	Cores       float64 `help:"Share of a processor core that the entry has." default:"1"`
 	Memory      float64 `help:"Memory limit of the process in MB." default:"284"`
@@ -73,6 +74,7 @@
 		{"quota-over", f.QuotaOver, 0, 10},
 		{"quota-slack", f.QuotaSlack, 0, 1e6},
 		{"overload", f.Overload, 0, 1},
+		{"hedge", f.Hedge, 0, 0.2},
 		{"link", f.Link, 0.1, 1e6},
 		{"cores", f.Cores, 0.01, 1024},
 		{"memory", f.Memory, 32, 1 << 20},
@@ -92,7 +94,7 @@
 		Name: f.Name, Zone: f.Zone, Region: f.Region, RegionCount: f.regionCount(), CallAddress: f.Call, ReadyAddress: f.Ready, DirectoryAddress: f.Directory, PeerAddress: f.Peer,
 		SeedAddresses: f.Seeds, MetricsAddress: f.Metrics, LookupTTL: seconds(f.LookupTTL), GracePeriod: seconds(f.Grace),
 		RetryBudget: spend.Limits{Ratio: f.RepeatRatio, Window: seconds(f.RepeatSpan)},
-		RevokeBound: seconds(f.Revoke), QuotaTolerance: quota.Tolerance{Window: seconds(f.QuotaWindow), Over: f.QuotaOver, Slack: f.QuotaSlack}, OverloadShare: f.Overload,
+		RevokeBound: seconds(f.Revoke), QuotaTolerance: quota.Tolerance{Window: seconds(f.QuotaWindow), Over: f.QuotaOver, Slack: f.QuotaSlack}, OverloadShare: f.Overload, HedgeShare: f.Hedge,
 		MemoryLimit: int64(f.Memory * 1e6), Strength: min(f.Link, f.Cores*mbitPerCore),
 	}, nil
 }
--- a/cmd/tamarackedge/flags_test.go
+++ b/cmd/tamarackedge/flags_test.go
@@ -47,6 +47,8 @@
 		{"--quota-window=0", "--quota-window 0 is out of range; the range is 0.5 to 3600"},
 		{"--quota-over=-1", "--quota-over -1 is out of range; the range is 0 to 10"},
 		{"--overload=1.5", "--overload 1.5 is out of range; the range is 0 to 1"},
+		{"--hedge=0.3", "--hedge 0.3 is out of range; the range is 0 to 0.2"},
+		{"--hedge=-0.1", "--hedge -0.1 is out of range; the range is 0 to 0.2"},
 		{"--quota-slack=-1", "--quota-slack -1 is out of range; the range is 0 to 1e+06"},
 		{"--unknown=1", "unknown"},
 	} {
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -71,7 +71,7 @@
 			}
 		}
 		q.triedTargets = append(q.triedTargets, s)
-		a, f := e.sendAttempt(ctx, q, s, sent, unsent)
+		s, a, f := e.sendHedged(ctx, q, s, &sent, &unsent)
 		switch {
 		case f == nil && !e.deps.Headers.ProvesNotRun(a.Status, a.Header):
 			if !e.shouldRetryAnswer(q, a) {
@@ -204,6 +204,7 @@
 		return
 	}
 	s.gauge.RecordShed(now)
+	e.hedges.noteShortage(q.service)
 	q.noteRejected(load.Waiting >= fullQueue*s.target.Slots())
 }
 
@@ -220,6 +221,7 @@
 			e.events.Log(event.TargetSlow, "id", q.id, "target", s.target.ID(), "waited", now.Sub(q.lastSent), "objective", q.rule.LatencyObjective(), "for", until.Sub(now))
 		}
 	}
+	e.hedges.noteShortage(q.service)
 	q.noteAttempt(func(s *admittedService, now time.Time) { s.RecordTimeout(now) })
 	e.meters.countOutcome(q, outcomeTimedOut)
 	return inbound.EmptyAnswer(http.StatusGatewayTimeout)
@@ -240,7 +242,9 @@
 	a, err := e.pool.Do(ctx, upstream.Call{
 		Address: s.target.Address(), Method: q.Method, Target: q.Target, Host: q.Host, Header: h, Body: q.Body,
 		SendContentLength: q.Method != http.MethodGet && q.Method != http.MethodHead, AtMostOnce: !q.rule.Kind().Repeatable(),
-		BeforeSend: func() bool { return e.admitAttempt(q, s, sent, unsent) && e.admitKey(q) && e.admitToken(q) },
+		BeforeSend: func() bool {
+			return e.admitCopy(q, s) && e.admitAttempt(q, s, sent, unsent) && e.admitKey(q) && e.admitToken(q) && e.beginAttempt(q, s)
+		},
 		Classify: func(status int, h http.Header) upstream.AnswerClass {
 			class := e.classifyAnswer(q, status, h)
 			if class == upstream.Matching || class == upstream.Unidentified {
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -51,6 +51,7 @@
 	mu            sync.Mutex
 	retryBudgets  map[string]*spend.Budget // retryBudgets is keyed by service.
 	admission     *admissionControl
+	hedges        *hedges
 	splitSequence atomic.Uint64
 	paceFrom      atomic.Int64 // paceFrom is the uptime from which this entry may pace cold targets, in nanoseconds.
 	lastTick      atomic.Int64 // lastTick is the uptime at the last watchdog tick, in nanoseconds.
@@ -84,6 +85,7 @@
 	}
 	e.callBacklog = backlog.New(e.listeners.call)
 	e.admission = newAdmissionControl(s.RetryBudget, s.OverloadShare, e.meters.registry)
+	e.hedges = newHedges(s.HedgeShare, e.meters.registry)
 	// With port 0 the system chooses the port; the registration must name the chosen one.
 	e.self.Call, e.self.Peer = e.listeners.call.Addr().String(), e.listeners.peer.Addr().String()
 	e.deps.Store = countingStore{
--- a/internal/entry/edge/fleet_test.go
+++ b/internal/entry/edge/fleet_test.go
@@ -43,6 +43,7 @@
 	sent       int
 	clockStart time.Time
 	revoke     time.Duration // revoke is the RevokeBound of entries that are started from then on.
+	hedge      float64       // hedge is the HedgeShare of entries that are started from then on.
 	suspended  atomic.Int64  // suspended is how long the VMs were suspended, in nanoseconds.
 }
 
@@ -168,6 +169,7 @@
 		SeedAddresses: []string{address(1, 83), address(2, 83)}, LookupTTL: 2 * time.Second, GracePeriod: 6 * time.Second,
 		RetryBudget: spend.Limits{Ratio: 0.2, Window: 10 * time.Second}, MemoryLimit: 1 << 28, Strength: 1, RevokeBound: f.revoke,
 		QuotaTolerance: quota.Tolerance{Window: 5 * time.Second, Over: 0.1, Slack: 20},
+		HedgeShare:     f.hedge,
 	}, edge.Dependencies{
 		Store: platform.NewStore(storeAddress, &http.Client{Transport: transport}, 8<<20), StoreTraffic: storeTraffic, Keys: platform.NewKeys(regions),
 		Headers: platform.Headers{}, Pages: platform.Pages{}, Dial: dial, Listen: f.net.Listen,
--- a/internal/entry/edge/serve.go
+++ b/internal/entry/edge/serve.go
@@ -49,6 +49,7 @@
 	held               heldAnswers // held holds the targets' answers.
 	firstCandidateLoad int         // firstCandidateLoad is the load of the preferred candidate when the target was chosen.
 	admission          admissionState
+	race               *race // race is nil unless the attempt may be in a race with a second copy.
 }
 
 // Limits returns the limits for callers' requests from the current configuration.
--- a/internal/entry/edge/settings.go
+++ b/internal/entry/edge/settings.go
@@ -42,7 +42,9 @@
 	// OverloadShare is the part of a service's attempts that must fail for lack of free slots before less urgent requests, and
 	// those of accounts beyond their fair share, are refused unsent; 0 for never.
 	OverloadShare float64
-	MemoryLimit   int64 // MemoryLimit is the limit of the process in bytes.
+	// HedgeShare is the part of a service's requests that may be sent to a second target while the first has not answered; 0 for none.
+	HedgeShare  float64
+	MemoryLimit int64 // MemoryLimit is the limit of the process in bytes.
 }
 
 // keepsAccounts reports whether the deployment's settings hold terms for client accounts.
--- a/internal/record/event/request.go
+++ b/internal/record/event/request.go
@@ -19,6 +19,8 @@
 	QuotaExceeded       Number = 4015
 	QuotaUnreachable    Number = 4016
 	RequestMoved        Number = 4017
+	RequestHedged       Number = 4018
+	HedgeWithheld       Number = 4019
 )
 
 var request = []Definition{
@@ -38,4 +40,6 @@
 	{QuotaExceeded, "quota-exceeded", "a request was answered 429 because its account has used its quota; it has not run", "none; raise the account's quota if it is meant to send more"},
 	{QuotaUnreachable, "quota-unreachable", "a request was refused because no owner of its account's quota can be reached; it has not run", "check the links of the VM and the key-value service if it repeats"},
 	{RequestMoved, "request-moved", "the chosen target is not expected to answer the request in time, so it goes to another of its object's targets", "none; add targets if it repeats"},
+	{RequestHedged, "request-hedged", "a second copy of a request was sent to another target because the first one is unanswered for unusually long", "check the first target if it repeats"},
+	{HedgeWithheld, "hedge-withheld", "a request is unanswered for unusually long, but no second copy was sent; at most one line per second and service", "none; read the reason"},
 }
