internal/steer/hedge: percentiles without a merge of histograms

Cause: both windows were merged into a new histogram for every 16th latency. Change: one histogram holds both windows and is exchanged with the current one at the end of a window.

--- a/internal/steer/hedge/latency.go
+++ b/internal/steer/hedge/latency.go
@@ -31,15 +31,16 @@
 
 // estimator holds the latencies of one rule in the last one to two windows.
 type estimator struct {
-	current, previous *hdrhistogram.Histogram
-	began             time.Time // began is the start of the current window.
-	fresh             int       // fresh counts the latencies since the percentiles were computed.
-	latency           Latency
-	known             bool
+	current *hdrhistogram.Histogram // current holds the latencies of the current window.
+	all     *hdrhistogram.Histogram // all holds those of the previous window too.
+	began   time.Time               // began is the start of the current window.
+	fresh   int                     // fresh counts the latencies since the percentiles were computed.
+	latency Latency
+	known   bool
 }
 
 func newEstimator(now time.Time) *estimator {
-	return &estimator{current: newHistogram(), previous: newHistogram(), began: now}
+	return &estimator{current: newHistogram(), all: newHistogram(), began: now}
 }
 
 func newHistogram() *hdrhistogram.Histogram {
@@ -48,7 +49,8 @@
 
 func (s *estimator) record(d time.Duration, now time.Time) {
 	s.advance(now)
-	_ = s.current.RecordValue(int64(min(max(d, latencyUnit), maxLatency) / latencyUnit)) // The value is in the range.
+	units := int64(min(max(d, latencyUnit), maxLatency) / latencyUnit)
+	_, _ = s.current.RecordValue(units), s.all.RecordValue(units) // The value is in the range.
 	if s.fresh++; s.fresh >= refreshSamples || !s.known {
 		s.compute()
 	}
@@ -64,10 +66,10 @@
 	if age < latencyWindow {
 		return
 	}
-	s.current, s.previous = s.previous, s.current
+	s.current, s.all = s.all, s.current
 	s.current.Reset()
 	if age >= 2*latencyWindow {
-		s.previous.Reset()
+		s.all.Reset()
 	}
 	s.began = now
 	s.compute()
@@ -75,14 +77,11 @@
 
 func (s *estimator) compute() {
 	s.fresh = 0
-	if s.known = s.current.TotalCount()+s.previous.TotalCount() >= minSamples; !s.known {
+	if s.known = s.all.TotalCount() >= minSamples; !s.known {
 		return
 	}
-	all := newHistogram()
-	all.Merge(s.current)
-	all.Merge(s.previous)
 	s.latency = Latency{
-		Delay: time.Duration(all.ValueAtQuantile(delayQuantile)) * latencyUnit,
-		Usual: time.Duration(all.ValueAtQuantile(usualQuantile)) * latencyUnit,
+		Delay: time.Duration(s.all.ValueAtQuantile(delayQuantile)) * latencyUnit,
+		Usual: time.Duration(s.all.ValueAtQuantile(usualQuantile)) * latencyUnit,
 	}
 }
