internal/entry/edge, internal/site/census: a registration of an earlier era does not go on

Cause: after a restoration of the store, a restarted entry took its registration in the copy for one that had existed ever since and owned accounts at once, although it may have ended in what the store has lost. The others do not count it for up to 10 s, so an account could have two owners in a region. Change: a registration states the era in which it was written, and only one of the present era lets a restarted entry go on owning accounts. Result: the case 'store restored' of TestOwnersGoOnAfterARestart failed before (28 requests sent in the first 2 s) and passes.

--- a/internal/entry/edge/resume.go
+++ b/internal/entry/edge/resume.go
@@ -68,6 +68,9 @@
 	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
 	after := mirror.Position{Era: e.mirror.Position().Era, Revision: item.Revision}
+	if earlier.Era != after.Era {
+		return // In a copy from which the store was restored, the registration may have ended, and others still own by that.
+	}
 	b, err := e.deps.Store.Changes(ctx, after, 0)
 	if err != nil || b.Era != after.Era {
 		return
@@ -108,7 +111,7 @@
 func (e *Edge) registration() census.Entry {
 	r := e.self
 	if e.settings.keepsAccounts() {
-		r.Since = max(1, e.deps.Uptime().Milliseconds())
+		r.Since, r.Era = max(1, e.deps.Uptime().Milliseconds()), e.deps.Store.Era()
 	}
 	return r
 }
--- a/internal/entry/edge/resume_test.go
+++ b/internal/entry/edge/resume_test.go
@@ -10,9 +10,17 @@
 )
 
 // Guards against accounts without owners for several seconds after all entries were killed together, and against an entry
-// that goes on owning accounts after a restart although another one may have become their owner meanwhile.
+// that goes on owning accounts after a restart although another one may have become their owner meanwhile: also one that does not count the
+// registration, because it ended in what a restored store has lost.
 func TestOwnersGoOnAfterARestart(t *testing.T) {
 	const uptime = time.Hour // uptime is that of the VMs at the start of the test.
+	zones := []string{"a1", "a2", "b1"}
+	register := func(f *fleet, age time.Duration, peerPort int, rest string) {
+		for i, zone := range zones {
+			f.store.Set(fmt.Sprint("entries/e", i), fmt.Sprintf(`{"name":"e%d","zone":%q,"region":%q,"call":%q,"peer":%q,"strength":1,"since":%d%s}`,
+				i, zone, regions[zone], address(i+1, 80), address(i+1, peerPort), (uptime-age).Milliseconds(), rest))
+		}
+	}
 	for name, c := range map[string]struct {
 		age    time.Duration // age is that of the registrations of the earlier processes.
 		change func(f *fleet)
@@ -21,17 +29,15 @@
 		"registered for long": {20 * time.Second, func(*fleet) {}, true},
 		"registered lately":   {5 * time.Second, func(*fleet) {}, false},
 		"another one ended":   {20 * time.Second, func(f *fleet) { f.store.Set("entries/e9", "{}"); f.store.Remove("entries/e9") }, false},
+		"store restored":      {20 * time.Second, func(f *fleet) { f.store.Backup(); f.store.Restore() }, false},
+		"era stated":          {20 * time.Second, func(f *fleet) { f.store.SetEra(1); register(f, 20*time.Second, 83, `,"era":1`) }, true},
 		"history discarded":   {20 * time.Second, func(f *fleet) { f.store.Set("other", "x"); f.store.Set("other", "y"); f.store.Compact() }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, nil, func(f *fleet) {
-				zones := []string{"a1", "a2", "b1"}
 				f.configureAccounts(1, limited(20, 20))
 				f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Slots, x.ServiceTime = 100, time.Millisecond })
-				for i, zone := range zones {
-					f.store.Set(fmt.Sprint("entries/e", i), fmt.Sprintf(`{"name":"e%d","zone":%q,"region":%q,"call":%q,"peer":%q,"strength":1,"since":%d}`,
-						i, zone, regions[zone], address(i+1, 80), address(i+1, 83), (uptime-c.age).Milliseconds()))
-				}
+				register(f, c.age, 83, "")
 				c.change(f)
 				began := time.Now()
 				for i, zone := range zones {
--- a/internal/site/census/census.go
+++ b/internal/site/census/census.go
@@ -21,6 +21,9 @@
 	Strength float64
 	// Since is when the call that wrote the registration began, in milliseconds of the VM's uptime; 0 when it isn't stated.
 	Since int64
+	// Era is the newest era of the store that the entry knew then; 0 when it isn't stated. A registration that is read in a
+	// later era may come from the copy from which the store was restored.
+	Era uint64
 }
 
 // storedEntry is the JSON form of an entry in the store.
@@ -34,6 +37,7 @@
 	// Strength is optional; an entry without one counts with minStrength.
 	Strength float64 `json:"strength,omitempty"`
 	Since    int64   `json:"since,omitempty"`
+	Era      uint64  `json:"era,omitempty"`
 }
 
 // Encode returns the JSON form of an entry for the store.
--- a/internal/site/census/census_test.go
+++ b/internal/site/census/census_test.go
@@ -84,7 +84,7 @@
 
 // Guards against a registration that other entries cannot decode, and against an incomplete registration that is accepted.
 func TestRegistrationKeepsItsFields(t *testing.T) {
-	want := census.Entry{Name: "e", Zone: "z", Region: "r", Call: "10.0.0.1:80", Peer: "10.0.0.1:81", Leaving: true, Strength: 80}
+	want := census.Entry{Name: "e", Zone: "z", Region: "r", Call: "10.0.0.1:80", Peer: "10.0.0.1:81", Leaving: true, Strength: 80, Since: 5, Era: 2}
 	data, err := census.Encode(want)
 	if err != nil {
 		t.Fatal(err)
