internal/entry/edge: the age of a registration of another VM is unknown

Cause: the time in a registration is the uptime of the VM that wrote it. An entry that was started under the same name on another VM compared it with its own, so a registration of a moment ago could count as one of long ago, and the entry owned accounts before the others knew of it. Change: only a registration with the entry's own address for other entries lets it go on owning accounts. Result: the case 'of another VM' of TestOwnersGoOnAfterARestart failed before (28 requests sent in the first 2 s) and passes.

--- a/internal/entry/edge/resume.go
+++ b/internal/entry/edge/resume.go
@@ -68,6 +68,9 @@
 	ctx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
 	after := mirror.Position{Era: e.mirror.Position().Era, Revision: item.Revision}
+	if earlier.Peer != e.self.Peer {
+		return // The time of the registration is that of another VM's clock.
+	}
 	if earlier.Era != after.Era {
 		return // In a copy from which the store was restored, the registration may have ended, and others still own by that.
 	}
--- a/internal/entry/edge/resume_test.go
+++ b/internal/entry/edge/resume_test.go
@@ -11,7 +11,8 @@
 
 // Guards against accounts without owners for several seconds after all entries were killed together, and against an entry
 // that goes on owning accounts after a restart although another one may have become their owner meanwhile: also one that does not count the
-// registration, because it ended in what a restored store has lost.
+// registration, because it ended in what a restored store has lost. Also against
+// a registration whose age is taken from the clock of another VM.
 func TestOwnersGoOnAfterARestart(t *testing.T) {
 	const uptime = time.Hour // uptime is that of the VMs at the start of the test.
 	zones := []string{"a1", "a2", "b1"}
@@ -31,6 +32,7 @@
 		"another one ended":   {20 * time.Second, func(f *fleet) { f.store.Set("entries/e9", "{}"); f.store.Remove("entries/e9") }, false},
 		"store restored":      {20 * time.Second, func(f *fleet) { f.store.Backup(); f.store.Restore() }, false},
 		"era stated":          {20 * time.Second, func(f *fleet) { f.store.SetEra(1); register(f, 20*time.Second, 83, `,"era":1`) }, true},
+		"of another VM":       {20 * time.Second, func(f *fleet) { register(f, 20*time.Second, 93, "") }, false},
 		"history discarded":   {20 * time.Second, func(f *fleet) { f.store.Set("other", "x"); f.store.Set("other", "y"); f.store.Compact() }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
