internal/entry/edge, internal/steer/quota: registrations that begin and end within one batch, and delayed ones

Cause: an entry that had read nothing for 3 s or more and learnt of another registration and of its end in one batch owned accounts at once, while the other one could still own them. A resumed tenure did not expire when the first registration was delayed, and an unconfirmed answer counted. Change: such a registration counts as a gap; a resumed tenure ends after 1.2 s without a registration; unconfirmed answers don't count.

--- a/internal/entry/edge/belief.go
+++ b/internal/entry/edge/belief.go
@@ -280,7 +280,8 @@
 			b.registeredSince = time.Time{}
 			b.lostOwn = known
 		}
-		if !known {
+		// A registration that begins and ends within one batch is never in the roster.
+		if !known || !old.Leaving && !b.roster.Registered(name) {
 			b.unseenEnds++
 		}
 		if known {
--- a/internal/entry/edge/quota.go
+++ b/internal/entry/edge/quota.go
@@ -65,7 +65,7 @@
 	mu      sync.Mutex
 	tenure  quota.Tenure
 	gap     knowledgeGap
-	resumed bool                     // resumed is set when the tenure of an earlier process goes on, until the entry has registered.
+	resumed time.Duration            // resumed is the uptime at which the tenure of an earlier process was found to go on; 0 after the entry has registered.
 	owned   map[string]*quota.Owner  // owned is keyed by the account's name.
 	holders map[string]*holder       // holders is keyed by the account's name.
 	silent  map[string]time.Duration // silent is until when an entry is not asked, by its name.
--- a/internal/entry/edge/quotaowner.go
+++ b/internal/entry/edge/quotaowner.go
@@ -76,13 +76,14 @@
 	e.quotas.tenure.Suspend(e.deps.Uptime())
 }
 
-// takeResumed reports whether the tenure of an earlier process goes on through this registration, the first of the process.
+// takeResumed reports whether the tenure of an earlier process goes on through this registration, the first of the
+// process. It does not when the registration was delayed, as the earlier one may have ended meanwhile.
 func (e *Edge) takeResumed() bool {
 	e.quotas.mu.Lock()
 	defer e.quotas.mu.Unlock()
-	resumed := e.quotas.resumed
-	e.quotas.resumed = false
-	return resumed
+	at := e.quotas.resumed
+	e.quotas.resumed = 0
+	return at > 0 && e.deps.Uptime()-at < leaseCallTimeout
 }
 
 // tickQuotas checks this entry's right to own accounts. From time to time it creates the buckets of the accounts that the entry
--- a/internal/entry/edge/resume.go
+++ b/internal/entry/edge/resume.go
@@ -75,7 +75,7 @@
 		return // In a copy from which the store was restored, the registration may have ended, and others still own by that.
 	}
 	b, err := e.deps.Store.Changes(ctx, after, 0)
-	if err != nil || b.Era != after.Era {
+	if err != nil || b.Unconfirmed || b.Era != after.Era {
 		return
 	}
 	lasts, ended := !b.Snapshot, b.Snapshot
@@ -107,7 +107,7 @@
 	s.tenure.Resume(confirmed, allKnown)
 	s.gap.check(e.removalFloor(), e.view.Load().unseenEnds, e.deps.Uptime())
 	s.gap.noticed = -gapMemory
-	s.resumed = true
+	s.resumed = confirmed
 }
 
 // registration returns the entry's registration as it is written now.
--- a/internal/entry/edge/resume_test.go
+++ b/internal/entry/edge/resume_test.go
@@ -68,3 +68,39 @@
 		})
 	}
 }
+
+// Guards against a second owner after this entry has read nothing for some time: another one registered meanwhile, became
+// an owner and ended, and this entry learns of both at once.
+func TestOwnerWaitsAfterARegistrationThatItMissed(t *testing.T) {
+	for name, missed := range map[string]bool{"nothing missed": false, "registered and ended": true} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, []string{"a1"}, func(f *fleet) {
+				f.configureAccounts(1, limited(20, 20))
+				f.target("t0", "s1", "a1", func(x *platformtest.Target) { x.Slots, x.ServiceTime = 100, time.Millisecond })
+				time.Sleep(ownershipTime)
+				f.store.SetFaultFunc(func(_, path string) platformtest.Fault {
+					if path == "/v1/kv-watch" {
+						return platformtest.Busy
+					}
+					return platformtest.None
+				})
+				time.Sleep(5 * time.Second)
+				if missed {
+					f.store.Set("entries/e9", `{"name":"e9","zone":"a1","region":"a","call":"10.2.0.9:80","peer":"10.2.0.9:83","strength":1}`)
+				}
+				time.Sleep(5 * time.Second)
+				f.store.Remove("entries/e9")
+				f.store.SetFault(platformtest.None)
+				served := 0
+				for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
+					if f.callQuota("e0").status == http.StatusOK {
+						served++
+					}
+				}
+				if (served > 0) == missed {
+					t.Errorf("%d requests sent in the first 3 s", served)
+				}
+			})
+		})
+	}
+}
--- a/internal/steer/quota/roster.go
+++ b/internal/steer/quota/roster.go
@@ -107,6 +107,16 @@
 	return next
 }
 
+// Registered reports whether the roster has the entry as one that is registered.
+func (r Roster) Registered(name string) bool {
+	for _, list := range r.regions {
+		if slices.ContainsFunc(list, func(g registration) bool { return g.Name == name && g.ended == 0 }) {
+			return true
+		}
+	}
+	return false
+}
+
 // lasts reports whether the entry is registered or may still own accounts.
 func (g *registration) lasts(now time.Duration) bool {
 	return g.ended == 0 || now-g.ended < Exclusion
