internal/request/forward: a counter that the next request of a test needs is set first

Cause: TestSecondCopyOfARefusalReachesNobody counted its first request after the refusal was written. Change: the request is counted before the refusal is written; what is checked is the same.

--- a/internal/request/forward/proof_test.go
+++ b/internal/request/forward/proof_test.go
@@ -32,8 +32,8 @@
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 				return
 			}
+			ran.Add(1) // Before the refusal: the next request may arrive as soon as that is written.
 			_, _ = io.WriteString(conn, refusal)
-			ran.Add(1)
 			if _, err := http.ReadRequest(br.Reader); err == nil {
 				ran.Add(1)
 				_, _ = io.WriteString(conn, refusal)
