internal/request/pool: reject heads with invalid field names on the product's own entries

A target's answer with a blank in a field name was passed on, without that line; an answer that ended the request at another entry as not run was believed, and so was the answer to a query that says that an attempt was dropped, by which an order that ran is called not run.

Change: the heads on connections of the pool are checked while they are read, and the names in trailer sections.

Evidence: without the check, TestInvalidFieldNameIsNoResponse, all 24 cases of TestAnswersWithInvalidFieldNamesReachNobody (10 reads and 10 orders answered with a broken 200), 8 of 8 of TestRelayedAnswerWithAnInvalidFieldNameProvesNothing (7 not-run verdicts believed) and 13 of 14 of TestInvalidHeadProvesNothingAboutAnAttempt (5 believed, the others uncounted) fail. With it they pass, with the race detector.

--- a/internal/entry/node/gauge.go
+++ b/internal/entry/node/gauge.go
@@ -11,6 +11,7 @@
 		"gossip.sent":        func() int64 { return n.gossip.Counts().SentBytes },
 		"gossip.received":    func() int64 { return n.gossip.Counts().ReceivedBytes },
 		"order.keys":         func() int64 { return int64(n.orderTable.Len()) },
+		"pool.invalid-heads": func() int64 { return n.targetPool.InvalidHeadCount() + n.entryPool.InvalidHeadCount() },
 		"pool.late":          func() int64 { return n.targetPool.LateCount() + n.entryPool.LateCount() },
 		"pool.silences":      func() int64 { return n.targetPool.SilentCount() + n.entryPool.SilentCount() },
 	} {
--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -104,10 +104,13 @@
 	if err := c.bw.Flush(); err != nil {
 		return nil, err
 	}
-	c.headerBytesLeft = p.settings.Head
-	resp, err := http.ReadResponse(c.br, r)
-	c.headerBytesLeft = -1
+	if err := c.expectHead(); err != nil {
+		p.countInvalid(err)
+		return nil, err
+	}
+	resp, err := c.readHead(r, p.settings.Head)
 	if err != nil {
+		p.countInvalid(err)
 		return nil, err
 	}
 	if resp.ContentLength < 0 || resp.ContentLength > maxShortBody || resp.Close {
--- a/internal/request/pool/body.go
+++ b/internal/request/pool/body.go
@@ -104,6 +104,7 @@
 		d.exchange.finish(d.reusable)
 		return n, d.err
 	}
+	d.exchange.pool.countInvalid(err)
 	c := d.exchange.conn
 	kind := c.failureKind(d.exchange.ctx, err)
 	d.err = &Failure{kind: kind, written: true, err: err}
--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -6,9 +6,12 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"tamarackspool/internal/request/head"
 )
 
 // The write states of a connection for its current request.
@@ -42,6 +45,7 @@
 	// exchange queries, after a pause within a body, whether the attempt is still running; it is nil for probes.
 	exchange        *exchange
 	headerBytesLeft int64 // headerBytesLeft is how many bytes of a response header may still be read; negative means no limit.
+	head            head.Checker
 	writeState      atomic.Int32
 	silent          atomic.Bool // silent is set when this connection or one that was opened later to the same address was found silent.
 
@@ -110,10 +114,33 @@
 		if c.headerBytesLeft > 0 {
 			c.headerBytesLeft = max(0, c.headerBytesLeft-int64(n))
 		}
+		if invalid := c.head.Check(p[:n]); invalid != nil {
+			return 0, invalid
+		}
 		return n, err
 	}
 }
 
+// expectHead begins the check of the next response's head. The error matches head.ErrInvalid when the part that has been
+// read already is not one of HTTP/1.1.
+func (c *conn) expectHead() error {
+	c.head.Expect()
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	return c.head.Check(buffered)
+}
+
+// readHead reads the head that expectHead has begun, of at most the given number of bytes.
+func (c *conn) readHead(r *http.Request, limit int64) (*http.Response, error) {
+	c.headerBytesLeft = limit
+	resp, err := http.ReadResponse(c.br, r)
+	c.headerBytesLeft = -1
+	if err != nil {
+		return nil, err
+	}
+	head.CheckTrailer(resp)
+	return resp, nil
+}
+
 // maxBodyPauses is the maximum number of consecutive progress timeouts within a body.
 // The remote side reports a running attempt even if its writes are lost on a silent
 // connection, so its reports alone must not keep the connection open indefinitely.
--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -109,12 +109,13 @@
 // receiveHeader reads the header of the final response and skips informational responses.
 func (e *exchange) receiveHeader() (*http.Response, error) {
 	for {
+		if err := e.conn.expectHead(); err != nil {
+			return nil, err
+		}
 		if err := e.awaitResponse(); err != nil {
 			return nil, err
 		}
-		e.conn.headerBytesLeft = e.pool.settings.Head
-		resp, err := http.ReadResponse(e.conn.br, e.call.Request)
-		e.conn.headerBytesLeft = -1
+		resp, err := e.conn.readHead(e.call.Request, e.pool.settings.Head)
 		if err != nil {
 			return nil, err
 		}
@@ -197,6 +198,7 @@
 // fail ends the exchange without a response.
 func (e *exchange) fail(err error) error {
 	e.stopInterrupt()
+	e.pool.countInvalid(err)
 	kind := e.conn.failureKind(e.ctx, err)
 	written := e.conn.seal()
 	if e.body != nil {
--- a/internal/request/pool/pool.go
+++ b/internal/request/pool/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"tamarackspool/internal/request/head"
 )
 
 // Dial opens a connection, as net.Dialer.DialContext does.
@@ -21,10 +23,12 @@
 
 	lateAnswers atomic.Int64
 	silentConns atomic.Int64
-	lateWaits   atomic.Int64
-	wg          sync.WaitGroup
-	mu          sync.Mutex // mu guards closed together with wg.Add.
-	closed      bool
+	// invalidHeads counts the responses that were rejected because HTTP/1.1 does not allow their head or trailer section.
+	invalidHeads atomic.Int64
+	lateWaits    atomic.Int64
+	wg           sync.WaitGroup
+	mu           sync.Mutex // mu guards closed together with wg.Add.
+	closed       bool
 }
 
 // Counter is a counter metric; Inc must be safe for concurrent use.
@@ -59,6 +63,17 @@
 // SilentCount returns the number of times that a connection was found silent.
 func (p *Pool) SilentCount() int64 { return p.silentConns.Load() }
 
+// InvalidHeadCount returns the number of responses that were rejected because HTTP/1.1 does not allow their head, such as
+// one with a blank in the name of a field.
+func (p *Pool) InvalidHeadCount() int64 { return p.invalidHeads.Load() }
+
+// countInvalid counts a response that was rejected with the error if it was for its head or trailer section.
+func (p *Pool) countInvalid(err error) {
+	if errors.Is(err, head.ErrInvalid) {
+		p.invalidHeads.Add(1)
+	}
+}
+
 // OpenCount returns the number of open connections to the address.
 func (p *Pool) OpenCount(address string) int {
 	v, ok := p.addrPools.Load(address)
