platform, internal/request/head: answers of the store with invalid heads are not believed

A renewal or a write passed for acknowledged.

Cause: the client reads with net/http too, which accepts such heads. The era was read even from an answer whose status then failed the call.

--- a/internal/entry/edge/counted.go
+++ b/internal/entry/edge/counted.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"tamarackspool/internal/request/head"
 	"tamarackspool/internal/site/mirror"
 )
 
@@ -13,36 +15,47 @@
 // entries share the store's rate limits.
 type countingStore struct {
 	Store
-	calls    metrics.Counter // calls counts all calls except renewals.
-	renewals metrics.Counter
+	calls        metrics.Counter // calls counts all calls except renewals.
+	renewals     metrics.Counter
+	invalidHeads metrics.Counter // invalidHeads counts the calls whose answer was rejected because HTTP/1.1 does not allow its head.
+}
+
+// note counts the error of a call and returns it.
+func (c countingStore) note(err error) error {
+	if errors.Is(err, head.ErrInvalid) {
+		c.invalidHeads.Inc(1)
+	}
+	return err
 }
 
 // Changes counts and forwards a read of changes.
 func (c countingStore) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c.calls.Inc(1)
-	return c.Store.Changes(ctx, after, wait)
+	b, err := c.Store.Changes(ctx, after, wait)
+	return b, c.note(err)
 }
 
 // Grant counts and forwards the grant of a lease.
 func (c countingStore) Grant(ctx context.Context, ttl time.Duration) (uint64, time.Duration, error) {
 	c.calls.Inc(1)
-	return c.Store.Grant(ctx, ttl)
+	lease, ttl, err := c.Store.Grant(ctx, ttl)
+	return lease, ttl, c.note(err)
 }
 
 // Renew counts and forwards a lease renewal.
 func (c countingStore) Renew(ctx context.Context, lease uint64) error {
 	c.renewals.Inc(1)
-	return c.Store.Renew(ctx, lease)
+	return c.note(c.Store.Renew(ctx, lease))
 }
 
 // Revoke counts and forwards the revocation of a lease.
 func (c countingStore) Revoke(ctx context.Context, lease uint64) error {
 	c.calls.Inc(1)
-	return c.Store.Revoke(ctx, lease)
+	return c.note(c.Store.Revoke(ctx, lease))
 }
 
 // Put counts and forwards a write.
 func (c countingStore) Put(ctx context.Context, key string, value []byte, lease uint64) error {
 	c.calls.Inc(1)
-	return c.Store.Put(ctx, key, value, lease)
+	return c.note(c.Store.Put(ctx, key, value, lease))
 }
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -91,6 +91,7 @@
 	e.deps.Store = countingStore{
 		d.Store, metrics.NewRegisteredCounter("store.calls", e.meters.registry),
 		metrics.NewRegisteredCounter("store.renewals", e.meters.registry),
+		metrics.NewRegisteredCounter("store.invalid-heads", e.meters.registry),
 	}
 	e.lastTick.Store(int64(d.Uptime()))
 	e.dialPeer = e.peerTraffic.WrapDial(d.Dial)
--- a/internal/entry/edge/field_test.go
+++ b/internal/entry/edge/field_test.go
@@ -109,3 +109,38 @@
 		})
 	}
 }
+
+// Guards against an answer of the store with an invalid head that is believed, by the entry that reads it or by the others:
+// its era, its content or its lease.
+func TestStoreAnswersWithInvalidHeadsAreNotBelieved(t *testing.T) {
+	runFleet(t, []string{"a1", "a2", "b1"}, func(f *fleet) {
+		f.configure(1, rule("read", "/r/", "safe", `,"service":"s1"`))
+		f.target("t1", "s1", "a1", nil)
+		settle()
+		f.store.SetFault(platformtest.InvalidHead)
+		time.Sleep(5 * time.Second)
+		invalid := 0
+		for _, e := range []string{"e0", "e1", "e2"} {
+			if got := f.call(e, "GET", "/r/"); got.status != http.StatusOK {
+				t.Errorf("%s: %v", e, got)
+			}
+			text := f.getPage(e, 84, "/metrics").body
+			if !strings.Contains(text, "\nstore.era 0\n") {
+				t.Errorf("%s believes an era:\n%s", e, text)
+			}
+			if !strings.Contains(text, "\nstore.invalid-heads 0\n") {
+				invalid++
+			}
+		}
+		if invalid != 3 || !f.log.has("name=store-unavailable") || !f.log.has("invalid head") {
+			t.Errorf("%d of 3 entries count an answer with an invalid head", invalid)
+		}
+		f.store.SetFault(platformtest.None)
+		settle()
+		f.configure(2, rule("read", "/new/", "safe", `,"service":"s1"`))
+		settle()
+		if got := f.call("e2", "GET", "/new/"); got.status != http.StatusOK {
+			t.Errorf("after the store's recovery: %v", got)
+		}
+	})
+}
--- a/internal/soak/world/schedule.go
+++ b/internal/soak/world/schedule.go
@@ -197,6 +197,10 @@
 	case 3:
 		storeFails("busy", platformtest.Busy)
 	case 4:
+		if t.hasNumber(0, 2) {
+			storeFails("sends invalid heads", platformtest.InvalidHead)
+			return
+		}
 		storeFails("drops responses", platformtest.LostResponse)
 	case 5:
 		begin("store history compacted", w.store.Compact, func() {})
--- a/internal/soak/world/world_test.go
+++ b/internal/soak/world/world_test.go
@@ -58,6 +58,8 @@
 		{Seed: 720},
 		// Answers with a blank in the name of a field reached callers, with bytes that were not the target's body.
 		{Seed: 904, Duration: 30 * time.Second, Entries: 6},
+		// The era of an invalid answer of the store was believed, and every later answer passed for one of an earlier era.
+		{Seed: 1003, Duration: 30 * time.Second, Entries: 6},
 	} {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
