internal/platform: responses with invalid heads leave the outcome of a call unknown

What callers saw: on the product's own entries, a response of the key-value service with a blank in the name of a field was believed: a claim or a lease passed for written, or for refused by a conflict. A write answered with status 000 counted as one without effect although it may have taken effect. The VM list was believed too, so that entries passed for leaving.

Cause: both clients read with net/http, which accepts such heads, and statuses below 500 count as known outcomes.

Change: both use head.Do. A write with such a response ends as one whose outcome is unknown, a read as unavailable.

Evidence: TestInvalidHeadLeavesTheOutcomeOfAWriteUnknown fails before (4 of 8 responses believed, 2 undefined statuses called without effect) and TestListWithAnInvalidHeadIsNotBelieved too (3 of 6 lists believed); with it they pass, with the race detector.

--- a/internal/platform/roster/client.go
+++ b/internal/platform/roster/client.go
@@ -8,7 +8,10 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
+
+	"tamarackspool/internal/request/head"
 )
 
 // ErrUnavailable means that the VM list could not be read.
@@ -42,8 +45,9 @@
 
 // Client reads the VM list. It is safe for concurrent use.
 type Client struct {
-	base string
-	http *http.Client
+	base         string
+	http         *http.Client
+	invalidHeads atomic.Int64 // invalidHeads counts the responses that were rejected because HTTP/1.1 does not allow their head.
 }
 
 // New returns a client for the VM list at the URL base; a nil client means http.DefaultClient.
@@ -51,9 +55,13 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Client{strings.TrimSuffix(base, "/"), client}
+	return &Client{base: strings.TrimSuffix(base, "/"), http: client}
 }
 
+// InvalidHeadCount returns the number of responses that were rejected because HTTP/1.1 does not allow their head, such as
+// one with a blank in the name of a field.
+func (c *Client) InvalidHeadCount() int64 { return c.invalidHeads.Load() }
+
 type listWire struct {
 	VMs []struct {
 		Name    string    `json:"name"`
@@ -70,7 +78,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("roster: %w", err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := head.Do(c.http, req)
+	if errors.Is(err, head.ErrInvalid) {
+		c.invalidHeads.Add(1)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
--- a/internal/platform/store/call.go
+++ b/internal/platform/store/call.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"tamarackspool/internal/request/head"
 )
 
 // maxResponseBytes limits a response; the largest one lists the segments of claimed idempotency keys.
@@ -53,7 +56,10 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := head.Do(c.http, req)
+	if errors.Is(err, head.ErrInvalid) {
+		c.invalidHeads.Add(1)
+	}
 	if err != nil {
 		return false, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +26,8 @@
 	key     string
 	http    *http.Client
 	timeout time.Duration
+	// invalidHeads counts the responses that were rejected because HTTP/1.1 does not allow their head; copies share it.
+	invalidHeads *atomic.Int64
 }
 
 // New returns a client for the service at the URL base that authenticates with key; a nil client means http.DefaultClient.
@@ -32,9 +35,13 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: client, timeout: callTimeout}
+	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: client, timeout: callTimeout, invalidHeads: new(atomic.Int64)}
 }
 
+// InvalidHeadCount returns the number of responses that were rejected because HTTP/1.1 does not allow their head, such as
+// one with a blank in the name of a field.
+func (c *Client) InvalidHeadCount() int64 { return c.invalidHeads.Load() }
+
 // WithTimeout returns a copy of the client whose calls, except for watches, time out after d.
 func (c *Client) WithTimeout(d time.Duration) *Client {
 	copied := *c
