internal/entry/console: a response with an invalid head leaves the outcome of a change unknown

What operators saw: a patch passed for applied, or for refused, by a response with a blank in the name of a field, and for failed (exit status of an internal error) by one with status 000, although it may have been applied.

Cause: the client of the operators' API reads with net/http, which accepts such heads; an unknown status is an internal error.

Change: it uses head.Do. A change with such a response ends with the exit status of an unknown outcome and may be submitted again with its id; a read goes to the next entry.

Evidence: TestInvalidHeadLeavesTheOutcomeOfAPatchUnknown fails before in 5 of 5 cases and passes, with the race detector.

--- a/internal/entry/console/client.go
+++ b/internal/entry/console/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"tamarackspool/internal/request/head"
 )
 
 const (
@@ -78,7 +80,7 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.token)
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := head.Do(c.http, req)
 	if err != nil {
 		if dial, ok := errors.AsType[*net.OpError](err); ok && dial.Op == "dial" {
 			return response{}, err
--- a/internal/entry/console/console_test.go
+++ b/internal/entry/console/console_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -151,6 +152,33 @@
 	}
 }
 
+// Guards against a patch that passes for applied, or for failed, by a response whose head is invalid.
+func TestInvalidHeadLeavesTheOutcomeOfAPatchUnknown(t *testing.T) {
+	patch := []byte(`[{"op":"replace","path":"/regions/0/keep","value":0.2}]`)
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nBad Name: x\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n", "HTTP/1.1 409 Conflict\r\nBad : x\r\n",
+		"HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 000 Trouble\r\n",
+	} {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, head+"Content-Length: 13\r\n\r\n"+`{"version":2}`)
+		}))
+		transport := &http.Transport{}
+		var out bytes.Buffer
+		c := &console.Console{Client: console.NewClient([]string{s.URL}, token, &http.Client{Transport: transport}), Out: &out}
+		if err := c.Patch(t.Context(), console.Change{Base: 1, ID: "a", Who: "ayla"}, patch, nil); exitCode(err) != console.CodeUnknown {
+			t.Errorf("%q: %v", head, err)
+		}
+		transport.CloseIdleConnections()
+		s.Close()
+	}
+}
+
 // Guards against a drain command that ends while the owners still have requests in flight.
 func TestDrainFollow(t *testing.T) {
 	n := start(t)
