internal/request/upstream: a long answer to another request is skipped whole or not at all

What callers saw: bytes from the middle of another request's answer as their own. When a late answer to another request was longer than 256 KB, the first 256 KB were skipped and the rest was read as the next answer; if it looked like one with the right id, the caller got it.

Cause: the limit on skipped bytes ended the skipping without an error.

Change: a body beyond the limit is an invalid answer and ends the connection. At the limit, the end of the last chunk is read too, so that such an answer is skipped as it should be.

Evidence: TestLongAnswerOfAnotherRequestIsSkippedWhole fails before in 3 of 6 cases (2 of them "200 no", a body from within the other answer), found while reading each place that throws answers away, and passes.

--- a/internal/request/upstream/call.go
+++ b/internal/request/upstream/call.go
@@ -268,11 +268,17 @@
 // lengthUnknown is the length of a body that is delimited by the end of its connection.
 const lengthUnknown = -1
 
+var errBodyTooLong = errors.New("body is too long to be skipped")
+
+// discardBody reads a body of up to maxBufferedBody to its end, so that the next byte is that of another answer.
 func discardBody(resp *http.Response) error {
 	if endsWithConnection(resp) {
 		return io.ErrUnexpectedEOF
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody+1))
+	if err == nil && n > maxBufferedBody {
+		return errBodyTooLong
+	}
 	return err
 }
 
--- a/internal/request/upstream/late_test.go
+++ b/internal/request/upstream/late_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -143,3 +144,30 @@
 		})
 	})
 }
+
+// Guards against the rest of a long answer to another request that is taken for the answer to this one.
+func TestLongAnswerOfAnotherRequestIsSkippedWhole(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	const inside = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nno"
+	for name, length := range map[string]int{"below the limit": 256<<10 - 1, "at the limit": 256 << 10, "beyond the limit": 256<<10 + len(inside)} {
+		body := (strings.Repeat("y", 256<<10) + inside)[:length]
+		for framing, text := range map[string]string{
+			"length": fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: %d\r\n\r\n%s", length, body),
+			"chunks": fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", length, body),
+		} {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := newRig(func(c net.Conn, br *bufio.Reader) { readRequest(br); _, _ = io.WriteString(c, text+own) })
+					defer r.pool.Close()
+					want := "garbled sent=true"
+					if length <= 256<<10 {
+						want = "200 ok"
+					}
+					if got := r.call(t.Context(), "1", nil); got != want {
+						t.Errorf("%q, want %q", got, want)
+					}
+				})
+			})
+		}
+	}
+}
