internal/request/head: a transfer coding of HTTP/1.0 is no valid framing

What callers saw: an answer of HTTP/1.0 with Transfer-Encoding: chunked reached them as a 200 whose body held the sizes of the chunks, complete by the end of the connection or by its Content-Length.

Cause: the class of the incident, a field that ends the body and is not recognized: net/http drops the field of such an answer without a word. HTTP/1.1 (RFC 9112, 6.1) demands that its framing count as faulty and its connection be closed.

Change: the check of heads notes the version and rejects the field with HTTP/1.0, on both request paths.

Evidence: TestTransferCodingOfHTTP10IsNoAnswer fails before in 4 of 6 cases and TestTransferCodingOfHTTP10IsNoResponse too; both pass, with the race detector.

--- a/internal/request/head/checker.go
+++ b/internal/request/head/checker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -14,10 +15,19 @@
 // Checker checks the field lines of heads while their bytes are read. It begins with the status line of a head at each call
 // of Expect; until the first, it ignores all bytes. It is not safe for concurrent use.
 type Checker struct {
-	part part
-	err  error
+	part   part
+	err    error
+	http10 bool // http10 is set for a status line of HTTP/1.0, which has no transfer codings.
+
+	start  [len(transferCoding) + 1]byte // start holds the first bytes of the status line or of the field name.
+	length int                           // length is the number of bytes in start.
 }
 
+const (
+	transferCoding = "Transfer-Encoding"
+	http11         = "HTTP/1.1"
+)
+
 // part is the part of a head that the next byte belongs to.
 type part uint8
 
@@ -31,7 +41,7 @@
 )
 
 // Expect begins the check of a head whose first bytes have not been passed to Check yet.
-func (c *Checker) Expect() { c.part, c.err = statusLine, nil }
+func (c *Checker) Expect() { *c = Checker{part: statusLine} }
 
 // Check checks the next bytes; those behind the head are ignored. The error matches ErrInvalid and is returned until the
 // next call of Expect.
@@ -39,11 +49,15 @@
 	for len(b) > 0 && c.part != outside && c.err == nil {
 		switch c.part {
 		case statusLine, fieldValue:
-			i := bytes.IndexByte(b, '\n')
-			if i < 0 {
-				return nil
+			line, rest, ended := bytes.Cut(b, []byte{'\n'})
+			if c.part == statusLine {
+				c.keep(line)
+				c.http10 = string(c.start[:min(c.length, len(http11))]) < http11
 			}
-			b, c.part = b[i+1:], lineStart
+			if ended {
+				c.part = lineStart
+			}
+			b = rest
 		case lineStart:
 			b = c.checkLineStart(b)
 		case emptyLine:
@@ -71,7 +85,7 @@
 	case ':':
 		c.err = fmt.Errorf("%w: a field has no name", ErrInvalid)
 	default:
-		c.part = fieldName
+		c.part, c.length = fieldName, 0
 		return b
 	}
 	return b[1:]
@@ -82,6 +96,10 @@
 	for i, x := range b {
 		switch {
 		case x == ':':
+			c.keep(b[:i])
+			if c.http10 && strings.EqualFold(string(c.start[:c.length]), transferCoding) {
+				c.err = fmt.Errorf("%w: a transfer coding in HTTP/1.0", ErrInvalid)
+			}
 			c.part = fieldValue
 			return b[i+1:]
 		case !httpguts.IsTokenRune(rune(x)):
@@ -89,9 +107,13 @@
 			return nil
 		}
 	}
+	c.keep(b)
 	return nil
 }
 
+// keep appends bytes to start as far as there is room.
+func (c *Checker) keep(b []byte) { c.length += copy(c.start[c.length:], b) }
+
 func (c *Checker) reject(b byte) {
 	c.err = fmt.Errorf("%w: a field name holds %q", ErrInvalid, b)
 }
--- a/internal/request/pool/field_test.go
+++ b/internal/request/pool/field_test.go
@@ -66,3 +66,11 @@
 		})
 	}
 }
+
+// Guards against chunks that reach a caller as the body: net/http ignores a transfer coding of HTTP/1.0, which has none.
+func TestTransferCodingOfHTTP10IsNoResponse(t *testing.T) {
+	const chunks = "\r\n2\r\nno\r\n0\r\n\r\n"
+	if got := answerTo(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n"+chunks); got != "failed" {
+		t.Errorf("the caller gets %q", got)
+	}
+}
--- a/internal/request/upstream/field_test.go
+++ b/internal/request/upstream/field_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -81,6 +82,29 @@
 	}
 }
 
+// Guards against chunks that reach a caller as the body: net/http ignores a transfer coding of HTTP/1.0, which has none.
+func TestTransferCodingOfHTTP10IsNoAnswer(t *testing.T) {
+	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
+	for head, want := range map[string]string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n":                       "200 ok",
+		"HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n":                       "garbled sent=true",
+		"HTTP/1.0 200 OK\r\nId: 1\r\ntransfer-ENCODING:chunked\r\n":                        "garbled sent=true",
+		"HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n": "garbled sent=true",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nId: 1\r\n":                       "garbled sent=true",
+		"HTTP/1.0 200 OK\r\nId: 1\r\nTransfer: chunked\r\nContent-Length: 2\r\n":           "200 2\r",
+	} {
+		t.Run(fmt.Sprintf("%q", head), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(func(c net.Conn, br *bufio.Reader) { readRequest(br); _, _ = io.WriteString(c, head+chunks) })
+				defer r.pool.Close()
+				if got := r.call(t.Context(), "1", nil); got != want {
+					t.Errorf("%q, want %q", got, want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against an invalid head that is rejected only when the rest of it arrives, or at the request's deadline.
 func TestInvalidFieldNameIsNotWaitedOut(t *testing.T) {
 	for name, line := range invalidFields {
