internal/request/pool: bound interim responses as on the users' platform

What callers saw: what a target wrote behind a 101, after which the connection carries another protocol, as their answer; and interim responses without end were read until the deadline.

Cause: connections to targets on the users' platform reject 101 and more than 8 interim answers; the pool of the product's own entries skipped any number of any of them.

Change: the same bounds. Such a response is that of a broken connection and counts in pool.invalid-heads.

Evidence: TestUnexpectedInterimAnswersAreRejected fails before in 3 of 4 cases and passes, with the race detector.

--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"tamarackspool/internal/request/head"
 )
 
 // maxBodyHold is how long a held body waits for a 100 Continue response.
@@ -102,9 +105,14 @@
 func (p plainWriter) WriteByte(b byte) error            { return p.w.WriteByte(b) }
 func (p plainWriter) WriteString(s string) (int, error) { return p.w.WriteString(s) }
 
-// receiveHeader reads the header of the final response and skips informational responses.
+// maxInterim is the largest number of interim responses that are skipped.
+const maxInterim = 8
+
+var errInterim = fmt.Errorf("%w: unexpected interim response", head.ErrInvalid)
+
+// receiveHeader reads the header of the final response and skips interim responses.
 func (e *exchange) receiveHeader() (*http.Response, error) {
-	for {
+	for interim := 0; ; {
 		if err := e.conn.expectHead(); err != nil {
 			return nil, err
 		}
@@ -118,6 +126,9 @@
 		if resp.StatusCode >= http.StatusOK {
 			return e.acceptResponse(resp)
 		}
+		if interim++; interim > maxInterim || resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errInterim
+		}
 		if resp.StatusCode == http.StatusContinue && e.body != nil {
 			e.body.allowSending()
 		}
--- a/internal/request/pool/status_test.go
+++ b/internal/request/pool/status_test.go
@@ -93,6 +93,23 @@
 	}
 }
 
+// Guards against interim answers behind which there is no answer to this request: a change of the protocol that was not asked
+// for, or answers without end.
+func TestUnexpectedInterimAnswersAreRejected(t *testing.T) {
+	const rest = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+	for text, want := range map[string]string{
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n" + rest: "failed",
+		strings.Repeat(interim, 8) + rest:     "ok",
+		strings.Repeat(interim, 9) + rest:     "failed",
+		strings.Repeat(interim, 1_000) + rest: "failed",
+	} {
+		if got := answerTo(t, text); got != want {
+			t.Errorf("%.60q: the caller gets %q, want %q", text, got, want)
+		}
+	}
+}
+
 // Guards against the answer to a query about an attempt that is believed although HTTP does not define its status: an order
 // that was sent would be called not run.
 func TestUndefinedStatusProvesNothingAboutAnAttempt(t *testing.T) {
