internal/request/head, internal/standin/raw: one way to begin a check, one stand-in for raw answers

Cause: two callers looked through the buffered bytes in the same way, and five tests had the same server. What is checked is the same.

--- a/internal/entry/console/console_test.go
+++ b/internal/entry/console/console_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,6 +23,7 @@
 	"tamarackspool/internal/entry/operator"
 	"tamarackspool/internal/platform/store"
 	"tamarackspool/internal/record/event"
+	"tamarackspool/internal/standin/raw"
 	standin "tamarackspool/internal/standin/store"
 )
 
@@ -159,15 +159,7 @@
 		"HTTP/1.1 200 OK\r\nBad Name: x\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n", "HTTP/1.1 409 Conflict\r\nBad : x\r\n",
 		"HTTP/1.1 100 Continue\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 000 Trouble\r\n",
 	} {
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
-			_, _ = io.WriteString(conn, head+"Content-Length: 13\r\n\r\n"+`{"version":2}`)
-		}))
+		s := raw.NewServer(head + "Content-Length: 13\r\n\r\n" + `{"version":2}`)
 		transport := &http.Transport{}
 		var out bytes.Buffer
 		c := &console.Console{Client: console.NewClient([]string{s.URL}, token, &http.Client{Transport: transport}), Out: &out}
--- a/internal/entry/edge/counted.go
+++ b/internal/entry/edge/counted.go
@@ -20,8 +20,8 @@
 	invalidHeads metrics.Counter // invalidHeads counts the calls whose answer was rejected because HTTP/1.1 does not allow its head.
 }
 
-// note counts the error of a call and returns it.
-func (c countingStore) note(err error) error {
+// countInvalid counts the call if its error says that the answer's head was rejected, and returns the error.
+func (c countingStore) countInvalid(err error) error {
 	if errors.Is(err, head.ErrInvalid) {
 		c.invalidHeads.Inc(1)
 	}
@@ -32,30 +32,30 @@
 func (c countingStore) Changes(ctx context.Context, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c.calls.Inc(1)
 	b, err := c.Store.Changes(ctx, after, wait)
-	return b, c.note(err)
+	return b, c.countInvalid(err)
 }
 
 // Grant counts and forwards the grant of a lease.
 func (c countingStore) Grant(ctx context.Context, ttl time.Duration) (uint64, time.Duration, error) {
 	c.calls.Inc(1)
 	lease, ttl, err := c.Store.Grant(ctx, ttl)
-	return lease, ttl, c.note(err)
+	return lease, ttl, c.countInvalid(err)
 }
 
 // Renew counts and forwards a lease renewal.
 func (c countingStore) Renew(ctx context.Context, lease uint64) error {
 	c.renewals.Inc(1)
-	return c.note(c.Store.Renew(ctx, lease))
+	return c.countInvalid(c.Store.Renew(ctx, lease))
 }
 
 // Revoke counts and forwards the revocation of a lease.
 func (c countingStore) Revoke(ctx context.Context, lease uint64) error {
 	c.calls.Inc(1)
-	return c.note(c.Store.Revoke(ctx, lease))
+	return c.countInvalid(c.Store.Revoke(ctx, lease))
 }
 
 // Put counts and forwards a write.
 func (c countingStore) Put(ctx context.Context, key string, value []byte, lease uint64) error {
 	c.calls.Inc(1)
-	return c.note(c.Store.Put(ctx, key, value, lease))
+	return c.countInvalid(c.Store.Put(ctx, key, value, lease))
 }
--- a/internal/platform/roster/field_test.go
+++ b/internal/platform/roster/field_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"tamarackspool/internal/platform/roster"
+	"tamarackspool/internal/standin/raw"
 )
 
 // Guards against a list that is believed although the head of its response is invalid: entries would count as leaving.
@@ -22,15 +21,7 @@
 		"HTTP/1.1 000 Trouble\r\n":                                             false,
 		"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n": false,
 	} {
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
-			_, _ = io.WriteString(conn, head+body)
-		}))
+		s := raw.NewServer(head + body)
 		transport := &http.Transport{}
 		c := roster.New(s.URL, &http.Client{Transport: transport})
 		list, err := c.List(t.Context())
--- a/internal/platform/store/field_test.go
+++ b/internal/platform/store/field_test.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 
 	"tamarackspool/internal/platform/store"
+	"tamarackspool/internal/standin/raw"
 )
 
 // Guards against a response with an invalid head that is believed: a write that may have taken effect passes for done, or for
@@ -24,15 +23,7 @@
 		"HTTP/1.1 042 Trouble\r\n",
 		"HTTP/1.1 600 Trouble\r\n",
 	} {
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			defer conn.Close()
-			_, _ = io.WriteString(conn, head+body)
-		}))
+		s := raw.NewServer(head + body)
 		transport := &http.Transport{}
 		c := store.New(s.URL, "k", &http.Client{Transport: transport})
 		if _, err := c.Put(t.Context(), "a", nil, 1, 0); !errors.Is(err, store.ErrOutcomeUnknown) {
--- a/internal/request/forward/field_test.go
+++ b/internal/request/forward/field_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +10,7 @@
 
 	"tamarackspool/internal/request/forward"
 	"tamarackspool/internal/request/verdict"
+	"tamarackspool/internal/standin/raw"
 )
 
 // invalidFields are field lines whose name holds a blank or a control byte.
@@ -18,17 +18,6 @@
 	"Bad Name: x", "Bad : x", " Bad: x", "\tBad: x", "Bad\x01Name: x", "Content-Length : 9", "Transfer-Encoding : chunked", "Verdict : not-run",
 }
 
-// writeRaw answers a request with a text and closes the connection.
-func writeRaw(t *testing.T, w http.ResponseWriter, text string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		t.Error(err)
-		return
-	}
-	defer conn.Close()
-	_, _ = io.WriteString(conn, text)
-}
-
 // Guards against a target's answer that reaches a caller although the name of a field in its head holds a blank or a control
 // byte, and against an order with such an answer that is called not run.
 func TestAnswersWithInvalidFieldNamesReachNobody(t *testing.T) {
@@ -42,7 +31,7 @@
 				runRig(t, forward.Settings{Retry: 1}, func(t *testing.T, r *rig) {
 					r.replaceTarget(func(w http.ResponseWriter, q *http.Request) {
 						if !strings.HasPrefix(q.URL.Path, "/attempt/") {
-							writeRaw(t, w, text)
+							raw.Answer(w, text)
 						}
 					})
 					synctest.Wait()
@@ -69,7 +58,7 @@
 				r.chooser.relayTo, r.chooser.maxRelays = "e2", 1
 				r.serve(peerAddress.String(), func(w http.ResponseWriter, q *http.Request) {
 					if !strings.HasPrefix(q.URL.Path, "/attempt/") {
-						writeRaw(t, w, "HTTP/1.1 503 Service Unavailable\r\nVerdict: not-run\r\nReason: shed\r\n"+line+"\r\nContent-Length: 0\r\n\r\n")
+						raw.Answer(w, "HTTP/1.1 503 Service Unavailable\r\nVerdict: not-run\r\nReason: shed\r\n"+line+"\r\nContent-Length: 0\r\n\r\n")
 					}
 				})
 				synctest.Wait()
--- a/internal/request/head/checker.go
+++ b/internal/request/head/checker.go
@@ -1,6 +1,7 @@
 package head
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
@@ -40,11 +41,15 @@
 	fieldValue             // fieldValue ends with its line feed.
 )
 
-// Expect begins the check of a head whose first bytes have not been passed to Check yet.
-func (c *Checker) Expect() { *c = Checker{part: statusLine} }
+// Expect begins the check of the head that the reader is about to read, and checks the bytes of it that are buffered.
+func (c *Checker) Expect(br *bufio.Reader) error {
+	*c = Checker{part: statusLine}
+	buffered, _ := br.Peek(br.Buffered()) // Bytes that are buffered need no read, which could fail.
+	return c.Check(buffered)
+}
 
-// Check checks the next bytes; those behind the head are ignored. The error matches ErrInvalid and is returned until the
-// next call of Expect.
+// Check checks the next bytes that are read from the connection; those behind the head are ignored. The error matches
+// ErrInvalid and is returned until the next call of Expect.
 func (c *Checker) Check(b []byte) error {
 	for len(b) > 0 && c.part != outside && c.err == nil {
 		switch c.part {
--- a/internal/request/head/checker_test.go
+++ b/internal/request/head/checker_test.go
@@ -21,8 +21,9 @@
 	} {
 		for i := range text {
 			var c head.Checker
-			c.Expect()
-			if err := errors.Join(c.Check([]byte(text[:i])), c.Check([]byte(text[i:]))); err != nil {
+			br := bufio.NewReader(strings.NewReader(text[:i]))
+			_, _ = br.Peek(i)
+			if err := errors.Join(c.Expect(br), c.Check([]byte(text[i:]))); err != nil {
 				t.Errorf("%q in two parts at %d: %v", text, i, err)
 			}
 		}
@@ -37,9 +38,9 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte, cut int) {
 		var whole, parts, bytes head.Checker
-		whole.Expect()
-		parts.Expect()
-		bytes.Expect()
+		for _, c := range []*head.Checker{&whole, &parts, &bytes} {
+			_ = c.Expect(bufio.NewReader(strings.NewReader("")))
+		}
 		want := whole.Check(text)
 		cut = max(0, min(cut, len(text)))
 		_ = parts.Check(text[:cut])
--- a/internal/request/pool/attempt.go
+++ b/internal/request/pool/attempt.go
@@ -104,7 +104,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return nil, err
 	}
-	if err := c.expectHead(); err != nil {
+	if err := c.head.Expect(c.br); err != nil {
 		p.countInvalid(err)
 		return nil, err
 	}
--- a/internal/request/pool/conn.go
+++ b/internal/request/pool/conn.go
@@ -44,8 +44,8 @@
 	firstReadTimeout time.Duration   // firstReadTimeout is the timeout of reads before the response begins; 0 means progressTimeout.
 	// exchange queries, after a pause within a body, whether the attempt is still running; it is nil for probes.
 	exchange        *exchange
-	headerBytesLeft int64 // headerBytesLeft is how many bytes of a response header may still be read; negative means no limit.
-	head            head.Checker
+	headerBytesLeft int64        // headerBytesLeft is how many bytes of a response header may still be read; negative means no limit.
+	head            head.Checker // head checks the head of the response that is awaited.
 	writeState      atomic.Int32
 	silent          atomic.Bool // silent is set when this connection or one that was opened later to the same address was found silent.
 
@@ -121,15 +121,7 @@
 	}
 }
 
-// expectHead begins the check of the next response's head. The error matches head.ErrInvalid when the part that has been
-// read already is not one of HTTP/1.1.
-func (c *conn) expectHead() error {
-	c.head.Expect()
-	buffered, _ := c.br.Peek(c.br.Buffered())
-	return c.head.Check(buffered)
-}
-
-// readHead reads the head that expectHead has begun, of at most the given number of bytes. The error matches
+// readHead reads the head whose check has begun, of at most the given number of bytes. The error matches
 // head.ErrInvalid when it is not one of HTTP/1.1.
 func (c *conn) readHead(r *http.Request, limit int64) (*http.Response, error) {
 	c.headerBytesLeft = limit
--- a/internal/request/pool/exchange.go
+++ b/internal/request/pool/exchange.go
@@ -113,7 +113,7 @@
 // receiveHeader reads the header of the final response and skips interim responses.
 func (e *exchange) receiveHeader() (*http.Response, error) {
 	for interim := 0; ; {
-		if err := e.conn.expectHead(); err != nil {
+		if err := e.conn.head.Expect(e.conn.br); err != nil {
 			return nil, err
 		}
 		if err := e.awaitResponse(); err != nil {
--- a/internal/request/upstream/conn.go
+++ b/internal/request/upstream/conn.go
@@ -20,12 +20,12 @@
 	raw       net.Conn
 	br        *bufio.Reader
 	lastUsed  time.Time
-	expires   time.Time   // expires is the time after which the connection must not be used.
-	requests  int         // requests counts the requests that the connection has carried, the one in progress included.
-	sent      atomic.Bool // sent is set when bytes of the request in progress may have been sent.
-	held      *heldBytes  // held counts the bytes of the answers.
-	readLimit int         // readLimit is how many more bytes may be read; negative means no limit.
-	head      head.Checker
+	expires   time.Time    // expires is the time after which the connection must not be used.
+	requests  int          // requests counts the requests that the connection has carried, the one in progress included.
+	sent      atomic.Bool  // sent is set when bytes of the request in progress may have been sent.
+	held      *heldBytes   // held counts the bytes of the answers.
+	readLimit int          // readLimit is how many more bytes may be read; negative means no limit.
+	head      head.Checker // head checks the head that is awaited.
 }
 
 func newConn(address string, raw net.Conn, held *heldBytes) *conn {
@@ -57,9 +57,7 @@
 
 // readHead reads the next head. The error matches head.ErrInvalid when it is not one of HTTP/1.1.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.head.Expect()
-	buffered, _ := c.br.Peek(c.br.Buffered())
-	if err := c.head.Check(buffered); err != nil {
+	if err := c.head.Expect(c.br); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(c.br, req)
