internal/request/upstream: a test whose target read on before its answer had been read

Seen: TestEarlyAnswersCloseTheConnection failed once in a run without the race detector (deadlock in the bubble). Cause: the test's own target read the rest of the upload while the caller still read the answer. When the upload was whole by then, the connection was sound and was rightly used again, and the target, which discards all that follows, never answered the second request. Change: the target reads on once the call has returned; what is checked is the same.

--- a/internal/request/upstream/pool_test.go
+++ b/internal/request/upstream/pool_test.go
@@ -215,6 +215,7 @@
 // sent: the next request would be read as the rest of that body.
 func TestEarlyAnswersCloseTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		answered := make(chan struct{})
 		early := func(c net.Conn, br *bufio.Reader) {
 			req, err := http.ReadRequest(br)
 			if err != nil {
@@ -222,6 +223,7 @@
 			}
 			_, _ = io.CopyN(io.Discard, req.Body, 1000)
 			reply(c, req.Header.Get("Id"), "early")
+			<-answered // Otherwise the body may be sent whole before the answer is complete, and the connection is sound.
 			_, _ = io.Copy(io.Discard, br)
 		}
 		r := newRig(early, echo)
@@ -230,6 +232,7 @@
 		if got := r.call(t.Context(), "1", big); got != "200 early" {
 			t.Errorf("answer %q", got)
 		}
+		close(answered)
 		if got := r.call(t.Context(), "2", nil); got != "200 /x?y=%2f " || r.dials != 2 {
 			t.Errorf("answer %q over %d connections", got, r.dials)
 		}
